Serve one request from caller to target

Cause: the repository was empty.

Change: the workspace with the core types, the inventory as one aggregate, the document border with generated types, a token ledger, a slot pool, the HTTP edge and a daemon that joins them. A request goes from a caller through an entry host to a target and back; the platform and the target are stand-ins in processes of their own.

By hand, three processes on loopback: a lookup with a key answered 200 from the target, readiness answered 200, and the daemon drained on SIGTERM.

--- /dev/null
+++ b/crates/inventory/src/bookings.rs
@@ -0,0 +1,52 @@
+//! Changes that operators book ahead, with a start and, for some, an end.
+
+use chicorycroft_core::prelude::*;
+use smol_str::SmolStr;
+
+use crate::records::TeamLimit;
+
+/// What a booked change does while it is in force.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum BookedAction {
+    /// Takes a zone out: its targets get no new work.
+    ZoneOut(ZoneId),
+    /// Stops a target: it gets no new work.
+    TargetStop(TargetId),
+    /// Stops a host: it becomes unready and drains.
+    HostStop(HostId),
+    /// Replaces the rate and burst of a team.
+    TeamLimit(TeamId, TeamLimit),
+    /// Suspends all keys of a team.
+    TeamSuspended(TeamId),
+    /// Replaces the floor of a service.
+    ServiceFloor(ServiceId, CapacityRatio),
+}
+
+/// A change with the time it is in force.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BookedChange {
+    /// Name of the booking, for logs and operators.
+    pub id: SmolStr,
+    /// First moment in force.
+    pub start: UnixTime,
+    /// First moment no longer in force; `None` stands for no end.
+    pub end: Option<UnixTime>,
+    /// What the change does.
+    pub action: BookedAction,
+}
+
+impl BookedChange {
+    /// Tells whether the change is in force at a time.
+    pub fn is_in_force(&self, at: UnixTime) -> bool {
+        self.start <= at && self.end.is_none_or(|end| at < end)
+    }
+
+    /// Returns the next start or end after a time.
+    pub fn next_edge(&self, at: UnixTime) -> Option<UnixTime> {
+        [Some(self.start), self.end]
+            .into_iter()
+            .flatten()
+            .filter(|&edge| edge > at)
+            .min()
+    }
+}
--- /dev/null
+++ b/crates/inventory/src/snapshot.rs
@@ -0,0 +1,392 @@
+//! One whole version of the configuration.
+//!
+//! A snapshot is built from all parts at once and refused as a whole when a part contradicts
+//! another, so that no host ever serves a mixture of versions.
+
+use std::sync::Arc;
+
+use chicorycroft_core::prelude::*;
+use indexmap::IndexMap;
+use smol_str::SmolStr;
+use thiserror::Error;
+
+use crate::{
+    bookings::BookedAction,
+    keys::KeyRing,
+    records::{
+        FleetRules,
+        RouteAccess,
+        RouteRecord,
+        ServiceRecord,
+        TargetRecord,
+        TeamRecord,
+        ZoneRecord, //
+    },
+    routes::RouteTable, //
+};
+
+/// The records of all parts, before they are checked against each other.
+#[derive(Clone, Debug)]
+pub struct SnapshotParts {
+    /// All zones.
+    pub zones: Vec<ZoneRecord>,
+    /// All services.
+    pub services: Vec<ServiceRecord>,
+    /// All targets.
+    pub targets: Vec<TargetRecord>,
+    /// All teams.
+    pub teams: Vec<TeamRecord>,
+    /// All routes.
+    pub routes: Vec<RouteRecord>,
+    /// The rules.
+    pub rules: FleetRules,
+}
+
+/// Why parts do not make a snapshot.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum SnapshotError {
+    /// A name is listed twice.
+    #[error("{kind} {name} is listed twice; remove one of them")]
+    Duplicate {
+        /// What the name stands for.
+        kind: &'static str,
+        /// The name.
+        name: SmolStr,
+    },
+    /// A record names another one that is not listed.
+    #[error("{kind} {name} names {wanted_kind} {wanted}, which is not listed")]
+    Missing {
+        /// What the name stands for.
+        kind: &'static str,
+        /// The name.
+        name: SmolStr,
+        /// What is missing.
+        wanted_kind: &'static str,
+        /// The name that is missing.
+        wanted: SmolStr,
+    },
+    /// Two teams have the same key.
+    #[error("teams {first} and {second} list the same key digest; give each its own key")]
+    SharedKey {
+        /// The team listed first.
+        first: TeamId,
+        /// The team listed second.
+        second: TeamId,
+    },
+    /// Two routes take the same requests.
+    #[error("routes {first} and {second} take the same path and method")]
+    RouteCollision {
+        /// The route listed first.
+        first: RouteId,
+        /// The route listed second.
+        second: RouteId,
+    },
+    /// A value is outside its range.
+    #[error("{kind} {name}: {field} must be at least {lowest}")]
+    TooLow {
+        /// What the name stands for.
+        kind: &'static str,
+        /// The name.
+        name: SmolStr,
+        /// The field.
+        field: &'static str,
+        /// The lowest allowed value.
+        lowest: u64,
+    },
+    /// A booking ends before it starts.
+    #[error("booking {name} ends at {end}, which is not after its start {start}")]
+    EndBeforeStart {
+        /// Name of the booking.
+        name: SmolStr,
+        /// Its start.
+        start: UnixTime,
+        /// Its end.
+        end: UnixTime,
+    },
+}
+
+impl SnapshotError {
+    /// Returns the kind and name of the record that is at fault.
+    pub fn record(&self) -> (&'static str, SmolStr) {
+        match self {
+            Self::Duplicate { kind, name }
+            | Self::Missing { kind, name, .. }
+            | Self::TooLow { kind, name, .. } => (kind, name.clone()),
+            Self::SharedKey { second, .. } => ("team", second.as_str().into()),
+            Self::RouteCollision { second, .. } => ("route", second.as_str().into()),
+            Self::EndBeforeStart { name, .. } => ("booking", name.clone()),
+        }
+    }
+}
+
+/// A version of the configuration that is consistent in itself.
+#[derive(Clone, Debug)]
+pub struct FleetSnapshot {
+    version: ConfigVersion,
+    zones: IndexMap<ZoneId, ZoneRecord>,
+    services: IndexMap<ServiceId, ServiceRecord>,
+    targets: IndexMap<TargetId, Arc<TargetRecord>>,
+    targets_of: IndexMap<ServiceId, Vec<Arc<TargetRecord>>>,
+    teams: IndexMap<TeamId, TeamRecord>,
+    keys: KeyRing,
+    routes: RouteTable,
+    rules: FleetRules,
+}
+
+fn index_by<K, V>(
+    kind: &'static str,
+    records: Vec<V>,
+    key_of: impl Fn(&V) -> &K,
+) -> Result<IndexMap<K, V>, SnapshotError>
+where
+    K: Clone + Eq + std::hash::Hash + ToString,
+{
+    let mut index = IndexMap::with_capacity(records.len());
+    for record in records {
+        let key = key_of(&record).clone();
+        if index.contains_key(&key) {
+            return Err(SnapshotError::Duplicate {
+                kind,
+                name: key.to_string().into(),
+            });
+        }
+        index.insert(key, record);
+    }
+    Ok(index)
+}
+
+fn require(
+    is_listed: bool,
+    (kind, name): (&'static str, &str),
+    (wanted_kind, wanted): (&'static str, &str),
+) -> Result<(), SnapshotError> {
+    if is_listed {
+        return Ok(());
+    }
+    Err(SnapshotError::Missing {
+        kind,
+        name: name.into(),
+        wanted_kind,
+        wanted: wanted.into(),
+    })
+}
+
+fn require_positive(
+    value: u64,
+    (kind, name): (&'static str, &str),
+    field: &'static str,
+) -> Result<(), SnapshotError> {
+    if value > 0 {
+        return Ok(());
+    }
+    Err(SnapshotError::TooLow {
+        kind,
+        name: name.into(),
+        field,
+        lowest: 1,
+    })
+}
+
+impl FleetSnapshot {
+    /// Checks the parts against each other and builds the snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Fails on the first contradiction, and names the record at fault.
+    pub fn new(version: ConfigVersion, parts: SnapshotParts) -> Result<Self, SnapshotError> {
+        let zones = index_by("zone", parts.zones, |zone| &zone.id)?;
+        let services = index_by("service", parts.services, |service| &service.id)?;
+        let targets = index_by(
+            "target",
+            parts.targets.into_iter().map(Arc::new).collect(),
+            |target: &Arc<TargetRecord>| &target.id,
+        )?;
+        let teams = index_by("team", parts.teams, |team| &team.id)?;
+        let mut snapshot = Self {
+            version,
+            zones,
+            services,
+            targets,
+            targets_of: IndexMap::new(),
+            teams,
+            keys: KeyRing::new(),
+            routes: RouteTable::new(),
+            rules: parts.rules,
+        };
+        snapshot.check_services()?;
+        snapshot.group_targets()?;
+        snapshot.grant_keys()?;
+        snapshot.add_routes(parts.routes)?;
+        snapshot.check_rules()?;
+        Ok(snapshot)
+    }
+
+    fn check_services(&self) -> Result<(), SnapshotError> {
+        for service in self.services.values() {
+            let at = ("service", service.id.as_str());
+            require_positive(service.slots.get().into(), at, "slots")?;
+            require_positive(service.connections.into(), at, "connections")?;
+            require_positive(service.warm_up_answers.into(), at, "warm_up_answers")?;
+            require_positive(service.deadline.as_millis() as u64, at, "deadline_ms")?;
+        }
+        Ok(())
+    }
+
+    fn group_targets(&mut self) -> Result<(), SnapshotError> {
+        for target in self.targets.values() {
+            let at = ("target", target.id.as_str());
+            let (service, zone) = (&target.service, &target.zone);
+            let has_service = self.services.contains_key(service);
+            require(has_service, at, ("service", service.as_str()))?;
+            require(self.zones.contains_key(zone), at, ("zone", zone.as_str()))?;
+            let group = self.targets_of.entry(service.clone()).or_default();
+            group.push(target.clone());
+        }
+        Ok(())
+    }
+
+    fn grant_keys(&mut self) -> Result<(), SnapshotError> {
+        for team in self.teams.values() {
+            for &digest in &team.keys {
+                let shared_with = |first| SnapshotError::SharedKey {
+                    first,
+                    second: team.id.clone(),
+                };
+                self.keys.grant(digest, &team.id).map_err(shared_with)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn add_routes(&mut self, routes: Vec<RouteRecord>) -> Result<(), SnapshotError> {
+        for route in index_by("route", routes, |route| &route.id)?.into_values() {
+            let at = ("route", route.id.as_str());
+            let service = &route.service;
+            let has_service = self.services.contains_key(service);
+            require(has_service, at, ("service", service.as_str()))?;
+            if let RouteAccess::Teams(teams) = &route.access {
+                for team in teams {
+                    require(self.teams.contains_key(team), at, ("team", team.as_str()))?;
+                }
+            }
+            let second = route.id.clone();
+            let collision = |first: Arc<RouteRecord>| SnapshotError::RouteCollision {
+                first: first.id.clone(),
+                second,
+            };
+            self.routes.add(route).map_err(collision)?;
+        }
+        Ok(())
+    }
+
+    fn check_rules(&self) -> Result<(), SnapshotError> {
+        require_positive(
+            self.rules.host_bound.into(),
+            ("rule", "rules"),
+            "host_bound",
+        )?;
+        let mut names = indexmap::IndexSet::new();
+        for booking in &self.rules.bookings {
+            if !names.insert(&booking.id) {
+                return Err(SnapshotError::Duplicate {
+                    kind: "booking",
+                    name: booking.id.clone(),
+                });
+            }
+            if let Some(end) = booking.end.filter(|&end| end <= booking.start) {
+                return Err(SnapshotError::EndBeforeStart {
+                    name: booking.id.clone(),
+                    start: booking.start,
+                    end,
+                });
+            }
+            let (is_listed, wanted) = self.subject_of(&booking.action);
+            require(is_listed, ("booking", &booking.id), wanted)?;
+        }
+        Ok(())
+    }
+
+    fn subject_of<'a>(&self, action: &'a BookedAction) -> (bool, (&'static str, &'a str)) {
+        match action {
+            BookedAction::ZoneOut(zone) => (self.zones.contains_key(zone), ("zone", zone.as_str())),
+            BookedAction::TargetStop(target) => (
+                self.targets.contains_key(target),
+                ("target", target.as_str()),
+            ),
+            // Hosts come and go by the platform's list, so that a booking may name one in advance.
+            BookedAction::HostStop(host) => (true, ("host", host.as_str())),
+            BookedAction::TeamLimit(team, _) | BookedAction::TeamSuspended(team) => {
+                (self.teams.contains_key(team), ("team", team.as_str()))
+            }
+            BookedAction::ServiceFloor(service, _) => (
+                self.services.contains_key(service),
+                ("service", service.as_str()),
+            ),
+        }
+    }
+
+    /// Returns the version.
+    pub fn version(&self) -> ConfigVersion {
+        self.version
+    }
+
+    /// Returns a zone.
+    pub fn zone(&self, id: &ZoneId) -> Option<&ZoneRecord> {
+        self.zones.get(id)
+    }
+
+    /// Returns all zones.
+    pub fn zones(&self) -> impl Iterator<Item = &ZoneRecord> {
+        self.zones.values()
+    }
+
+    /// Returns a service.
+    pub fn service(&self, id: &ServiceId) -> Option<&ServiceRecord> {
+        self.services.get(id)
+    }
+
+    /// Returns all services.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceRecord> {
+        self.services.values()
+    }
+
+    /// Returns a target.
+    pub fn target(&self, id: &TargetId) -> Option<&Arc<TargetRecord>> {
+        self.targets.get(id)
+    }
+
+    /// Returns all targets.
+    pub fn targets(&self) -> impl Iterator<Item = &Arc<TargetRecord>> {
+        self.targets.values()
+    }
+
+    /// Returns the targets of a service.
+    pub fn targets_of(&self, service: &ServiceId) -> &[Arc<TargetRecord>] {
+        self.targets_of.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns a team.
+    pub fn team(&self, id: &TeamId) -> Option<&TeamRecord> {
+        self.teams.get(id)
+    }
+
+    /// Returns all teams.
+    pub fn teams(&self) -> impl Iterator<Item = &TeamRecord> {
+        self.teams.values()
+    }
+
+    /// Returns the keys.
+    pub fn keys(&self) -> &KeyRing {
+        &self.keys
+    }
+
+    /// Returns the routes.
+    pub fn routes(&self) -> &RouteTable {
+        &self.routes
+    }
+
+    /// Returns the rules.
+    pub fn rules(&self) -> &FleetRules {
+        &self.rules
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/body.rs
@@ -0,0 +1,154 @@
+//! The streamed body type.
+
+use std::{
+    future::Future,
+    pin::Pin,
+    task::{
+        Context,
+        Poll, //
+    },
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use http_body::{
+    Body,
+    Frame,
+    SizeHint, //
+};
+use http_body_util::{
+    BodyExt,
+    Empty,
+    Full, //
+    combinators::UnsyncBoxBody,
+};
+use hyper::body::Incoming;
+use thiserror::Error;
+use tokio::time::{
+    Instant,
+    Sleep, //
+};
+
+/// Why a body ended before its end.
+#[derive(Debug, Error)]
+pub enum BodyError {
+    /// The HTTP connection that the body comes from failed.
+    #[error("the body was cut: {0}")]
+    Cut(#[from] hyper::Error),
+    /// No data came for too long.
+    #[error("the body made no progress for too long")]
+    Stalled,
+}
+
+/// A body that streams, whatever it comes from.
+pub type ProxyBody = UnsyncBoxBody<Bytes, BodyError>;
+
+/// Makes a body without content.
+pub fn empty_body() -> ProxyBody {
+    Empty::new().map_err(|never| match never {}).boxed_unsync()
+}
+
+/// Makes a body of bytes that are at hand.
+pub fn full_body(bytes: impl Into<Bytes>) -> ProxyBody {
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// How a watched body ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BodyEnd {
+    /// All of it was read.
+    Whole,
+    /// The other side cut it, or it stalled.
+    Cut,
+    /// The reader went away first.
+    Abandoned,
+}
+
+type EndCall = Box<dyn FnOnce(BodyEnd) + Send>;
+
+/// A body that reports its end and fails when it makes no progress for too long.
+pub struct WatchedBody {
+    inner: Incoming,
+    idle_max: Duration,
+    idle: Pin<Box<Sleep>>,
+    on_end: Option<EndCall>,
+}
+
+impl WatchedBody {
+    /// Watches a body.
+    pub fn new(
+        inner: Incoming,
+        idle_max: Duration,
+        on_end: impl FnOnce(BodyEnd) + Send + 'static,
+    ) -> Self {
+        let mut body = Self {
+            inner,
+            idle_max,
+            idle: Box::pin(tokio::time::sleep(idle_max)),
+            on_end: Some(Box::new(on_end)),
+        };
+        // A body without content is whole at once; hyper may never poll it.
+        if body.inner.is_end_stream() {
+            body.finish(BodyEnd::Whole);
+        }
+        body
+    }
+
+    fn finish(&mut self, end: BodyEnd) {
+        if let Some(on_end) = self.on_end.take() {
+            on_end(end);
+        }
+    }
+}
+
+impl Body for WatchedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match Pin::new(&mut self.inner).poll_frame(context) {
+            Poll::Ready(Some(Ok(frame))) => {
+                let deadline = Instant::now() + self.idle_max;
+                self.idle.as_mut().reset(deadline);
+                if self.inner.is_end_stream() {
+                    self.finish(BodyEnd::Whole);
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(error))) => {
+                self.finish(BodyEnd::Cut);
+                Poll::Ready(Some(Err(error.into())))
+            }
+            Poll::Ready(None) => {
+                self.finish(BodyEnd::Whole);
+                Poll::Ready(None)
+            }
+            Poll::Pending => match self.idle.as_mut().poll(context) {
+                Poll::Ready(()) => {
+                    self.finish(BodyEnd::Cut);
+                    Poll::Ready(Some(Err(BodyError::Stalled)))
+                }
+                Poll::Pending => Poll::Pending,
+            },
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+impl Drop for WatchedBody {
+    fn drop(&mut self) {
+        self.finish(BodyEnd::Abandoned);
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/refusal.rs
@@ -0,0 +1,160 @@
+//! Answers that the fleet gives itself, as `application/problem+json` (RFC 9457).
+
+use std::{
+    fmt,
+    time::Duration, //
+};
+
+use http::{
+    HeaderValue,
+    Response,
+    StatusCode, //
+    header::{
+        CONTENT_TYPE,
+        RETRY_AFTER, //
+    },
+};
+
+use crate::{
+    body::{
+        ProxyBody, //
+        full_body,
+    },
+    names,
+};
+
+/// Whether a refused request may have run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunStatement {
+    /// It certainly did not run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+impl fmt::Display for RunStatement {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        })
+    }
+}
+
+/// Why the fleet refuses a request.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum RefusalKind {
+    /// The request is malformed.
+    BadRequest,
+    /// The head is too large.
+    HeadTooLarge,
+    /// No route matches.
+    NoRoute,
+    /// The route does not take the method.
+    NoMethod,
+    /// No valid key came.
+    BadKey,
+    /// The team may not use the route.
+    NotAllowed,
+    /// The team is over its rate and burst.
+    OverRate,
+    /// No slot became free in time.
+    NoCapacity,
+    /// This host may not serve now.
+    NotReady,
+    /// The target or its owner failed.
+    BadGateway,
+    /// The deadline passed.
+    TimedOut,
+}
+
+impl RefusalKind {
+    /// Returns the status code.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::NoMethod => StatusCode::METHOD_NOT_ALLOWED,
+            Self::BadKey => StatusCode::UNAUTHORIZED,
+            Self::NotAllowed => StatusCode::FORBIDDEN,
+            Self::OverRate => StatusCode::TOO_MANY_REQUESTS,
+            Self::NoCapacity | Self::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+            Self::BadGateway => StatusCode::BAD_GATEWAY,
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// Returns the name for logs, metrics and the `type` member.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::BadRequest => "bad-request",
+            Self::HeadTooLarge => "head-too-large",
+            Self::NoRoute => "no-route",
+            Self::NoMethod => "no-method",
+            Self::BadKey => "bad-key",
+            Self::NotAllowed => "not-allowed",
+            Self::OverRate => "over-rate",
+            Self::NoCapacity => "no-capacity",
+            Self::NotReady => "not-ready",
+            Self::BadGateway => "bad-gateway",
+            Self::TimedOut => "timed-out",
+        }
+    }
+
+    /// Returns the error type of RFC 9209.
+    fn proxy_error(self) -> &'static str {
+        match self {
+            Self::NoRoute => "destination_not_found",
+            Self::NoCapacity => "connection_limit_reached",
+            Self::NotReady => "destination_unavailable",
+            Self::BadGateway => "connection_terminated",
+            Self::TimedOut => "http_response_timeout",
+            _ => "http_request_denied",
+        }
+    }
+
+    fn title(self) -> &'static str {
+        match self {
+            Self::BadRequest => "The request is malformed",
+            Self::HeadTooLarge => "The head of the request is too large",
+            Self::NoRoute => "No route matches the path",
+            Self::NoMethod => "The route does not take the method",
+            Self::BadKey => "A valid key is needed",
+            Self::NotAllowed => "The team may not use the route",
+            Self::OverRate => "The team is over its rate and burst",
+            Self::NoCapacity => "No capacity became free in time",
+            Self::NotReady => "This host may not serve now",
+            Self::BadGateway => "The target failed",
+            Self::TimedOut => "The deadline passed",
+        }
+    }
+
+    /// Builds the answer.
+    pub fn respond(self, run: RunStatement, retry_after: Option<Duration>) -> Response<ProxyBody> {
+        let status = self.status();
+        let problem = serde_json::json!({
+            "type": format!("urn:chicorycroft:{}", self.name()),
+            "title": self.title(),
+            "status": status.as_u16(),
+            "run": run.to_string(),
+        });
+        let mut response = Response::new(full_body(problem.to_string()));
+        *response.status_mut() = status;
+        let headers = response.headers_mut();
+        headers.insert(
+            CONTENT_TYPE,
+            HeaderValue::from_static("application/problem+json"),
+        );
+        let proxy_status = format!("chicorycroft; error={}", self.proxy_error());
+        if let Ok(value) = HeaderValue::from_str(&proxy_status) {
+            headers.insert(names::PROXY_STATUS, value);
+        }
+        if let Some(wait) = retry_after {
+            // Whole seconds, rounded up: a caller that comes back earlier is refused again.
+            let seconds = wait.as_millis().div_ceil(1000).max(1);
+            headers.insert(RETRY_AFTER, HeaderValue::from(seconds.min(3600) as u64));
+        }
+        response
+    }
+}
