Keep the start of request bodies for another attempt

Cause: an upload that an owner refuses before it runs could not be sent elsewhere.

An open-loop latency experiment compares a target with the same target behind one entry host.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,5 +1,6 @@
 //! Experiments on the decisions of the fleet. Each prints the rows of one table.
 //!
+//! - [`latency`]: latency that one entry host adds.
 //! - [`owners`]: how evenly rendezvous hashing spreads targets over hosts.
 
 use std::process::ExitCode;
@@ -7,6 +8,7 @@
 use eyre::Result;
 use getopts::Options;
 
+mod latency;
 mod owners;
 
 /// Exit status for a command line that is not valid, as `sysexits` has it.
@@ -19,11 +21,18 @@
     run: fn(seed: u64) -> Result<()>,
 }
 
-const EXPERIMENTS: &[ExperimentEntry] = &[ExperimentEntry {
-    name: "owners",
-    brief: "spread of targets over their owners",
-    run: owners::run,
-}];
+const EXPERIMENTS: &[ExperimentEntry] = &[
+    ExperimentEntry {
+        name: "latency",
+        brief: "latency that one entry host adds",
+        run: latency::run,
+    },
+    ExperimentEntry {
+        name: "owners",
+        brief: "spread of targets over their owners",
+        run: owners::run,
+    },
+];
 
 fn print_help(options: &Options) {
     let brief = "Usage: chicorycroft-bench EXPERIMENT [--seed NUMBER]";
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,6 +1,7 @@
 //! One running host: joins the decisions with the edges.
 //!
 //! - [`clock`]: the clocks of the runtime and of the world.
+//! - [`replay`]: request bodies that can be sent again.
 //! - [`state`]: what all tasks of the host share.
 //! - [`decision_log`]: one key=value line for each decision.
 //! - [`admission`]: route, key and rate of a request.
@@ -16,6 +17,7 @@
 pub mod decision_log;
 pub mod dispatch;
 pub mod host;
+pub mod replay;
 pub mod state;
 
 /// The names that most users of the crate need.
--- a/crates/proxy/src/body.rs
+++ b/crates/proxy/src/body.rs
@@ -38,6 +38,9 @@
     /// No data came for too long.
     #[error("the body made no progress for too long")]
     Stalled,
+    /// A later attempt reads the body now.
+    #[error("a later attempt reads the body")]
+    Superseded,
 }
 
 /// A body that streams, whatever it comes from.
