--- /dev/null
+++ b/crates/peer/src/messages.rs
@@ -0,0 +1,226 @@
+//! The control messages between hosts.
+
+use std::{
+    fmt,
+    time::Duration, //
+};
+
+use chicorycroft_core::prelude::*;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    heartbeat::{
+        Heartbeat,
+        HeartbeatAck, //
+    },
+    parts::{
+        PartsAnswer,
+        PartsRequest, //
+    },
+};
+
+/// Identity of a draw, so that a duplicate grant is recognised.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct DrawId {
+    /// The host that draws.
+    pub host: HostId,
+    /// Its incarnation.
+    pub incarnation: HostIncarnation,
+    /// Number of the draw within the incarnation.
+    pub sequence: u64,
+}
+
+impl fmt::Display for DrawId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}/{}", self.host, self.incarnation, self.sequence)
+    }
+}
+
+/// A request for tokens.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TokenDraw {
+    /// The team.
+    pub team: TeamId,
+    /// How many tokens are wanted.
+    pub wanted: TokenAmount,
+    /// Identity of the draw.
+    pub id: DrawId,
+}
+
+/// Tokens with the same remaining life.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TokenLot {
+    /// Number of tokens.
+    pub amount: TokenAmount,
+    /// Remaining life in microseconds, counted from the moment the draw was sent.
+    pub life_micros: u64,
+}
+
+/// The answer to a draw.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TokenGrant {
+    /// The draw that is answered.
+    pub id: DrawId,
+    /// The tokens that change hands; empty when there are none.
+    pub lots: Vec<TokenLot>,
+}
+
+/// A request to probe a target from another host.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ProbeRequest {
+    /// The target.
+    pub target: TargetId,
+}
+
+/// How a probe ended.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum ProbeOutcome {
+    /// The target answered well.
+    Good,
+    /// The target refused the connection.
+    Refused,
+    /// No answer came in time.
+    TimedOut,
+    /// The connection was cut.
+    Cut,
+    /// The answer was wrong.
+    Wrong,
+}
+
+/// The answer to a request for a probe.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ProbeAnswer {
+    /// The target.
+    pub target: TargetId,
+    /// How the probe ended.
+    pub outcome: ProbeOutcome,
+}
+
+macro_rules! define_lease {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+        pub struct $name {
+            /// The service whose floor applies.
+            pub service: ServiceId,
+            /// The target.
+            pub target: TargetId,
+            /// Term of the lease, in milliseconds.
+            pub lease_millis: u32,
+        }
+
+        impl $name {
+            /// Returns the term of the lease.
+            pub fn lease(&self) -> Duration {
+                Duration::from_millis(self.lease_millis.into())
+            }
+        }
+    };
+}
+
+define_lease!(
+    /// A request to the arbiter for an ejection permit, or for a longer one.
+    EjectionRequest
+);
+define_lease!(
+    /// An ejection permit.
+    EjectionGrant
+);
+
+/// Notice to the arbiter that a permit is no longer needed.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EjectionRelease {
+    /// The service whose floor applies.
+    pub service: ServiceId,
+    /// The target.
+    pub target: TargetId,
+}
+
+/// Notice of a leaving owner that it serves these targets no more.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OwnerHandover {
+    /// The previous owner.
+    pub host: HostId,
+    /// Its incarnation.
+    pub incarnation: HostIncarnation,
+    /// The targets.
+    pub targets: Vec<TargetId>,
+}
+
+/// Why a message or a forwarded request was refused.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum RefusalReason {
+    /// The format version is not known; the highest known one follows.
+    UnknownVersion(u8),
+    /// The kind of message is not known.
+    UnknownKind,
+    /// The bytes make no message.
+    Malformed,
+    /// The message is longer than allowed.
+    TooLarge,
+    /// The request is neither a message nor a forwarded request of a peer.
+    NotFromPeer,
+    /// The host does not own the target.
+    NotOwner,
+    /// The host is not ready.
+    NotReady,
+    /// The arbiter has no permit left or grants none yet.
+    NoPermit,
+    /// The message makes no sense as a request.
+    NotARequest,
+}
+
+impl fmt::Display for RefusalReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let text = match self {
+            Self::UnknownVersion(highest) => {
+                return write!(f, "unknown-version highest-known={highest}");
+            }
+            Self::UnknownKind => "unknown-kind",
+            Self::Malformed => "malformed",
+            Self::TooLarge => "too-large",
+            Self::NotFromPeer => "not-from-peer",
+            Self::NotOwner => "not-owner",
+            Self::NotReady => "not-ready",
+            Self::NoPermit => "no-permit",
+            Self::NotARequest => "not-a-request",
+        };
+        f.write_str(text)
+    }
+}
+
+/// A control message.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum PeerMessage {
+    /// Periodic report.
+    Heartbeat(Heartbeat),
+    /// Answer to a heartbeat.
+    HeartbeatAck(HeartbeatAck),
+    /// Request for tokens.
+    TokenDraw(TokenDraw),
+    /// Answer to a draw.
+    TokenGrant(TokenGrant),
+    /// Request for configuration documents.
+    PartsRequest(PartsRequest),
+    /// Chunks of configuration documents.
+    PartsAnswer(PartsAnswer),
+    /// Request for a probe.
+    ProbeRequest(ProbeRequest),
+    /// Answer to a request for a probe.
+    ProbeAnswer(ProbeAnswer),
+    /// Request for an ejection permit.
+    EjectionRequest(EjectionRequest),
+    /// Ejection permit.
+    EjectionGrant(EjectionGrant),
+    /// Return of an ejection permit.
+    EjectionRelease(EjectionRelease),
+    /// Handover of a planned stop.
+    OwnerHandover(OwnerHandover),
+    /// Answer to a notice: it was taken.
+    Accepted,
+    /// Refusal of any message.
+    Refused(RefusalReason),
+}
