Move tokens between ledgers by draws and grants

Cause: a host could spend only what it minted itself, and a burst below 16/15 tokens was unusable.

Change: lots expire evenly over a span, so that no part of a burst is lost to rounding. Draws and grants move lots one way; a grant counts once, for an open draw, and its life counts from the sending of the draw. New limits convert held and moving lots. A gate stops a host that slept. Idle accounts are dropped without minting again what they spent.

--- /dev/null
+++ b/crates/limits/src/account.rs
@@ -0,0 +1,239 @@
+//! Tokens of one team on one host.
+
+use std::time::Duration;
+
+use chicorycroft_core::prelude::*;
+use indexmap::IndexMap;
+
+use crate::{
+    demand::DemandMeter,
+    draws::{
+        GrantedLot,
+        TokenDraw,
+        TokenGrant, //
+    },
+    gate::GateState,
+    lots::{
+        LotQueue,
+        TokenLot, //
+    },
+    terms::LimitTerms,
+};
+
+/// Time after which a draw without a grant no longer holds up the next one.
+const DRAW_PENDING: Duration = Duration::from_millis(100);
+
+/// Time after which the grant of a draw is no longer taken.
+const DRAW_OPEN: Duration = Duration::from_secs(1);
+
+/// Pause after an empty grant; it doubles up to [`DRAW_PAUSE_MAX`]. Teams above their rate would
+/// otherwise draw without end on every host.
+const DRAW_PAUSE_MIN: Duration = Duration::from_millis(50);
+const DRAW_PAUSE_MAX: Duration = Duration::from_millis(800);
+
+/// Most drawers whose last draw is remembered, to recognise doubled draws.
+const DRAWERS_MAX: usize = 64;
+
+/// Tokens of one team on one host, its open draws and its demand.
+#[derive(Debug)]
+pub(crate) struct TeamAccount {
+    terms: LimitTerms,
+    lots: LotQueue,
+    minted_until: MonoTime,
+    touched_at: MonoTime,
+    epoch: u64,
+    demand: DemandMeter,
+    open_draws: IndexMap<u64, MonoTime>,
+    drawers: IndexMap<HostId, (HostIncarnation, u64)>,
+    next_draw_at: MonoTime,
+    draw_pause: Duration,
+}
+
+impl TeamAccount {
+    pub(crate) fn new(terms: LimitTerms, minted_until: MonoTime, epoch: u64) -> Self {
+        Self {
+            terms,
+            lots: LotQueue::default(),
+            minted_until,
+            touched_at: minted_until,
+            epoch,
+            demand: DemandMeter::default(),
+            open_draws: IndexMap::new(),
+            drawers: IndexMap::new(),
+            next_draw_at: MonoTime::START,
+            draw_pause: DRAW_PAUSE_MIN,
+        }
+    }
+
+    /// Brings the account up to a time and to the terms in force.
+    pub(crate) fn advance(&mut self, gate: &GateState, terms: &LimitTerms, now: MonoTime) {
+        if self.epoch != gate.epoch {
+            self.epoch = gate.epoch;
+            self.lots.clear();
+            self.open_draws.clear();
+            self.minted_until = gate.since;
+        }
+        self.touched_at = now;
+        self.lots.expire(now);
+        if self.terms != *terms {
+            // The time of the change is unknown, so the gap is minted at the lower rate.
+            let share = self.terms.share().min(terms.share());
+            self.lots.convert(&self.terms, terms, now);
+            self.terms = *terms;
+            self.mint(share, now);
+            self.minted_until = now;
+        }
+        self.mint(terms.share(), now);
+    }
+
+    fn mint(&mut self, share: RequestRate, now: MonoTime) {
+        let life = self.terms.life();
+        let life_micros = u64::try_from(life.as_micros()).unwrap_or(u64::MAX);
+        let oldest = MonoTime::from_micros(now.as_micros().saturating_sub(life_micros));
+        let from = self.minted_until.max(oldest);
+        self.minted_until = from;
+        let amount = share.accrued_over(now.since(from));
+        if amount.is_zero() {
+            return;
+        }
+        // Only the time that whole millionths need is used up; slow rates lose no remainder.
+        let used =
+            (u128::from(amount.as_micros()) * 1_000_000).div_ceil(u128::from(share.as_micros()));
+        let used = Duration::from_micros(u64::try_from(used).unwrap_or(u64::MAX));
+        self.minted_until = from.after(used);
+        self.lots.mint(TokenLot {
+            amount,
+            first: from.after(life),
+            last: self.minted_until.after(life),
+        });
+    }
+
+    pub(crate) fn balance(&self) -> TokenAmount {
+        self.lots.balance()
+    }
+
+    /// Spends one token if there is one.
+    pub(crate) fn spend_one(&mut self, now: MonoTime) -> bool {
+        self.demand.record(TokenAmount::ONE, now);
+        let is_enough = self.balance() >= TokenAmount::ONE;
+        if is_enough {
+            self.lots.withdraw(TokenAmount::ONE);
+        }
+        is_enough
+    }
+
+    /// Returns how long minting alone takes to complete one token.
+    pub(crate) fn time_to_one(&self) -> Duration {
+        let missing = TokenAmount::ONE.saturating_sub(self.balance());
+        let missing = BurstSize::from_micros(missing.as_micros());
+        missing
+            .accrual_time(self.terms.share())
+            .unwrap_or(Duration::MAX)
+    }
+
+    fn target(&self, now: MonoTime) -> TokenAmount {
+        self.demand.target(self.terms.life(), now)
+    }
+
+    /// Tells whether a draw is on its way, so that a waiting request may still be served.
+    pub(crate) fn is_draw_pending(&self, now: MonoTime) -> bool {
+        let is_recent = |&sent_at: &MonoTime| now.since(sent_at) < DRAW_PENDING;
+        self.open_draws.values().any(is_recent)
+    }
+
+    /// Returns the tokens that the next draw should ask for, if one is due.
+    pub(crate) fn due_draw(&self, now: MonoTime) -> Option<TokenAmount> {
+        let is_held_up = now < self.next_draw_at || self.is_draw_pending(now);
+        let is_useless = self.terms.life().is_zero()
+            || self.terms.burst.as_micros() < TokenAmount::ONE.as_micros();
+        if is_held_up || is_useless || self.demand.level_at(now).is_zero() {
+            return None;
+        }
+        let target = self.target(now).max(TokenAmount::ONE);
+        let half = TokenAmount::from_micros(target.as_micros() / 2).max(TokenAmount::ONE);
+        let balance = self.balance();
+        (balance < half).then(|| target.saturating_sub(balance))
+    }
+
+    pub(crate) fn open_draw(&mut self, sequence: u64, now: MonoTime) {
+        let is_open = |sent_at: &MonoTime| now.since(*sent_at) <= DRAW_OPEN;
+        self.open_draws.retain(|_, sent_at| is_open(sent_at));
+        self.open_draws.insert(sequence, now);
+    }
+
+    /// Deducts what a draw may have: all but what this host is about to need itself.
+    ///
+    /// Returns `None` for a draw that was answered before or was overtaken by a later one.
+    pub(crate) fn answer(&mut self, draw: &TokenDraw, now: MonoTime) -> Option<TokenGrant> {
+        let stamp = (draw.id.incarnation, draw.id.sequence);
+        if self
+            .drawers
+            .get(&draw.id.host)
+            .is_some_and(|&last| last >= stamp)
+        {
+            return None;
+        }
+        if self.drawers.len() >= DRAWERS_MAX {
+            self.drawers.shift_remove_index(0);
+        }
+        self.drawers.insert(draw.id.host.clone(), stamp);
+        let surplus = self.balance().saturating_sub(self.target(now));
+        let lots = self.lots.withdraw(surplus.min(draw.wanted));
+        let granted = |lot: TokenLot| GrantedLot {
+            amount: lot.amount,
+            first_left: lot.first.since(now),
+            last_left: lot.last.since(now),
+        };
+        Some(TokenGrant {
+            draw: draw.id.clone(),
+            team: draw.team.clone(),
+            terms: self.terms,
+            lots: lots.into_iter().map(granted).collect(),
+        })
+    }
+
+    /// Takes the tokens of a grant for an open draw and returns how many there were.
+    ///
+    /// Their life counts from the time at which the draw was sent, which is before the deduction.
+    pub(crate) fn accept(&mut self, grant: &TokenGrant, now: MonoTime) -> Option<TokenAmount> {
+        let sent_at = self.open_draws.swap_remove(&grant.draw.sequence)?;
+        if now.since(sent_at) > DRAW_OPEN {
+            return None;
+        }
+        let mut lots = LotQueue::default();
+        for lot in &grant.lots {
+            lots.insert(TokenLot {
+                amount: lot.amount,
+                first: sent_at.after(lot.first_left),
+                last: sent_at.after(lot.last_left),
+            });
+        }
+        lots.expire(now);
+        lots.convert(&grant.terms, &self.terms, now);
+        let amount = lots.balance();
+        for lot in lots.withdraw(amount) {
+            self.lots.insert(lot);
+        }
+        self.pace_draws(amount, now);
+        Some(amount)
+    }
+
+    fn pace_draws(&mut self, received: TokenAmount, now: MonoTime) {
+        if received.is_zero() {
+            self.next_draw_at = now.after(self.draw_pause);
+            self.draw_pause = (self.draw_pause * 2).min(DRAW_PAUSE_MAX);
+        } else {
+            self.draw_pause = DRAW_PAUSE_MIN;
+        }
+    }
+
+    pub(crate) fn touched_at(&self) -> MonoTime {
+        self.touched_at
+    }
+
+    /// Returns when the account was last used, if that was longer ago than a token lives.
+    pub(crate) fn idle_since(&self, least: Duration, now: MonoTime) -> Option<MonoTime> {
+        let bound = self.terms.life().max(least);
+        (now.since(self.touched_at) > bound).then_some(self.touched_at)
+    }
+}
--- a/crates/limits/src/ledger.rs
+++ b/crates/limits/src/ledger.rs
@@ -1,139 +1,232 @@
 //! The tokens that this host holds for each team.
 
 use std::{
-    collections::VecDeque,
-    time::Duration, //
+    sync::atomic::{
+        AtomicU64,
+        Ordering, //
+    },
+    time::Duration,
 };
 
 use chicorycroft_core::prelude::*;
-use thiserror::Error;
 
-/// Lots into which the life of a token is divided.
-///
-/// A lot expires as its oldest token does, so that at most 1/16 of the tokens expire early.
-const LOTS_PER_LIFE: u32 = 16;
-
-/// Why a request gets no token.
-#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
-#[error("the team has no token on this host; the next one is due in {} ms", retry_after.as_millis())]
-pub struct TokenShortage {
-    /// Time after which this host mints enough for a request.
-    pub retry_after: Duration,
-}
-
-/// Tokens that were minted at about the same time.
-#[derive(Clone, Copy, Debug)]
-struct TokenLot {
-    amount: TokenAmount,
-    expires_at: MonoTime,
-}
-
-/// Tokens of one team on this host.
-#[derive(Debug)]
-struct TeamAccount {
-    lots: VecDeque<TokenLot>,
-    minted_until: MonoTime,
-}
-
-impl TeamAccount {
-    fn new(minted_until: MonoTime) -> Self {
-        Self {
-            lots: VecDeque::new(),
-            minted_until,
-        }
-    }
-
-    /// Mints what accrued since the last call, except what has expired by now.
-    fn mint(&mut self, rate: RequestRate, life: Duration, now: MonoTime) {
-        self.lots.retain(|lot| lot.expires_at > now);
-        let oldest = MonoTime::from_micros(
-            now.as_micros()
-                .saturating_sub(u64::try_from(life.as_micros()).unwrap_or(u64::MAX)),
-        );
-        let from = self.minted_until.max(oldest);
-        let elapsed = now.since(from);
-        let is_due = elapsed >= life / LOTS_PER_LIFE;
-        let amount = rate.accrued_over(elapsed);
-        if is_due && !amount.is_zero() {
-            self.minted_until = now;
-            self.lots.push_back(TokenLot {
-                amount,
-                expires_at: from.after(life),
-            });
-        }
-    }
-
-    fn balance(&self) -> TokenAmount {
-        self.lots
-            .iter()
-            .fold(TokenAmount::ZERO, |sum, lot| sum.saturating_add(lot.amount))
-    }
+use crate::{
+    account::TeamAccount,
+    draws::{
+        DrawId,
+        DrawPurpose,
+        TokenDraw,
+        TokenGrant, //
+    },
+    gate::MintingGate,
+    shortage::TokenShortage,
+    terms::LimitTerms,
+};
 
-    /// Spends an amount, the oldest lots first, if all of it is there.
-    fn spend(&mut self, amount: TokenAmount) -> bool {
-        if self.balance() < amount {
-            return false;
-        }
-        let mut open = amount;
-        while !open.is_zero() {
-            let Some(lot) = self.lots.front_mut() else {
-                break;
-            };
-            let part = lot.amount.min(open);
-            lot.amount = lot.amount.saturating_sub(part);
-            open = open.saturating_sub(part);
-            if lot.amount.is_zero() {
-                self.lots.pop_front();
-            }
-        }
-        true
-    }
-}
+/// Least time without use after which an account is dropped.
+const IDLE_LEAST: Duration = Duration::from_secs(60);
 
 /// The tokens that this host holds for each team.
+///
+/// A team without an account costs nothing: what it minted since its last use, up to one life, is
+/// worked out when the account is made.
 #[derive(Debug)]
 pub struct TokenLedger {
+    host: HostId,
+    incarnation: HostIncarnation,
     accounts: ShardMap<TeamId, TeamAccount>,
-    minting_since: MonoTime,
+    gate: MintingGate,
+    forgotten_until: AtomicU64,
+    last_sequence: AtomicU64,
 }
 
 impl TokenLedger {
     /// Makes an empty ledger that mints from a point in time on.
-    pub fn new(minting_since: MonoTime) -> Self {
+    pub fn new(host: HostId, incarnation: HostIncarnation, minting_since: MonoTime) -> Self {
         Self {
+            host,
+            incarnation,
             accounts: ShardMap::new(),
-            minting_since,
+            gate: MintingGate::new(minting_since),
+            forgotten_until: AtomicU64::new(0),
+            last_sequence: AtomicU64::new(0),
         }
     }
 
+    /// Returns the gate that stops minting after a pause of the process.
+    pub fn gate(&self) -> &MintingGate {
+        &self.gate
+    }
+
+    /// Returns the host that the ledger belongs to.
+    pub fn host(&self) -> &HostId {
+        &self.host
+    }
+
+    /// Runs a closure on the account of a team, brought up to date, if the gate is open.
+    fn with_account<R>(
+        &self,
+        team: &TeamId,
+        terms: &LimitTerms,
+        now: MonoTime,
+        act: impl FnOnce(&mut TeamAccount) -> R,
+    ) -> Option<R> {
+        let gate = self.gate.state(now)?;
+        let make = || {
+            // What a dropped account spent must not be minted again.
+            let forgotten = MonoTime::from_micros(self.forgotten_until.load(Ordering::SeqCst));
+            TeamAccount::new(*terms, gate.since.max(forgotten), gate.epoch)
+        };
+        let act = |account: &mut TeamAccount| {
+            account.advance(&gate, terms, now);
+            act(account)
+        };
+        Some(self.accounts.with_or_insert(team, make, act))
+    }
+
     /// Takes the token for one request of a team.
     ///
-    /// `rate` and `burst` are those of the team over the whole fleet; `minters` is the number of
-    /// hosts that may mint at once.
-    ///
     /// # Errors
     ///
-    /// Fails when the host holds less than one token of the team.
+    /// Fails when the host holds less than one token of the team, or has slept.
     pub fn try_take(
         &self,
         team: &TeamId,
-        (rate, burst): (RequestRate, BurstSize),
-        minters: u32,
+        terms: &LimitTerms,
         now: MonoTime,
     ) -> Result<(), TokenShortage> {
-        let share = rate.divided_by(minters);
-        let life = burst.accrual_time(rate).unwrap_or(Duration::ZERO);
-        let make = || TeamAccount::new(self.minting_since);
-        self.accounts.with_or_insert(team, make, |account| {
-            account.mint(share, life, now);
-            if account.spend(TokenAmount::ONE) {
+        let take = |account: &mut TeamAccount| {
+            if account.spend_one(now) {
                 return Ok(());
             }
-            let missing = TokenAmount::ONE.saturating_sub(account.balance());
-            let retry_after = BurstSize::from_micros(missing.as_micros()).accrual_time(share);
             Err(TokenShortage {
-                retry_after: retry_after.unwrap_or(Duration::MAX),
+                retry_after: account.time_to_one(),
+                is_draw_open: account.is_draw_pending(now) || account.due_draw(now).is_some(),
             })
-        })
+        };
+        let is_asleep = TokenShortage {
+            retry_after: Duration::MAX,
+            is_draw_open: false,
+        };
+        self.with_account(team, terms, now, take)
+            .unwrap_or(Err(is_asleep))
+    }
+
+    /// Returns the draw to send to the team's broker, if the host is short and none is open.
+    pub fn draw_wish(&self, team: &TeamId, terms: &LimitTerms, now: MonoTime) -> Option<TokenDraw> {
+        let make = |account: &mut TeamAccount| {
+            let wanted = account.due_draw(now)?;
+            Some(self.open_draw(account, team, wanted, DrawPurpose::Refill, now))
+        };
+        self.with_account(team, terms, now, make).flatten()
+    }
+
+    /// Opens a draw of a given size, as a broker does that collects surplus.
+    pub fn draw_surplus(
+        &self,
+        (team, terms): (&TeamId, &LimitTerms),
+        wanted: TokenAmount,
+        purpose: DrawPurpose,
+        now: MonoTime,
+    ) -> Option<TokenDraw> {
+        let make = |account: &mut TeamAccount| self.open_draw(account, team, wanted, purpose, now);
+        self.with_account(team, terms, now, make)
+    }
+
+    fn open_draw(
+        &self,
+        account: &mut TeamAccount,
+        team: &TeamId,
+        wanted: TokenAmount,
+        purpose: DrawPurpose,
+        now: MonoTime,
+    ) -> TokenDraw {
+        let sequence = self.last_sequence.fetch_add(1, Ordering::SeqCst) + 1;
+        account.open_draw(sequence, now);
+        TokenDraw {
+            id: DrawId {
+                host: self.host.clone(),
+                incarnation: self.incarnation,
+                sequence,
+            },
+            team: team.clone(),
+            wanted,
+            sent_at: now,
+            purpose,
+        }
+    }
+
+    /// Deducts what a draw of another host may have. `None` means that there is no answer.
+    pub fn answer_draw(
+        &self,
+        draw: &TokenDraw,
+        terms: &LimitTerms,
+        now: MonoTime,
+    ) -> Option<TokenGrant> {
+        if draw.id.host == self.host {
+            return None;
+        }
+        let answer = |account: &mut TeamAccount| account.answer(draw, now);
+        self.with_account(&draw.team, terms, now, answer).flatten()
+    }
+
+    /// Takes the tokens of a grant and returns how many there were.
+    ///
+    /// A grant counts once, only for an open draw of this incarnation. `None` means that it was
+    /// doubled, too late or for another process.
+    pub fn accept_grant(
+        &self,
+        grant: &TokenGrant,
+        terms: &LimitTerms,
+        now: MonoTime,
+    ) -> Option<TokenAmount> {
+        if grant.draw.host != self.host || grant.draw.incarnation != self.incarnation {
+            return None;
+        }
+        let accept = |account: &mut TeamAccount| account.accept(grant, now);
+        self.with_account(&grant.team, terms, now, accept).flatten()
+    }
+
+    /// Returns the tokens that this host holds for a team.
+    pub fn balance(&self, team: &TeamId, terms: &LimitTerms, now: MonoTime) -> TokenAmount {
+        let read = |account: &mut TeamAccount| account.balance();
+        self.with_account(team, terms, now, read)
+            .unwrap_or(TokenAmount::ZERO)
+    }
+
+    /// Applies new limits to all accounts at once; accounts of teams without limits are dropped.
+    pub fn revise(&self, terms_of: impl Fn(&TeamId) -> Option<LimitTerms>, now: MonoTime) {
+        let Some(gate) = self.gate.state(now) else {
+            return;
+        };
+        self.accounts.retain(|team, account| match terms_of(team) {
+            Some(terms) => {
+                account.advance(&gate, &terms, now);
+                true
+            }
+            None => {
+                self.forgotten_until
+                    .fetch_max(account.touched_at().as_micros(), Ordering::SeqCst);
+                false
+            }
+        });
+    }
+
+    /// Drops accounts that have not been used for longer than a token lives.
+    pub fn drop_idle(&self, now: MonoTime) {
+        self.accounts
+            .retain(|_, account| match account.idle_since(IDLE_LEAST, now) {
+                Some(at) => {
+                    self.forgotten_until
+                        .fetch_max(at.as_micros(), Ordering::SeqCst);
+                    false
+                }
+                None => true,
+            });
+    }
+
+    /// Counts the accounts.
+    pub fn account_count(&self) -> usize {
+        self.accounts.len()
     }
 }
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use chicorycroft_inventory::prelude::*;
+use chicorycroft_limits::prelude::*;
 use chicorycroft_placement::prelude::*;
 use chicorycroft_proxy::{
     names,
@@ -62,11 +63,14 @@
     let admitted = authorize(view, parts.method.as_str(), parts.uri.path(), key)?;
     if let Some(team) = &admitted.team {
         let limit = view.limit_of(team).ok_or(RefusalKind::BadKey)?;
-        let minters = view.snapshot().rules().host_bound;
+        let terms = LimitTerms::new(
+            limit.rate,
+            limit.burst,
+            view.snapshot().rules().host_bound,
+            1,
+        );
         let now = state.clock.mono();
-        state
-            .ledger
-            .try_take(team, (limit.rate, limit.burst), minters, now)?;
+        state.ledger.try_take(team, &terms, now)?;
     }
     Ok(admitted)
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -38,10 +38,11 @@
 impl HostState {
     /// Makes the state of a host that has no configuration yet.
     pub fn new(settings: HostSettings, clock: HostClock) -> Self {
+        let incarnation = HostIncarnation::new(clock.unix().as_millis());
         Self {
+            ledger: TokenLedger::new(settings.host.clone(), incarnation, clock.mono()),
             settings,
             clock,
-            ledger: TokenLedger::new(clock.mono()),
             slots: SlotPool::new(),
             clients: ShardMap::new(),
             view: RwLock::new(None),
