--- a/crates/limits/tests/ledger.rs
+++ b/crates/limits/tests/ledger.rs
@@ -1,5 +1,10 @@
 //! Single rules of the ledger.
 
+#![expect(
+    clippy::unwrap_used,
+    reason = "a test fails on what it does not expect"
+)]
+
 use std::time::Duration;
 
 use chicorycroft_core::prelude::*;
