Refuse paths that targets read differently

Cause: a path such as /open/%2e%2e/admin or /%61dmin took an open route although a target reads it as one below a protected prefix.

Change: RouteTable::find refuses ambiguous paths (RouteError::BadPath: dot and empty segments, backslash, control bytes, parameters after ;, encoded forms of these) and compares prefixes percent-decoded.

--- a/crates/inventory/src/routes.rs
+++ b/crates/inventory/src/routes.rs
@@ -3,14 +3,19 @@
 //! The longest prefix in whole path segments wins. Among routes with the same prefix, one that names
 //! the method goes before one that takes all methods. A lookup costs one hash access for each path
 //! segment, whatever the number of routes.
+//!
+//! Prefixes and paths are compared percent-decoded, because a target decodes them too: `/%61dmin`
+//! must take the route of `/admin`. Paths that targets read in different ways are refused.
 
 use std::{
+    borrow::Cow,
     fmt,
     str::FromStr,
     sync::Arc, //
 };
 
 use indexmap::IndexMap;
+use percent_encoding::percent_decode_str;
 use smol_str::SmolStr;
 use thiserror::Error;
 
@@ -92,6 +97,9 @@
 /// Why no route takes a request.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 pub enum RouteError {
+    /// A target may read the path as another one than the table does.
+    #[error("the path is ambiguous")]
+    BadPath,
     /// No prefix matches.
     #[error("no route matches the path")]
     NoPath,
@@ -114,7 +122,7 @@
 
     /// Adds a route, or returns the one that it collides with.
     pub fn add(&mut self, route: RouteRecord) -> Result<(), Arc<RouteRecord>> {
-        let prefix = SmolStr::new(route.prefix.trim_end_matches('/'));
+        let prefix = SmolStr::new(decode_path(&route.prefix).trim_end_matches('/'));
         let twins = self.routes.entry(prefix).or_default();
         let collides = |twin: &&Arc<RouteRecord>| {
             twin.methods.is_empty() && route.methods.is_empty()
@@ -136,14 +144,16 @@
     ///
     /// # Errors
     ///
-    /// Fails when no prefix matches, or none with the method.
+    /// Fails when the path is ambiguous, when no prefix matches, or none with the method.
     pub fn find(
         &self,
         method: &RequestMethod,
         path: &str,
     ) -> Result<&Arc<RouteRecord>, RouteError> {
+        check_path(path)?;
+        let path = decode_path(path);
         let mut failure = RouteError::NoPath;
-        for prefix in prefixes_of(path) {
+        for prefix in prefixes_of(&path) {
             let Some(twins) = self.routes.get(prefix) else {
                 continue;
             };
@@ -161,6 +171,46 @@
     }
 }
 
+fn decode_path(path: &str) -> Cow<'_, str> {
+    percent_decode_str(path).decode_utf8_lossy()
+}
+
+/// Refuses a path that a target may resolve to another one.
+///
+/// These are dot segments, empty segments, backslashes, control bytes, parameters after `;` (some
+/// servers drop them), bytes outside ASCII, and the encoded forms of all of these and of `/` and `%`.
+/// An encoded `%` is refused because a target that decodes twice would read another path.
+///
+/// # Errors
+///
+/// Fails with [`RouteError::BadPath`].
+pub fn check_path(path: &str) -> Result<(), RouteError> {
+    let is_plain =
+        |byte: u8| byte.is_ascii_graphic() && !matches!(byte, b'\\' | b';' | b'?' | b'#');
+    let has_bad_segment = || {
+        let segments = path.strip_prefix('/').unwrap_or_default();
+        let inner = segments.strip_suffix('/').unwrap_or(segments);
+        segments.starts_with('/')
+            || !segments.is_empty() && inner.split('/').any(|part| matches!(part, "" | "." | ".."))
+    };
+    let is_safe = path.starts_with('/')
+        && path.bytes().all(is_plain)
+        && !has_bad_segment()
+        && path.split('%').skip(1).all(is_safe_escape);
+    is_safe.then_some(()).ok_or(RouteError::BadPath)
+}
+
+/// Tells whether a text starts with two hexadecimal digits for a byte that may be encoded.
+fn is_safe_escape(text: &str) -> bool {
+    let digits = text
+        .get(..2)
+        .filter(|digits| digits.bytes().all(|byte| byte.is_ascii_hexdigit()));
+    let byte = digits.and_then(|digits| u8::from_str_radix(digits, 16).ok());
+    byte.is_some_and(|byte| {
+        !byte.is_ascii_control() && !matches!(byte, b'.' | b'/' | b'\\' | b'%' | b';' | b'?' | b'#')
+    })
+}
+
 /// Prefixes of a path in whole segments, the longest first.
 fn prefixes_of(path: &str) -> impl Iterator<Item = &str> {
     let mut ends: Vec<usize> = path
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -48,6 +48,7 @@
 impl From<RouteError> for AdmissionRefusal {
     fn from(error: RouteError) -> Self {
         Self::from(match error {
+            RouteError::BadPath => RefusalKind::BadRequest,
             RouteError::NoPath => RefusalKind::NoRoute,
             RouteError::NoMethod => RefusalKind::NoMethod,
         })
