Complete the HTTP edge towards callers and targets

Cause: keys passed in percent-encoded names, trailers and repeated headers; the library's reader of HTTP/1 frames some heads more laxly than a target may; connections to targets had no cap, and nothing told whether a failed request had been written.

Change: take_key finds and removes all keys and refuses two different ones. A guard before the HTTP library checks each HTTP/1 head and chunk and bounds its size and time. Heads and trailers are cleaned in both directions. TargetClient has a hard cap, counts written bytes, and keeps a connection only when request and answer went through whole. TargetSignal holds what a target says. The server bounds windows, streams and the drain, and refuses connections over its limit.

Conclusion: each listed pattern is refused or cut in a test that sends it.

--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -29,15 +29,22 @@
     state::HostState, //
 };
 
+/// Bytes that an upload must bring in each idle time.
+const UPLOAD_PROGRESS_MIN: usize = 1024;
+
 /// Answers one request of a caller.
 pub async fn handle(state: Arc<HostState>, request: Request<Incoming>) -> Response<ProxyBody> {
     let number = state.next_request();
     let (mut parts, body) = request.into_parts();
     let key = take_key(&mut parts);
+    clean_request(&mut parts);
     let line = DecisionLine::new("request")
         .with("id", number)
         .with("method", &parts.method)
         .with("path", parts.uri.path());
+    let Ok(key) = key else {
+        return refuse(line, RefusalKind::BadRequest.into(), RunStatement::NotRun);
+    };
     let Some(view) = state.view() else {
         return refuse(line, RefusalKind::NotReady.into(), RunStatement::NotRun);
     };
@@ -110,51 +117,47 @@
     };
     let deadline = Instant::now() + admitted.deadline;
     let line = line.with("target", &target.id);
-    let request = build_request(&target, admitted, parts, body);
+    let idle_max = state.settings.idle_body_timeout;
+    let body = WatchedBody::new(body, idle_max, |_| {}).with_progress_min(UPLOAD_PROGRESS_MIN);
+    let request = build_request(&target, admitted, parts, body.boxed_unsync());
     let client = state.client_of(&target);
     match client.send(request, deadline).await {
-        Ok((response, sender)) => {
+        Ok(answer) => {
             line.with("decision", "forward")
-                .with("status", response.status().as_u16())
+                .with("status", answer.status().as_u16())
                 .info();
-            let (parts, body) = response.into_parts();
             let state = state.clone();
-            let idle_max = state.settings.idle_body_timeout;
-            let outcome = if parts.status.is_server_error() {
+            let outcome = if answer.status().is_server_error() {
                 AttemptOutcome::Wrong
             } else {
                 AttemptOutcome::Good
             };
-            let body = WatchedBody::new(body, idle_max, move |end| {
+            answer.into_response(idle_max, move |end| {
                 let outcome = match end {
                     BodyEnd::Whole => outcome,
                     BodyEnd::Cut => AttemptOutcome::Cut,
                     BodyEnd::Abandoned => AttemptOutcome::Cancelled,
                 };
                 state.slots.release(permit, outcome);
-                if end == BodyEnd::Whole {
-                    client.put_idle(sender);
-                }
-            });
-            Response::from_parts(parts, body.boxed_unsync())
+            })
         }
         Err(error) => {
-            let (outcome, kind, run) = match &error {
-                AttemptError::Connect(_) | AttemptError::NotWritten => (
-                    AttemptOutcome::Refused,
-                    RefusalKind::BadGateway,
-                    RunStatement::NotRun,
-                ),
-                AttemptError::Broken(_) => (
-                    AttemptOutcome::Cut,
-                    RefusalKind::BadGateway,
-                    RunStatement::Unknown,
-                ),
-                AttemptError::TimedOut => (
-                    AttemptOutcome::TimedOut,
-                    RefusalKind::TimedOut,
-                    RunStatement::Unknown,
-                ),
+            let (outcome, kind) = match &error {
+                AttemptError::Connect(_) | AttemptError::NotWritten => {
+                    (AttemptOutcome::Refused, RefusalKind::BadGateway)
+                }
+                AttemptError::NoConnection => (AttemptOutcome::Cancelled, RefusalKind::NoCapacity),
+                AttemptError::RequestCut => (AttemptOutcome::Cancelled, RefusalKind::BadRequest),
+                AttemptError::RequestStalled => {
+                    (AttemptOutcome::Cancelled, RefusalKind::SlowRequest)
+                }
+                AttemptError::TimedOut => (AttemptOutcome::TimedOut, RefusalKind::TimedOut),
+                _ => (AttemptOutcome::Cut, RefusalKind::BadGateway),
+            };
+            let run = if error.is_not_run() {
+                RunStatement::NotRun
+            } else {
+                RunStatement::Unknown
             };
             state.slots.release(permit, outcome);
             refuse(line.with("error", error), kind.into(), run)
@@ -166,9 +169,9 @@
     target: &TargetRecord,
     admitted: &AdmittedRequest,
     parts: Parts,
-    body: Incoming,
+    body: ProxyBody,
 ) -> Request<ProxyBody> {
-    let mut request = Request::new(body.map_err(BodyError::Cut).boxed_unsync());
+    let mut request = Request::new(body);
     *request.method_mut() = parts.method;
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     *request.uri_mut() = path.parse().unwrap_or_default();
@@ -179,7 +182,6 @@
     }
     let millis = u64::try_from(admitted.deadline.as_millis()).unwrap_or(u64::MAX);
     headers.insert(names::REQUEST_TIMEOUT, HeaderValue::from(millis));
-    headers.remove(names::TEAM);
     if let Some(team) = &admitted.team
         && let Ok(team) = HeaderValue::from_str(team.as_str())
     {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -19,6 +19,10 @@
 
 use crate::clock::HostClock;
 
+/// Most connections of this host to one target: its 2 slots, probes, and connections that are being
+/// closed.
+const TARGET_CONNECTIONS_MAX: usize = 8;
+
 /// State of one host that all of its tasks share.
 #[derive(Debug)]
 pub struct HostState {
@@ -65,7 +69,7 @@
 
     /// Returns the connections to a target.
     pub fn client_of(&self, target: &TargetRecord) -> Arc<TargetClient> {
-        let make = || Arc::new(TargetClient::new(target.address));
+        let make = || Arc::new(TargetClient::new(target.address, TARGET_CONNECTIONS_MAX));
         self.clients
             .with_or_insert(&target.id, make, |client| client.clone())
     }
--- a/crates/proxy/src/body.rs
+++ b/crates/proxy/src/body.rs
@@ -29,6 +29,8 @@
     Sleep, //
 };
 
+use crate::head::clean_trailers;
+
 /// Why a body ended before its end.
 #[derive(Debug, Error)]
 pub enum BodyError {
@@ -69,10 +71,15 @@
 type EndCall = Box<dyn FnOnce(BodyEnd) + Send>;
 
 /// A body that reports its end and fails when it makes no progress for too long.
+///
+/// Trailers that must not be forwarded are taken out.
 pub struct WatchedBody {
     inner: Incoming,
     idle_max: Duration,
     idle: Pin<Box<Sleep>>,
+    is_waiting: bool,
+    progress_min: usize,
+    progress: usize,
     on_end: Option<EndCall>,
 }
 
@@ -87,6 +94,9 @@
             inner,
             idle_max,
             idle: Box::pin(tokio::time::sleep(idle_max)),
+            is_waiting: false,
+            progress_min: 1,
+            progress: 0,
             on_end: Some(Box::new(on_end)),
         };
         // A body without content is whole at once; hyper may never poll it.
@@ -96,6 +106,31 @@
         body
     }
 
+    /// Requires this many bytes in each idle time, so that single bytes do not keep a body alive.
+    pub fn with_progress_min(mut self, progress_min: usize) -> Self {
+        self.progress_min = progress_min;
+        self
+    }
+
+    /// Restarts the idle time after enough bytes. The wait of a reader that is slow itself does not
+    /// count.
+    fn note_progress(&mut self, count: usize) {
+        self.progress += count;
+        if self.progress >= self.progress_min {
+            self.progress = 0;
+            self.is_waiting = false;
+        }
+    }
+
+    fn poll_idle(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        if !self.is_waiting {
+            self.is_waiting = true;
+            let deadline = Instant::now() + self.idle_max;
+            self.idle.as_mut().reset(deadline);
+        }
+        self.idle.as_mut().poll(context)
+    }
+
     fn finish(&mut self, end: BodyEnd) {
         if let Some(on_end) = self.on_end.take() {
             on_end(end);
@@ -112,9 +147,11 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match Pin::new(&mut self.inner).poll_frame(context) {
-            Poll::Ready(Some(Ok(frame))) => {
-                let deadline = Instant::now() + self.idle_max;
-                self.idle.as_mut().reset(deadline);
+            Poll::Ready(Some(Ok(mut frame))) => {
+                self.note_progress(frame.data_ref().map_or(0, Bytes::len));
+                if let Some(trailers) = frame.trailers_mut() {
+                    clean_trailers(trailers);
+                }
                 if self.inner.is_end_stream() {
                     self.finish(BodyEnd::Whole);
                 }
@@ -128,7 +165,7 @@
                 self.finish(BodyEnd::Whole);
                 Poll::Ready(None)
             }
-            Poll::Pending => match self.idle.as_mut().poll(context) {
+            Poll::Pending => match self.poll_idle(context) {
                 Poll::Ready(()) => {
                     self.finish(BodyEnd::Cut);
                     Poll::Ready(Some(Err(BodyError::Stalled)))
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -1,12 +1,15 @@
 //! Connections to one target.
 //!
-//! Idle connections are kept for the next request. A connection on which a request failed or timed
-//! out is closed, because something between the two ends may have lost track of it.
+//! A connection serves one request at a time and is kept only when both the request and its answer
+//! went through whole. All others are closed at once: a late answer on them could otherwise reach
+//! the next request, and the target would go on with work that nobody waits for.
 
 use std::{
     net::SocketAddr,
     sync::{
+        Arc,
         Mutex,
+        MutexGuard,
         PoisonError, //
     },
     time::Duration, //
@@ -14,131 +17,359 @@
 
 use http::{
     Request,
-    Response, //
+    Response,
+    StatusCode, //
 };
+use http_body_util::BodyExt;
 use hyper::{
     body::Incoming,
     client::conn::http1::{
+        Builder,
         SendRequest, //
-        handshake,
     },
 };
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
 use tokio::{
     net::TcpStream,
+    sync::{
+        OwnedSemaphorePermit,
+        Semaphore,
+        watch, //
+    },
+    task::JoinHandle,
     time::{
         Instant, //
+        sleep_until,
         timeout_at,
     },
 };
 
-use crate::body::ProxyBody;
+use crate::{
+    body::{
+        BodyEnd,
+        ProxyBody,
+        WatchedBody, //
+    },
+    head::clean_answer,
+    metered_stream::{
+        MeteredStream,
+        WriteMeter, //
+    },
+    sent_body::{
+        SENT_CUT,
+        SENT_STALLED,
+        SENT_WHOLE,
+        SendProgress,
+        SentBody, //
+    },
+    signals::TargetSignal,
+};
 
 /// Longest time that a connection stays idle.
 const IDLE_MAX: Duration = Duration::from_secs(30);
 
+/// Time between the last use of an idle connection and its close. It is longer than [`IDLE_MAX`],
+/// so that no connection closes while a request takes it.
+const IDLE_CLOSE: Duration = Duration::from_secs(31);
+
 /// Longest time that a new connection may take; one takes about 1 ms.
 const CONNECT_MAX: Duration = Duration::from_secs(1);
 
+/// Longest time that a kept connection takes to be ready again; it only needs one turn of its task.
+const READY_MAX: Duration = Duration::from_millis(50);
+
+/// Largest buffer of a connection, in bytes. It bounds the head of an answer.
+const BUFFER_MAX: usize = 64 << 10;
+
 /// Why an attempt gave no answer.
 #[derive(Debug, Error)]
 pub enum AttemptError {
     /// No connection came about, so that nothing was written.
     #[error("no connection: {0}")]
     Connect(std::io::Error),
-    /// The connection closed before anything of the request was written.
-    #[error("the connection closed before the request was written")]
+    /// All connections stayed in use until the deadline, so that nothing was written.
+    #[error("all connections to the target are in use")]
+    NoConnection,
+    /// The attempt ended before any byte of the request was written.
+    #[error("the connection ended before the request was written")]
     NotWritten,
     /// The connection broke after some of the request may have been written.
     #[error("the connection broke: {0}")]
     Broken(hyper::Error),
+    /// The body of the request failed while it was sent. This is no fault of the target.
+    #[error("the request was cut while it was sent")]
+    RequestCut,
+    /// The body of the request came too slowly. This is no fault of the target.
+    #[error("the request came too slowly")]
+    RequestStalled,
+    /// The target wants to change the protocol, which was not asked.
+    #[error("the target answered with another protocol")]
+    BadAnswer,
     /// No answer came before the deadline.
     #[error("no answer before the deadline")]
     TimedOut,
 }
 
-/// An idle connection and when it became idle.
+impl AttemptError {
+    /// Tells whether the request has certainly not run, because none of it was written.
+    pub fn is_not_run(&self) -> bool {
+        matches!(
+            self,
+            Self::Connect(_) | Self::NoConnection | Self::NotWritten
+        )
+    }
+}
+
+/// Holds the permit of a connection in use. Its task and its user share it, so that the permit is
+/// free only when the socket is closed or the connection is idle again.
+type PermitCell = Arc<Mutex<Option<OwnedSemaphorePermit>>>;
+
+/// One connection. Dropping it closes the socket.
 #[derive(Debug)]
-struct IdleConnection {
-    sender: SendRequest<ProxyBody>,
-    since: Instant,
+struct TargetConnection {
+    sender: SendRequest<SentBody>,
+    meter: WriteMeter,
+    task: JoinHandle<()>,
+    permit: PermitCell,
+    idle_since: watch::Sender<Option<Instant>>,
+}
+
+impl TargetConnection {
+    fn permit(&self) -> MutexGuard<'_, Option<OwnedSemaphorePermit>> {
+        self.permit.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Closes the socket and waits until it is closed.
+    async fn close(mut self) {
+        self.task.abort();
+        // The task fails only because it was ended.
+        let _ = (&mut self.task).await;
+    }
+}
+
+impl Drop for TargetConnection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Returns when a connection has been idle for too long.
+async fn idle_expired(mut idle_since: watch::Receiver<Option<Instant>>) {
+    loop {
+        let since = *idle_since.borrow_and_update();
+        let expired = async {
+            match since {
+                Some(since) => sleep_until(since + IDLE_CLOSE).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = expired => return,
+            changed = idle_since.changed() => if changed.is_err() { return },
+        }
+    }
+}
+
+/// The answer of a target. Dropping it closes its connection.
+#[derive(Debug)]
+pub struct TargetAnswer {
+    /// What the head says about the target.
+    pub signal: TargetSignal,
+    response: Response<Incoming>,
+    connection: TargetConnection,
+    progress: SendProgress,
+    client: Arc<TargetClient>,
+}
+
+impl TargetAnswer {
+    /// Returns the status code.
+    pub fn status(&self) -> StatusCode {
+        self.response.status()
+    }
+
+    /// Returns the answer for the caller, with a cleaned head.
+    ///
+    /// The body fails when it makes no progress for `idle_max`. The connection is kept when it ends
+    /// whole and closed otherwise; `on_end` runs after that.
+    pub fn into_response(
+        self,
+        idle_max: Duration,
+        on_end: impl FnOnce(BodyEnd) + Send + 'static,
+    ) -> Response<ProxyBody> {
+        let (mut parts, body) = self.response.into_parts();
+        clean_answer(&mut parts);
+        let (client, connection, progress) = (self.client, self.connection, self.progress);
+        let body = WatchedBody::new(body, idle_max, move |end| {
+            // An answer may end before its request; the rest of the request must not be read as
+            // the next one.
+            if end == BodyEnd::Whole && progress.is(SENT_WHOLE) {
+                client.keep(connection);
+            } else {
+                drop(connection);
+            }
+            on_end(end);
+        });
+        Response::from_parts(parts, body.boxed_unsync())
+    }
 }
 
 /// Connections to one target.
 #[derive(Debug)]
 pub struct TargetClient {
     address: SocketAddr,
-    idle: Mutex<Vec<IdleConnection>>,
+    permits: Arc<Semaphore>,
+    idle: Mutex<Vec<TargetConnection>>,
 }
 
 impl TargetClient {
-    /// Makes a client without connections.
-    pub fn new(address: SocketAddr) -> Self {
+    /// Makes a client that has at most `connections_max` connections open at any time.
+    pub fn new(address: SocketAddr, connections_max: usize) -> Self {
         Self {
             address,
+            permits: Arc::new(Semaphore::new(connections_max)),
             idle: Mutex::new(Vec::new()),
         }
     }
 
-    fn take_idle(&self) -> Option<SendRequest<ProxyBody>> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        while let Some(connection) = idle.pop() {
-            if connection.since.elapsed() < IDLE_MAX && connection.sender.is_ready() {
-                return Some(connection.sender);
-            }
-        }
-        None
+    fn idle(&self) -> MutexGuard<'_, Vec<TargetConnection>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Gives a connection back after the whole answer has been read.
-    pub fn put_idle(&self, sender: SendRequest<ProxyBody>) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.push(IdleConnection {
-            sender,
-            since: Instant::now(),
-        });
+    fn keep(&self, connection: TargetConnection) {
+        let cell = connection.permit.clone();
+        connection.idle_since.send_replace(Some(Instant::now()));
+        self.idle().push(connection);
+        // The permit goes last: whoever gets it finds the idle connection.
+        cell.lock().unwrap_or_else(PoisonError::into_inner).take();
     }
 
-    async fn connect(&self) -> Result<SendRequest<ProxyBody>, AttemptError> {
+    /// Takes an idle connection that is still of use and closes those that are not.
+    ///
+    /// `permit` moves to the connection that is looked at, so that it stays taken until the socket
+    /// is closed even if the future is dropped.
+    async fn take_idle(
+        &self,
+        permit: &mut Option<OwnedSemaphorePermit>,
+    ) -> Option<TargetConnection> {
+        loop {
+            let mut connection = self.idle().pop()?;
+            *connection.permit() = permit.take();
+            let since = connection.idle_since.send_replace(None);
+            let is_fresh = since.is_some_and(|since| since.elapsed() < IDLE_MAX);
+            if is_fresh {
+                let limit = Instant::now() + READY_MAX;
+                if let Ok(Ok(())) = timeout_at(limit, connection.sender.ready()).await {
+                    return Some(connection);
+                }
+            }
+            let cell = connection.permit.clone();
+            connection.close().await;
+            *permit = cell.lock().unwrap_or_else(PoisonError::into_inner).take();
+        }
+    }
+
+    async fn connect(
+        &self,
+        permit: Option<OwnedSemaphorePermit>,
+    ) -> Result<TargetConnection, AttemptError> {
         let stream = tokio::time::timeout(CONNECT_MAX, TcpStream::connect(self.address))
             .await
             .unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
             .map_err(AttemptError::Connect)?;
         stream.set_nodelay(true).map_err(AttemptError::Connect)?;
-        let (sender, connection) = handshake(TokioIo::new(stream))
+        let meter = WriteMeter::default();
+        let stream = MeteredStream::new(stream, meter.clone());
+        let (sender, connection) = Builder::new()
+            .max_buf_size(BUFFER_MAX)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|_| AttemptError::NotWritten)?;
-        tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!("event=target_connection_ended error=\"{error}\"");
+        let permit = PermitCell::new(Mutex::new(permit));
+        let cell = permit.clone();
+        let idle_since = watch::Sender::new(None);
+        let expired = idle_expired(idle_since.subscribe());
+        let task = tokio::spawn(async move {
+            // The cell outlives the socket, which the connection owns.
+            let _cell = cell;
+            tokio::select! {
+                ended = connection => if let Err(error) = ended {
+                    log::debug!("event=target_connection_ended error=\"{error}\"");
+                },
+                () = expired => {}
             }
         });
-        Ok(sender)
+        Ok(TargetConnection {
+            sender,
+            meter,
+            task,
+            permit,
+            idle_since,
+        })
+    }
+
+    /// Takes an idle connection or opens one, once a permit is free.
+    async fn acquire(&self) -> Result<TargetConnection, AttemptError> {
+        let permit = self.permits.clone().acquire_owned().await;
+        let mut permit = permit.map_err(|_| AttemptError::NoConnection)?.into();
+        match self.take_idle(&mut permit).await {
+            Some(connection) => Ok(connection),
+            None => self.connect(permit).await,
+        }
     }
 
-    /// Sends a request and returns the head of the answer, with the connection to give back once
-    /// the body has been read.
+    /// Closes all idle connections. They may be as silent as one that has just timed out.
+    async fn close_idle(&self) {
+        let connections = std::mem::take(&mut *self.idle());
+        for connection in connections {
+            connection.close().await;
+        }
+    }
+
+    /// Sends a request and returns the head of the answer.
+    ///
+    /// Dropping the future or the answer closes the connection, which cancels the request.
     ///
     /// # Errors
     ///
     /// Fails with what is known about whether the request was written.
     pub async fn send(
-        &self,
+        self: &Arc<Self>,
         request: Request<ProxyBody>,
         deadline: Instant,
-    ) -> Result<(Response<Incoming>, SendRequest<ProxyBody>), AttemptError> {
-        let mut sender = match self.take_idle() {
-            Some(sender) => sender,
-            None => self.connect().await?,
+    ) -> Result<TargetAnswer, AttemptError> {
+        let mut connection = timeout_at(deadline, self.acquire())
+            .await
+            .unwrap_or(Err(AttemptError::NoConnection))?;
+        let written = connection.meter.count();
+        let progress = SendProgress::new();
+        let request = request.map(|body| SentBody::new(body, progress.clone()));
+        let sent = timeout_at(deadline, connection.sender.try_send_request(request)).await;
+        let error = match sent {
+            Ok(Ok(response)) if response.status() != StatusCode::SWITCHING_PROTOCOLS => {
+                return Ok(TargetAnswer {
+                    signal: TargetSignal::new(response.status(), response.headers()),
+                    response,
+                    connection,
+                    progress,
+                    client: self.clone(),
+                });
+            }
+            Ok(Ok(_)) => AttemptError::BadAnswer,
+            Ok(Err(failure)) => AttemptError::Broken(failure.into_error()),
+            Err(_) => {
+                self.close_idle().await;
+                AttemptError::TimedOut
+            }
         };
-        match timeout_at(deadline, sender.try_send_request(request)).await {
-            Ok(Ok(response)) => Ok((response, sender)),
-            Ok(Err(mut failure)) => match failure.take_message() {
-                Some(_) => Err(AttemptError::NotWritten),
-                None => Err(AttemptError::Broken(failure.into_error())),
-            },
-            Err(_) => Err(AttemptError::TimedOut),
-        }
+        let meter = connection.meter.clone();
+        // The count is final only when the socket is closed.
+        connection.close().await;
+        Err(match error {
+            _ if progress.is(SENT_CUT) => AttemptError::RequestCut,
+            _ if progress.is(SENT_STALLED) => AttemptError::RequestStalled,
+            _ if meter.count() == written => AttemptError::NotWritten,
+            error => error,
+        })
     }
 }
--- a/crates/proxy/src/keys.rs
+++ b/crates/proxy/src/keys.rs
@@ -1,9 +1,13 @@
 //! Finds a caller's key and removes it from a request.
 //!
 //! A key may come in `Authorization`, `X-Api-Key`, the query or a cookie. It is removed from all of
-//! these, repeated ones included, so that no target ever sees it.
+//! these, repeated and percent-encoded ones included, so that no target ever sees it. Other places
+//! that may repeat it (`Proxy-Authorization`, `Referer`) are removed too.
 
-use std::fmt;
+use std::{
+    borrow::Cow,
+    fmt, //
+};
 
 use http::{
     HeaderMap,
@@ -11,13 +15,20 @@
     Uri, //
     header::{
         AUTHORIZATION,
-        COOKIE, //
+        COOKIE,
+        PROXY_AUTHORIZATION,
+        REFERER, //
     },
     request::Parts,
 };
+use percent_encoding::percent_decode;
+use thiserror::Error;
 
 use crate::names;
 
+/// Most times that a name is percent-decoded; a target may decode more than once.
+const DECODE_ROUNDS: usize = 3;
+
 /// A caller's key. Never printed.
 #[derive(Clone, Eq, PartialEq)]
 pub struct CallerKey(Vec<u8>);
@@ -35,80 +46,130 @@
     }
 }
 
+/// Why the key of a request cannot be told.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum KeyError {
+    /// Two different keys came.
+    #[error("the request holds two different keys")]
+    Conflict,
+    /// The query cannot be written without its key.
+    #[error("the query cannot be read")]
+    BadQuery,
+}
+
 /// Returns the key of a request and removes it from every place where it may stand.
 ///
-/// The first place that holds a key wins: `Authorization`, `X-Api-Key`, the query, a cookie.
-pub fn take_key(parts: &mut Parts) -> Option<CallerKey> {
-    let from_authorization = bearer_token(&parts.headers);
-    let from_header = parts
-        .headers
-        .get(names::API_KEY)
-        .map(|value| value.as_bytes().to_vec());
-    parts.headers.remove(AUTHORIZATION);
-    parts.headers.remove(names::API_KEY);
-    let from_query = strip_query(&mut parts.uri);
-    let from_cookie = strip_cookies(&mut parts.headers);
-    from_authorization
-        .or(from_header)
-        .or(from_query)
-        .or(from_cookie)
-        .map(CallerKey)
+/// # Errors
+///
+/// Fails when two different keys came or when the query cannot be rewritten. The request must then
+/// not be forwarded.
+pub fn take_key(parts: &mut Parts) -> Result<Option<CallerKey>, KeyError> {
+    let headers = &mut parts.headers;
+    let mut found: Vec<Vec<u8>> = Vec::new();
+    found.extend(
+        headers
+            .get_all(AUTHORIZATION)
+            .iter()
+            .filter_map(bearer_token),
+    );
+    let api_keys = headers.get_all(names::API_KEY).iter();
+    found.extend(api_keys.map(|value| value.as_bytes().trim_ascii().to_vec()));
+    for name in [AUTHORIZATION, names::API_KEY, PROXY_AUTHORIZATION] {
+        headers.remove(name);
+    }
+    strip_cookies(headers, &mut found);
+    strip_referer(headers);
+    strip_query(&mut parts.uri, &mut found)?;
+    let mut keys = found.into_iter();
+    let Some(first) = keys.next() else {
+        return Ok(None);
+    };
+    if keys.any(|key| key != first) {
+        return Err(KeyError::Conflict);
+    }
+    Ok(Some(CallerKey(first)))
 }
 
-fn bearer_token(headers: &HeaderMap) -> Option<Vec<u8>> {
-    let value = headers.get(AUTHORIZATION)?.as_bytes();
-    let (scheme, token) = value.split_at_checked(7)?;
+fn bearer_token(value: &HeaderValue) -> Option<Vec<u8>> {
+    let (scheme, token) = value.as_bytes().split_at_checked(7)?;
     scheme
         .eq_ignore_ascii_case(b"bearer ")
         .then(|| token.trim_ascii().to_vec())
 }
 
-fn is_key_field(name: &str) -> bool {
-    name.eq_ignore_ascii_case(names::API_KEY_FIELD)
+/// Tells whether a name is that of the key after percent-decoding, as a list element included.
+fn is_key_field(name: &[u8]) -> bool {
+    let mut name = Cow::Borrowed(name);
+    for _ in 0..=DECODE_ROUNDS {
+        let base = name.split(|&byte| byte == b'[').next().unwrap_or_default();
+        if base
+            .trim_ascii()
+            .eq_ignore_ascii_case(names::API_KEY_FIELD.as_bytes())
+        {
+            return true;
+        }
+        name = Cow::Owned(percent_decode(&name).map(plus_to_space).collect());
+    }
+    false
 }
 
-fn strip_query(uri: &mut Uri) -> Option<Vec<u8>> {
-    let query = uri.query()?;
-    let mut key = None;
-    let kept: Vec<&str> = query
-        .split('&')
-        .filter(|pair| {
-            let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
-            let is_key = is_key_field(name);
-            if is_key && key.is_none() {
-                key = Some(value.as_bytes().to_vec());
-            }
-            !is_key
-        })
-        .collect();
+fn plus_to_space(byte: u8) -> u8 {
+    if byte == b'+' { b' ' } else { byte }
+}
+
+/// Splits `name=value` at the first equals sign.
+fn split_pair(pair: &[u8]) -> (&[u8], &[u8]) {
+    match pair.iter().position(|&byte| byte == b'=') {
+        Some(at) => (&pair[..at], &pair[at + 1..]),
+        None => (pair, &[]),
+    }
+}
+
+fn strip_query(uri: &mut Uri, found: &mut Vec<Vec<u8>>) -> Result<(), KeyError> {
+    let Some(query) = uri.query() else {
+        return Ok(());
+    };
+    let count = found.len();
+    let mut kept = String::with_capacity(query.len());
+    // Some servers take `;` as a separator too.
+    for piece in query.split_inclusive(['&', ';']) {
+        let pair = piece.trim_end_matches(['&', ';']);
+        let (name, value) = split_pair(pair.as_bytes());
+        if is_key_field(name) {
+            found.push(percent_decode(value).collect());
+        } else {
+            kept.push_str(piece);
+        }
+    }
+    if found.len() == count {
+        return Ok(());
+    }
+    let kept = kept.trim_end_matches(['&', ';']);
     let path_and_query = if kept.is_empty() {
         uri.path().to_owned()
     } else {
-        format!("{}?{}", uri.path(), kept.join("&"))
+        format!("{}?{kept}", uri.path())
     };
     let mut parts = uri.clone().into_parts();
-    parts.path_and_query = path_and_query.parse().ok();
-    if let Ok(stripped) = Uri::from_parts(parts) {
-        *uri = stripped;
-    }
-    key
+    parts.path_and_query = Some(path_and_query.parse().map_err(|_| KeyError::BadQuery)?);
+    *uri = Uri::from_parts(parts).map_err(|_| KeyError::BadQuery)?;
+    Ok(())
 }
 
-fn strip_cookies(headers: &mut HeaderMap) -> Option<Vec<u8>> {
-    let mut key = None;
+fn strip_cookies(headers: &mut HeaderMap, found: &mut Vec<Vec<u8>>) {
     let mut kept = Vec::new();
     for value in headers.get_all(COOKIE) {
-        for pair in value.as_bytes().split(|&byte| byte == b';') {
-            let pair = pair.trim_ascii();
-            let at = pair
-                .iter()
-                .position(|&byte| byte == b'=')
-                .unwrap_or(pair.len());
-            let name = String::from_utf8_lossy(&pair[..at]);
-            if !is_key_field(name.trim()) {
-                kept.push(pair.to_vec());
-            } else if key.is_none() {
-                key = Some(pair.get(at + 1..).unwrap_or_default().to_vec());
+        // Some servers take `,` as a separator too.
+        for pair in value.as_bytes().split(|&byte| matches!(byte, b';' | b',')) {
+            let (name, value) = split_pair(pair);
+            if is_key_field(name) {
+                let value = value.trim_ascii();
+                let bare = value
+                    .strip_prefix(b"\"")
+                    .and_then(|value| value.strip_suffix(b"\""));
+                found.push(percent_decode(bare.unwrap_or(value)).collect());
+            } else if !pair.trim_ascii().is_empty() {
+                kept.push(pair.trim_ascii().to_vec());
             }
         }
     }
@@ -118,5 +179,15 @@
     {
         headers.insert(COOKIE, value);
     }
-    key
+}
+
+/// Removes a `Referer` whose query holds a key; it repeats the address of an earlier request.
+fn strip_referer(headers: &mut HeaderMap) {
+    let has_key = headers.get_all(REFERER).iter().any(|value| {
+        let pieces = value.as_bytes().split(|byte| b"?&;#".contains(byte));
+        pieces.skip(1).any(|pair| is_key_field(split_pair(pair).0))
+    });
+    if has_key {
+        headers.remove(REFERER);
+    }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -4,16 +4,24 @@
 //! - [`names`]: the header names of callers, targets and the fleet, in one place.
 //! - [`body`]: the streamed body type.
 //! - [`keys`]: finds a caller's key and removes it from a request.
+//! - [`head`]: checks and cleans heads and trailers in both directions.
+//! - [`signals`]: what a target says about itself in the head of an answer.
 //! - [`refusal`]: answers that the fleet gives itself.
 //! - [`server`]: accepts callers.
 //! - [`client`]: connections to one target.
 
 pub mod body;
 pub mod client;
+mod connection_guard;
+mod framing;
+pub mod head;
 pub mod keys;
+mod metered_stream;
 pub mod names;
 pub mod refusal;
+mod sent_body;
 pub mod server;
+pub mod signals;
 
 /// The names that most users of the crate need.
 pub mod prelude {
@@ -28,10 +36,17 @@
         },
         client::{
             AttemptError,
+            TargetAnswer,
             TargetClient, //
         },
+        head::{
+            CallerAddress, //
+            clean_answer,
+            clean_request,
+        },
         keys::{
-            CallerKey, //
+            CallerKey,
+            KeyError, //
             take_key,
         },
         refusal::{
@@ -42,5 +57,9 @@
             CallerServer,
             ServerLimits, //
         },
+        signals::{
+            TargetSignal,
+            TargetState, //
+        },
     };
 }
--- a/crates/proxy/src/refusal.rs
+++ b/crates/proxy/src/refusal.rs
@@ -66,6 +66,12 @@
     BadGateway,
     /// The deadline passed.
     TimedOut,
+    /// The head or the body came too slowly.
+    SlowRequest,
+    /// The request expects what the fleet does not do.
+    BadExpectation,
+    /// This host has as many connections as it may have.
+    TooManyConnections,
 }
 
 impl RefusalKind {
@@ -82,6 +88,9 @@
             Self::NoCapacity | Self::NotReady => StatusCode::SERVICE_UNAVAILABLE,
             Self::BadGateway => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Self::SlowRequest => StatusCode::REQUEST_TIMEOUT,
+            Self::BadExpectation => StatusCode::EXPECTATION_FAILED,
+            Self::TooManyConnections => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -99,6 +108,9 @@
             Self::NotReady => "not-ready",
             Self::BadGateway => "bad-gateway",
             Self::TimedOut => "timed-out",
+            Self::SlowRequest => "slow-request",
+            Self::BadExpectation => "bad-expectation",
+            Self::TooManyConnections => "too-many-connections",
         }
     }
 
@@ -106,7 +118,7 @@
     fn proxy_error(self) -> &'static str {
         match self {
             Self::NoRoute => "destination_not_found",
-            Self::NoCapacity => "connection_limit_reached",
+            Self::NoCapacity | Self::TooManyConnections => "connection_limit_reached",
             Self::NotReady => "destination_unavailable",
             Self::BadGateway => "connection_terminated",
             Self::TimedOut => "http_response_timeout",
@@ -127,9 +139,22 @@
             Self::NotReady => "This host may not serve now",
             Self::BadGateway => "The target failed",
             Self::TimedOut => "The deadline passed",
+            Self::SlowRequest => "The request came too slowly",
+            Self::BadExpectation => "The expectation is not known",
+            Self::TooManyConnections => "This host has too many connections",
         }
     }
 
+    /// Returns the kind with a name, of those that the connection guard gives.
+    pub(crate) fn from_name(name: &str) -> Option<Self> {
+        const GUARD_KINDS: [RefusalKind; 3] = [
+            RefusalKind::BadRequest,
+            RefusalKind::HeadTooLarge,
+            RefusalKind::SlowRequest,
+        ];
+        GUARD_KINDS.into_iter().find(|kind| kind.name() == name)
+    }
+
     /// Builds the answer.
     pub fn respond(self, run: RunStatement, retry_after: Option<Duration>) -> Response<ProxyBody> {
         let status = self.status();
--- /dev/null
+++ b/crates/proxy/tests/edge/streams.rs
@@ -0,0 +1,141 @@
+//! Bodies and trailers through the whole edge.
+
+use std::convert::Infallible;
+
+use bytes::Bytes;
+use http::{
+    HeaderMap,
+    HeaderValue,
+    Request, //
+};
+use http_body::Frame;
+use http_body_util::{
+    BodyExt,
+    Empty,
+    combinators::UnsyncBoxBody, //
+};
+use hyper::client::conn::http2::{
+    SendRequest,
+    handshake, //
+};
+use hyper_util::rt::{
+    TokioExecutor,
+    TokioIo, //
+};
+use tokio::{
+    io::AsyncWriteExt,
+    net::TcpStream, //
+};
+
+use crate::common::{
+    LIMITS,
+    TestEdge,
+    accept,
+    answer_raw,
+    listen,
+    read_all,
+    read_until, //
+};
+
+type CallerBody = UnsyncBoxBody<Bytes, Infallible>;
+
+async fn http2_caller(edge: &TestEdge) -> SendRequest<CallerBody> {
+    let stream = TcpStream::connect(edge.address).await.unwrap();
+    let (sender, connection) = handshake(TokioExecutor::new(), TokioIo::new(stream))
+        .await
+        .unwrap();
+    tokio::spawn(connection);
+    sender
+}
+
+fn http2_request(body: CallerBody) -> Request<CallerBody> {
+    let request = Request::builder().method("POST").uri("http://a/x");
+    request
+        .header("trailer", "x-digest, x-api-key")
+        .body(body)
+        .unwrap()
+}
+
+/// Guards against keys that reach a target behind the body.
+#[tokio::test]
+async fn trailers_reach_target_without_key() {
+    let (listener, target) = listen().await;
+    let edge = TestEdge::new(LIMITS, target).await;
+    let ok = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    let serve = async || {
+        let mut stream = accept(&listener).await;
+        let seen =
+            read_until(&mut stream, "\r\n\r\n").await + &read_until(&mut stream, "\r\n\r\n").await;
+        stream.write_all(ok.as_bytes()).await.unwrap();
+        seen
+    };
+    let bytes = "POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTrailer: X-Digest, X-Api-Key\r\n\
+         Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX-Digest: 1\r\nX-Api-Key: SECRET\r\n\r\n";
+    let (answer, seen) = tokio::join!(edge.exchange(bytes), serve());
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(
+        seen.contains("x-digest: 1") && !seen.contains("SECRET"),
+        "{seen}"
+    );
+
+    let edge = TestEdge::new(LIMITS, target).await;
+    let mut trailers = HeaderMap::new();
+    trailers.insert("x-digest", HeaderValue::from_static("1"));
+    trailers.insert("x-api-key", HeaderValue::from_static("SECRET"));
+    let body = http_body_util::Full::new(Bytes::from_static(b"abc"))
+        .with_trailers(async { Some(Ok(trailers)) })
+        .map_frame(|frame: Frame<Bytes>| frame);
+    let mut caller = http2_caller(&edge).await;
+    let request = http2_request(UnsyncBoxBody::new(body));
+    let (answer, seen) = tokio::join!(caller.send_request(request), serve());
+    assert_eq!(answer.unwrap().status(), 200);
+    assert!(
+        seen.contains("x-digest: 1") && !seen.contains("SECRET"),
+        "{seen}"
+    );
+}
+
+/// Guards against a cut answer that a caller takes for a whole one.
+#[tokio::test]
+async fn cut_answer_reaches_caller_as_cut() {
+    let (listener, target) = listen().await;
+    let edge = TestEdge::new(LIMITS, target).await;
+    let get = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+    for framing in ["Content-Length: 9", "Transfer-Encoding: chunked"] {
+        let cut = format!("HTTP/1.1 200 OK\r\n{framing}\r\n\r\n2\r\nok\r\n");
+        let serve = async || drop(answer_raw(&listener, &cut).await);
+        let (answer, ()) = tokio::join!(edge.exchange(get), serve());
+        assert!(
+            !answer.contains("0\r\n\r\n") && answer.contains("ok"),
+            "{answer}"
+        );
+
+        let mut caller = http2_caller(&edge).await;
+        let request = http2_request(UnsyncBoxBody::new(Empty::new()));
+        let (answer, ()) = tokio::join!(caller.send_request(request), serve());
+        assert!(answer.unwrap().into_body().collect().await.is_err());
+    }
+}
+
+/// Guards against a target that works for a caller that has gone away.
+#[tokio::test]
+async fn lost_caller_cancels_request_at_target() {
+    let (listener, target) = listen().await;
+    let edge = TestEdge::new(LIMITS, target).await;
+    let mut caller = TcpStream::connect(edge.address).await.unwrap();
+    caller
+        .write_all(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+        .await
+        .unwrap();
+    let (_, mut stream) = answer_raw(&listener, "").await;
+    drop(caller);
+    assert!(read_all(&mut stream).await.is_empty());
+
+    let mut caller = http2_caller(&edge).await;
+    let request = http2_request(UnsyncBoxBody::new(Empty::new()));
+    let mut stream = tokio::select! {
+        _ = caller.send_request(request) => panic!("an answer came"),
+        (_, stream) = answer_raw(&listener, "") => stream,
+    };
+    assert!(read_all(&mut stream).await.is_empty());
+}
