--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -1,12 +1,8 @@
 //! Choice of a target and the attempts.
 
-use std::{
-    sync::Arc,
-    time::Duration, //
-};
+use std::sync::Arc;
 
 use chicorycroft_inventory::prelude::*;
-use chicorycroft_limits::prelude::*;
 use chicorycroft_placement::prelude::*;
 use chicorycroft_proxy::{
     names,
@@ -33,15 +29,22 @@
     state::HostState, //
 };
 
+/// Bytes that an upload must bring in each idle time.
+const UPLOAD_PROGRESS_MIN: usize = 1024;
+
 /// Answers one request of a caller.
 pub async fn handle(state: Arc<HostState>, request: Request<Incoming>) -> Response<ProxyBody> {
     let number = state.next_request();
     let (mut parts, body) = request.into_parts();
     let key = take_key(&mut parts);
+    clean_request(&mut parts);
     let line = DecisionLine::new("request")
         .with("id", number)
         .with("method", &parts.method)
         .with("path", parts.uri.path());
+    let Ok(key) = key else {
+        return refuse(line, RefusalKind::BadRequest.into(), RunStatement::NotRun);
+    };
     let Some(view) = state.view() else {
         return refuse(line, RefusalKind::NotReady.into(), RunStatement::NotRun);
     };
@@ -66,14 +69,11 @@
     let admitted = authorize(view, parts.method.as_str(), parts.uri.path(), key)?;
     if let Some(team) = &admitted.team {
         let limit = view.limit_of(team).ok_or(RefusalKind::BadKey)?;
-        let terms = LimitTerms::new(
-            limit.rate,
-            limit.burst,
-            view.snapshot().rules().host_bound,
-            1,
-        );
+        let minters = view.snapshot().rules().host_bound;
         let now = state.clock.mono();
-        state.ledger.try_take(team, &terms, now)?;
+        state
+            .ledger
+            .try_take(team, (limit.rate, limit.burst), minters, now)?;
     }
     Ok(admitted)
 }
@@ -91,19 +91,14 @@
     state: &HostState,
     view: &FleetView,
     service: &ServiceRecord,
-    time_left: Duration,
 ) -> Option<(Arc<TargetRecord>, SlotPermit)> {
-    let now = state.clock.mono();
     view.targets_in(&service.id).find_map(|target| {
         if !state.slots.is_known(&target.id) {
             state
                 .slots
                 .start_cold(&target.id, service.slots, service.warm_up_answers);
         }
-        let permit = state
-            .slots
-            .try_acquire(&target.id, now.after(time_left), now)
-            .ok()?;
+        let permit = state.slots.try_acquire(&target.id).ok()?;
         Some((target.clone(), permit))
     })
 }
@@ -117,60 +112,54 @@
     line: DecisionLine,
 ) -> Response<ProxyBody> {
     let service = view.snapshot().service(&admitted.route.service);
-    let Some((target, permit)) =
-        service.and_then(|service| choose(state, view, service, admitted.deadline))
-    else {
+    let Some((target, permit)) = service.and_then(|service| choose(state, view, service)) else {
         return refuse(line, RefusalKind::NoCapacity.into(), RunStatement::NotRun);
     };
     let deadline = Instant::now() + admitted.deadline;
     let line = line.with("target", &target.id);
-    let request = build_request(&target, admitted, parts, body);
+    let idle_max = state.settings.idle_body_timeout;
+    let body = WatchedBody::new(body, idle_max, |_| {}).with_progress_min(UPLOAD_PROGRESS_MIN);
+    let request = build_request(&target, admitted, parts, body.boxed_unsync());
     let client = state.client_of(&target);
     match client.send(request, deadline).await {
-        Ok((response, sender)) => {
+        Ok(answer) => {
             line.with("decision", "forward")
-                .with("status", response.status().as_u16())
+                .with("status", answer.status().as_u16())
                 .info();
-            let (parts, body) = response.into_parts();
             let state = state.clone();
-            let idle_max = state.settings.idle_body_timeout;
-            let outcome = if parts.status.is_server_error() {
+            let outcome = if answer.status().is_server_error() {
                 AttemptOutcome::Wrong
             } else {
                 AttemptOutcome::Good
             };
-            let body = WatchedBody::new(body, idle_max, move |end| {
+            answer.into_response(idle_max, move |end| {
                 let outcome = match end {
                     BodyEnd::Whole => outcome,
                     BodyEnd::Cut => AttemptOutcome::Cut,
                     BodyEnd::Abandoned => AttemptOutcome::Cancelled,
                 };
-                state.slots.release(permit, outcome, state.clock.mono());
-                if end == BodyEnd::Whole {
-                    client.put_idle(sender);
-                }
-            });
-            Response::from_parts(parts, body.boxed_unsync())
+                state.slots.release(permit, outcome);
+            })
         }
         Err(error) => {
-            let (outcome, kind, run) = match &error {
-                AttemptError::Connect(_) | AttemptError::NotWritten => (
-                    AttemptOutcome::Refused,
-                    RefusalKind::BadGateway,
-                    RunStatement::NotRun,
-                ),
-                AttemptError::Broken(_) => (
-                    AttemptOutcome::Cut,
-                    RefusalKind::BadGateway,
-                    RunStatement::Unknown,
-                ),
-                AttemptError::TimedOut => (
-                    AttemptOutcome::TimedOut,
-                    RefusalKind::TimedOut,
-                    RunStatement::Unknown,
-                ),
+            let (outcome, kind) = match &error {
+                AttemptError::Connect(_) | AttemptError::NotWritten => {
+                    (AttemptOutcome::Refused, RefusalKind::BadGateway)
+                }
+                AttemptError::NoConnection => (AttemptOutcome::Cancelled, RefusalKind::NoCapacity),
+                AttemptError::RequestCut => (AttemptOutcome::Cancelled, RefusalKind::BadRequest),
+                AttemptError::RequestStalled => {
+                    (AttemptOutcome::Cancelled, RefusalKind::SlowRequest)
+                }
+                AttemptError::TimedOut => (AttemptOutcome::TimedOut, RefusalKind::TimedOut),
+                _ => (AttemptOutcome::Cut, RefusalKind::BadGateway),
+            };
+            let run = if error.is_not_run() {
+                RunStatement::NotRun
+            } else {
+                RunStatement::Unknown
             };
-            state.slots.release(permit, outcome, state.clock.mono());
+            state.slots.release(permit, outcome);
             refuse(line.with("error", error), kind.into(), run)
         }
     }
@@ -180,9 +169,9 @@
     target: &TargetRecord,
     admitted: &AdmittedRequest,
     parts: Parts,
-    body: Incoming,
+    body: ProxyBody,
 ) -> Request<ProxyBody> {
-    let mut request = Request::new(body.map_err(BodyError::Cut).boxed_unsync());
+    let mut request = Request::new(body);
     *request.method_mut() = parts.method;
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     *request.uri_mut() = path.parse().unwrap_or_default();
@@ -193,7 +182,6 @@
     }
     let millis = u64::try_from(admitted.deadline.as_millis()).unwrap_or(u64::MAX);
     headers.insert(names::REQUEST_TIMEOUT, HeaderValue::from(millis));
-    headers.remove(names::TEAM);
     if let Some(team) = &admitted.team
         && let Ok(team) = HeaderValue::from_str(team.as_str())
     {
