Collect surplus tokens by brokers and measure rates and fairness

Cause: a team whose load arrives at one host was refused within its rate.

Change: TokenBroker collects surplus while a host is short and answers refills; ZoneRoster names the brokers; DrawAllowance bounds the draws of a host. The experiments rates and fairness print their rows.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,13 +1,17 @@
 //! Experiments on the decisions of the fleet. Each prints the rows of one table.
 //!
+//! - [`fairness`]: the share of the worst-served team while another one sends too much.
 //! - [`owners`]: how evenly rendezvous hashing spreads targets over hosts.
+//! - [`rates`]: refusals within the rate, overshoot and cost of moving tokens between hosts.
 
 use std::process::ExitCode;
 
 use eyre::Result;
 use getopts::Options;
 
+mod fairness;
 mod owners;
+mod rates;
 
 /// Exit status for a command line that is not valid, as `sysexits` has it.
 const EXIT_USAGE: u8 = 64;
@@ -19,11 +23,23 @@
     run: fn(seed: u64) -> Result<()>,
 }
 
-const EXPERIMENTS: &[ExperimentEntry] = &[ExperimentEntry {
-    name: "owners",
-    brief: "spread of targets over their owners",
-    run: owners::run,
-}];
+const EXPERIMENTS: &[ExperimentEntry] = &[
+    ExperimentEntry {
+        name: "fairness",
+        brief: "share of the worst-served team beside a team at five times its share",
+        run: fairness::run,
+    },
+    ExperimentEntry {
+        name: "owners",
+        brief: "spread of targets over their owners",
+        run: owners::run,
+    },
+    ExperimentEntry {
+        name: "rates",
+        brief: "refusals within the rate and overshoot over the whole fleet",
+        run: rates::run,
+    },
+];
 
 fn print_help(options: &Options) {
     let brief = "Usage: chicorycroft-bench EXPERIMENT [--seed NUMBER]";
--- a/crates/limits/src/account.rs
+++ b/crates/limits/src/account.rs
@@ -8,6 +8,7 @@
 use crate::{
     demand::DemandMeter,
     draws::{
+        DrawPurpose,
         GrantedLot,
         TokenDraw,
         TokenGrant, //
@@ -43,7 +44,7 @@
     touched_at: MonoTime,
     epoch: u64,
     demand: DemandMeter,
-    open_draws: IndexMap<u64, MonoTime>,
+    open_draws: IndexMap<u64, (MonoTime, DrawPurpose)>,
     drawers: IndexMap<HostId, (HostIncarnation, u64)>,
     next_draw_at: MonoTime,
     draw_pause: Duration,
@@ -115,6 +116,11 @@
     /// Spends one token if there is one.
     pub(crate) fn spend_one(&mut self, now: MonoTime) -> bool {
         self.demand.record(TokenAmount::ONE, now);
+        self.spend_held()
+    }
+
+    /// Spends one token if there is one, for a request that was counted before.
+    pub(crate) fn spend_held(&mut self) -> bool {
         let is_enough = self.balance() >= TokenAmount::ONE;
         if is_enough {
             self.lots.withdraw(TokenAmount::ONE);
@@ -137,13 +143,24 @@
 
     /// Tells whether a draw is on its way, so that a waiting request may still be served.
     pub(crate) fn is_draw_pending(&self, now: MonoTime) -> bool {
-        let is_recent = |&sent_at: &MonoTime| now.since(sent_at) < DRAW_PENDING;
+        let is_recent = |(sent_at, _): &(MonoTime, _)| now.since(*sent_at) < DRAW_PENDING;
         self.open_draws.values().any(is_recent)
     }
 
+    fn is_refill_pending(&self, now: MonoTime) -> bool {
+        self.open_draws.values().any(|&(sent_at, purpose)| {
+            purpose == DrawPurpose::Refill && now.since(sent_at) < DRAW_PENDING
+        })
+    }
+
+    /// Returns what this host can give without running short itself.
+    pub(crate) fn surplus(&self, now: MonoTime) -> TokenAmount {
+        self.balance().saturating_sub(self.target(now))
+    }
+
     /// Returns the tokens that the next draw should ask for, if one is due.
     pub(crate) fn due_draw(&self, now: MonoTime) -> Option<TokenAmount> {
-        let is_held_up = now < self.next_draw_at || self.is_draw_pending(now);
+        let is_held_up = now < self.next_draw_at || self.is_refill_pending(now);
         let is_useless = self.terms.life().is_zero()
             || self.terms.burst.as_micros() < TokenAmount::ONE.as_micros();
         if is_held_up || is_useless || self.demand.level_at(now).is_zero() {
@@ -155,10 +172,10 @@
         (balance < half).then(|| target.saturating_sub(balance))
     }
 
-    pub(crate) fn open_draw(&mut self, sequence: u64, now: MonoTime) {
-        let is_open = |sent_at: &MonoTime| now.since(*sent_at) <= DRAW_OPEN;
-        self.open_draws.retain(|_, sent_at| is_open(sent_at));
-        self.open_draws.insert(sequence, now);
+    pub(crate) fn open_draw(&mut self, sequence: u64, purpose: DrawPurpose, now: MonoTime) {
+        self.open_draws
+            .retain(|_, (sent_at, _)| now.since(*sent_at) <= DRAW_OPEN);
+        self.open_draws.insert(sequence, (now, purpose));
     }
 
     /// Deducts what a draw may have: all but what this host is about to need itself.
@@ -177,8 +194,7 @@
             self.drawers.shift_remove_index(0);
         }
         self.drawers.insert(draw.id.host.clone(), stamp);
-        let surplus = self.balance().saturating_sub(self.target(now));
-        let lots = self.lots.withdraw(surplus.min(draw.wanted));
+        let lots = self.lots.withdraw(self.surplus(now).min(draw.wanted));
         let granted = |lot: TokenLot| GrantedLot {
             amount: lot.amount,
             first_left: lot.first.since(now),
@@ -196,7 +212,7 @@
     ///
     /// Their life counts from the time at which the draw was sent, which is before the deduction.
     pub(crate) fn accept(&mut self, grant: &TokenGrant, now: MonoTime) -> Option<TokenAmount> {
-        let sent_at = self.open_draws.swap_remove(&grant.draw.sequence)?;
+        let (sent_at, purpose) = self.open_draws.swap_remove(&grant.draw.sequence)?;
         if now.since(sent_at) > DRAW_OPEN {
             return None;
         }
@@ -214,7 +230,9 @@
         for lot in lots.withdraw(amount) {
             self.lots.insert(lot);
         }
-        self.pace_draws(amount, now);
+        if purpose == DrawPurpose::Refill {
+            self.pace_draws(amount, now);
+        }
         Some(amount)
     }
 
--- /dev/null
+++ b/crates/limits/src/broker.rs
@@ -0,0 +1,276 @@
+//! Collects surplus and hands it to hosts that are short.
+//!
+//! A team's broker is one host of each zone. It works only while some host is short of the team's
+//! tokens: it asks the hosts of its zone and the brokers of the other zones for what they can
+//! spare, keeps half a second of demand in its host's ledger, and answers refills from there. A
+//! refill that finds too little waits for the collection, a few milliseconds at most.
+
+use std::sync::{
+    Mutex,
+    PoisonError, //
+};
+
+use chicorycroft_core::prelude::*;
+
+use crate::{
+    allowance::DrawAllowance,
+    desk::TeamDesk,
+    draws::{
+        DrawPurpose,
+        TokenDraw,
+        TokenGrant,
+        TokenLetter, //
+    },
+    ledger::TokenLedger,
+    roster::ZoneRoster,
+    terms::LimitTerms,
+};
+
+/// What a decision of the broker depends on.
+#[derive(Clone, Copy, Debug)]
+pub struct BrokerContext<'a> {
+    /// Ledger of this host, which holds what the broker collects.
+    pub ledger: &'a TokenLedger,
+    /// Live hosts.
+    pub roster: &'a ZoneRoster,
+    /// Limits of the team.
+    pub terms: LimitTerms,
+    /// Time of the decision.
+    pub now: MonoTime,
+}
+
+impl BrokerContext<'_> {
+    fn surplus(&self, team: &TeamId) -> TokenAmount {
+        self.ledger.surplus(team, &self.terms, self.now)
+    }
+
+    fn answer(&self, draw: &TokenDraw) -> Option<TokenLetter> {
+        self.ledger
+            .answer_draw(draw, &self.terms, self.now)
+            .map(TokenLetter::with_grant)
+    }
+}
+
+/// The part of this host as broker of teams, and as one that draws from brokers.
+#[derive(Debug)]
+pub struct TokenBroker {
+    zone: ZoneId,
+    desks: ShardMap<TeamId, TeamDesk>,
+    allowance: Mutex<DrawAllowance>,
+}
+
+fn half_of(amount: TokenAmount) -> TokenAmount {
+    TokenAmount::from_micros(amount.as_micros() / 2)
+}
+
+fn divided(amount: TokenAmount, count: usize) -> TokenAmount {
+    TokenAmount::from_micros(amount.as_micros() / u64::try_from(count.max(1)).unwrap_or(u64::MAX))
+}
+
+impl TokenBroker {
+    /// Makes the broker of a host in a zone.
+    pub fn new(zone: ZoneId, now: MonoTime) -> Self {
+        Self {
+            zone,
+            desks: ShardMap::new(),
+            allowance: Mutex::new(DrawAllowance::new(now)),
+        }
+    }
+
+    fn with_allowance<R>(&self, act: impl FnOnce(&mut DrawAllowance) -> R) -> R {
+        act(&mut self
+            .allowance
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Returns what to send when this host runs short of a team's tokens; often nothing.
+    ///
+    /// Call it after each `try_take`, so that a host draws before it is empty.
+    pub fn refill(&self, team: &TeamId, context: &BrokerContext<'_>) -> Vec<TokenLetter> {
+        let Some(broker) = context.roster.broker_of(&self.zone, team) else {
+            return Vec::new();
+        };
+        let (ledger, now) = (context.ledger, context.now);
+        if !ledger.is_draw_due(team, &context.terms, now)
+            || !self.with_allowance(|allowance| allowance.take_refill(now))
+        {
+            return Vec::new();
+        }
+        let Some(draw) = ledger.draw_wish(team, &context.terms, now) else {
+            return Vec::new();
+        };
+        if broker != ledger.host() {
+            return vec![TokenLetter::with_draw(broker.clone(), draw)];
+        }
+        self.desks.with_or_insert(
+            team,
+            || TeamDesk::new(now),
+            |desk| {
+                desk.record_draw(draw.wanted, now);
+                self.collect(desk, team, DrawPurpose::Refill, true, context)
+            },
+        )
+    }
+
+    /// Answers a draw of another host, at once or after a collection.
+    pub fn on_draw(&self, draw: TokenDraw, context: &BrokerContext<'_>) -> Vec<TokenLetter> {
+        if draw.purpose == DrawPurpose::HostSurplus {
+            return context.answer(&draw).into_iter().collect();
+        }
+        let (team, purpose, now) = (draw.team.clone(), draw.purpose, context.now);
+        self.desks.with_or_insert(
+            &team,
+            || TeamDesk::new(now),
+            |desk| {
+                desk.record_draw(draw.wanted, now);
+                let is_short = context.surplus(&team) < half_of(draw.wanted);
+                let mut letters = Vec::new();
+                if is_short {
+                    desk.wait(draw, now);
+                } else {
+                    letters.extend(context.answer(&draw));
+                }
+                letters.extend(self.collect(desk, &team, purpose, is_short, context));
+                if desk.is_complete() {
+                    letters.extend(Self::answer_all(desk, context));
+                }
+                letters
+            },
+        )
+    }
+
+    /// Sends collecting draws if the desk needs more than the ledger can spare.
+    fn collect(
+        &self,
+        desk: &mut TeamDesk,
+        team: &TeamId,
+        purpose: DrawPurpose,
+        is_urgent: bool,
+        context: &BrokerContext<'_>,
+    ) -> Vec<TokenLetter> {
+        let (ledger, now) = (context.ledger, context.now);
+        let surplus = context.surplus(team);
+        let need = desk.need(surplus, context.terms.life(), now);
+        if !desk.may_collect(is_urgent, now) || (!is_urgent && need < surplus) {
+            return Vec::new();
+        }
+        let mut givers = self.givers(team, purpose, context);
+        let count = givers.len();
+        let allowed = self.with_allowance(|allowance| allowance.take_collection(count, now));
+        givers.rotate_left(desk.cursor % count.max(1));
+        desk.cursor = (desk.cursor + allowed) % count.max(1);
+        // Some givers have less than others; asking each for twice its part makes up for them.
+        let part = divided(need, count).saturating_add(divided(need, count));
+        let wanted = part.max(TokenAmount::ONE);
+        let of = (team, &context.terms);
+        let draws: Vec<_> = givers
+            .into_iter()
+            .take(allowed)
+            .filter_map(|(to, purpose)| Some((to, ledger.draw_surplus(of, wanted, purpose, now)?)))
+            .collect();
+        desk.begin_collection(draws.iter().map(|(_, draw)| draw.id.sequence), now);
+        let letter = |(to, draw)| TokenLetter::with_draw(to, draw);
+        draws.into_iter().map(letter).collect()
+    }
+
+    /// Lists whom to ask: the brokers of other zones only for hosts of this zone, so that a
+    /// collection never goes on from zone to zone.
+    fn givers(
+        &self,
+        team: &TeamId,
+        purpose: DrawPurpose,
+        context: &BrokerContext<'_>,
+    ) -> Vec<(HostId, DrawPurpose)> {
+        let own = context.ledger.host();
+        let hosts = context.roster.hosts_in(&self.zone).iter();
+        let hosts = hosts
+            .filter(|host| *host != own)
+            .map(|host| (host.clone(), DrawPurpose::HostSurplus));
+        let brokers = context
+            .roster
+            .brokers_outside(&self.zone, team)
+            .filter(|_| purpose == DrawPurpose::Refill)
+            .map(|host| (host.clone(), DrawPurpose::ZoneSurplus));
+        brokers.chain(hosts).collect()
+    }
+
+    /// Takes a grant into the ledger and answers the draws that waited for it.
+    pub fn on_grant(&self, grant: &TokenGrant, context: &BrokerContext<'_>) -> Vec<TokenLetter> {
+        let accepted = context
+            .ledger
+            .accept_grant(grant, &context.terms, context.now);
+        let Some(amount) = accepted else {
+            return Vec::new();
+        };
+        let serve = |desk: &mut TeamDesk| {
+            desk.record_grant(grant.draw.sequence, amount);
+            if desk.is_complete() {
+                return Self::answer_all(desk, context);
+            }
+            Self::answer_some(desk, context)
+        };
+        self.desks.with(&grant.team, serve).unwrap_or_default()
+    }
+
+    /// Answers the first draws for which there is enough.
+    fn answer_some(desk: &mut TeamDesk, context: &BrokerContext<'_>) -> Vec<TokenLetter> {
+        let mut letters = Vec::new();
+        while let Some(first) = desk.waiting.first() {
+            if context.surplus(&first.draw.team) < first.draw.wanted {
+                break;
+            }
+            letters.extend(context.answer(&desk.waiting.remove(0).draw));
+        }
+        letters
+    }
+
+    /// Divides what there is among all draws that wait.
+    fn answer_all(desk: &mut TeamDesk, context: &BrokerContext<'_>) -> Vec<TokenLetter> {
+        let mut letters = Vec::new();
+        while !desk.waiting.is_empty() {
+            let count = desk.waiting.len();
+            let mut draw = desk.waiting.remove(0).draw;
+            let part = divided(context.surplus(&draw.team), count);
+            draw.wanted = draw.wanted.min(part);
+            letters.extend(context.answer(&draw));
+        }
+        letters
+    }
+
+    /// Answers draws whose collection takes too long, and drops desks that nobody needs.
+    ///
+    /// `context_of` returns the context of a team, or `None` where the team has no limits.
+    pub fn poll<'a>(
+        &self,
+        context_of: impl Fn(&TeamId) -> Option<BrokerContext<'a>>,
+        now: MonoTime,
+    ) -> Vec<TokenLetter> {
+        let mut letters = Vec::new();
+        self.desks.retain(|team, desk| {
+            if desk.waiting.iter().any(|draw| draw.answer_by <= now) {
+                match context_of(team) {
+                    Some(context) => letters.extend(Self::answer_all(desk, &context)),
+                    None => desk.waiting.clear(),
+                }
+            }
+            !desk.is_idle(now)
+        });
+        letters
+    }
+
+    /// Returns the next time at which [`TokenBroker::poll`] has a draw to answer.
+    pub fn next_due(&self) -> Option<MonoTime> {
+        let mut earliest: Option<MonoTime> = None;
+        self.desks.for_each(|_, desk| {
+            let due = desk.waiting.iter().map(|draw| draw.answer_by);
+            earliest = due.chain(earliest).min();
+        });
+        earliest
+    }
+
+    /// Counts the teams for which some host is or was just short.
+    pub fn desk_count(&self) -> usize {
+        self.desks.len()
+    }
+}
--- a/crates/limits/src/draws.rs
+++ b/crates/limits/src/draws.rs
@@ -77,3 +77,37 @@
     /// The tokens.
     pub lots: Vec<GrantedLot>,
 }
+
+/// A draw or a grant.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub enum TokenMessage {
+    /// A request for tokens.
+    Draw(TokenDraw),
+    /// Its answer.
+    Grant(TokenGrant),
+}
+
+/// A message and the host that it goes to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TokenLetter {
+    /// Receiver.
+    pub to: HostId,
+    /// What is sent.
+    pub message: TokenMessage,
+}
+
+impl TokenLetter {
+    /// Addresses a draw.
+    pub fn with_draw(to: HostId, draw: TokenDraw) -> Self {
+        let message = TokenMessage::Draw(draw);
+        Self { to, message }
+    }
+
+    /// Addresses a grant to the host that drew.
+    pub fn with_grant(grant: TokenGrant) -> Self {
+        Self {
+            to: grant.draw.host.clone(),
+            message: TokenMessage::Grant(grant),
+        }
+    }
+}
--- a/crates/limits/src/ledger.rs
+++ b/crates/limits/src/ledger.rs
@@ -112,6 +112,20 @@
             .unwrap_or(Err(is_asleep))
     }
 
+    /// Takes the token for a request that has waited for a grant since its `try_take`.
+    ///
+    /// The request is not counted as demand a second time.
+    pub fn take_after_wait(&self, team: &TeamId, terms: &LimitTerms, now: MonoTime) -> bool {
+        self.with_account(team, terms, now, TeamAccount::spend_held)
+            .unwrap_or(false)
+    }
+
+    /// Tells whether the host is short of a team's tokens and no refill is on its way.
+    pub fn is_draw_due(&self, team: &TeamId, terms: &LimitTerms, now: MonoTime) -> bool {
+        let is_due = |account: &mut TeamAccount| account.due_draw(now).is_some();
+        self.with_account(team, terms, now, is_due).unwrap_or(false)
+    }
+
     /// Returns the draw to send to the team's broker, if the host is short and none is open.
     pub fn draw_wish(&self, team: &TeamId, terms: &LimitTerms, now: MonoTime) -> Option<TokenDraw> {
         let make = |account: &mut TeamAccount| {
@@ -142,7 +156,7 @@
         now: MonoTime,
     ) -> TokenDraw {
         let sequence = self.last_sequence.fetch_add(1, Ordering::SeqCst) + 1;
-        account.open_draw(sequence, now);
+        account.open_draw(sequence, purpose, now);
         TokenDraw {
             id: DrawId {
                 host: self.host.clone(),
@@ -194,6 +208,13 @@
             .unwrap_or(TokenAmount::ZERO)
     }
 
+    /// Returns what this host can give of a team's tokens without running short itself.
+    pub fn surplus(&self, team: &TeamId, terms: &LimitTerms, now: MonoTime) -> TokenAmount {
+        let read = |account: &mut TeamAccount| account.surplus(now);
+        self.with_account(team, terms, now, read)
+            .unwrap_or(TokenAmount::ZERO)
+    }
+
     /// Applies new limits to all accounts at once; accounts of teams without limits are dropped.
     pub fn revise(&self, terms_of: impl Fn(&TeamId) -> Option<LimitTerms>, now: MonoTime) {
         let Some(gate) = self.gate.state(now) else {
