--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,7 +1,9 @@
 //! Experiments on the decisions of the fleet. Each prints the rows of one table.
 //!
 //! - [`latency`]: latency that one entry host adds.
+//! - [`fairness`]: the share of the worst-served team while another one sends too much.
 //! - [`owners`]: how evenly rendezvous hashing spreads targets over hosts.
+//! - [`rates`]: refusals within the rate, overshoot and cost of moving tokens between hosts.
 
 use std::process::ExitCode;
 
@@ -9,7 +11,9 @@
 use getopts::Options;
 
 mod latency;
+mod fairness;
 mod owners;
+mod rates;
 
 /// Exit status for a command line that is not valid, as `sysexits` has it.
 const EXIT_USAGE: u8 = 64;
@@ -27,11 +31,21 @@
         brief: "latency that one entry host adds",
         run: latency::run,
     },
+    ExperimentEntry {
+        name: "fairness",
+        brief: "share of the worst-served team beside a team at five times its share",
+        run: fairness::run,
+    },
     ExperimentEntry {
         name: "owners",
         brief: "spread of targets over their owners",
         run: owners::run,
     },
+    ExperimentEntry {
+        name: "rates",
+        brief: "refusals within the rate and overshoot over the whole fleet",
+        run: rates::run,
+    },
 ];
 
 fn print_help(options: &Options) {
