--- a/crates/peer/src/heartbeat.rs
+++ b/crates/peer/src/heartbeat.rs
@@ -1,5 +1,7 @@
 //! The heartbeat and what it reports.
 
+use std::net::SocketAddr;
+
 use chicorycroft_core::{
     prelude::*, //
     rendezvous::weight_of,
@@ -90,6 +92,9 @@
     pub incarnation: HostIncarnation,
     /// Zone of the sender.
     pub zone: ZoneId,
+    /// Address of the sender for other hosts. The platform's list lags, so that a new host is
+    /// reachable before the list names it.
+    pub address: SocketAddr,
     /// Number of this heartbeat, per receiver.
     pub sequence: u64,
     /// Last heartbeat of the receiver that the sender heard.
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -1,5 +1,7 @@
 //! Shapes of messages in older format versions.
 
+use std::net::SocketAddr;
+
 use chicorycroft_core::prelude::*;
 use serde::{
     Deserialize,
@@ -29,6 +31,7 @@
     host: HostId,
     incarnation: HostIncarnation,
     zone: ZoneId,
+    address: SocketAddr,
     sequence: u64,
     echo: Option<SequenceEcho>,
     config: Option<ConfigSummary>,
@@ -51,6 +54,7 @@
             host: heartbeat.host,
             incarnation: heartbeat.incarnation,
             zone: heartbeat.zone,
+            address: heartbeat.address,
             sequence: heartbeat.sequence,
             echo: heartbeat.echo,
             config: heartbeat.config,
@@ -75,6 +79,7 @@
             host: heartbeat.host,
             incarnation: heartbeat.incarnation,
             zone: heartbeat.zone,
+            address: heartbeat.address,
             sequence: heartbeat.sequence,
             echo: heartbeat.echo,
             config: heartbeat.config,
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -34,6 +34,7 @@
         host: host(1),
         incarnation: HostIncarnation::new(1_796_382_000_000),
         zone: ZoneId::new("muscat-a").unwrap(),
+        address: "192.0.2.1:7443".parse().unwrap(),
         sequence: 100_000,
         echo: Some(SequenceEcho {
             incarnation: HostIncarnation::new(1_796_382_000_001),
@@ -203,6 +204,10 @@
             assert_eq!(decoded, message, "{name}");
         }
     }
+    let mut bare = heartbeat(0, 8);
+    bare.baselines.clear();
+    let length = encode(&PeerMessage::Heartbeat(bare)).len();
+    println!("message=heartbeat targets=0 services=0 heard=8 bytes={length}");
     for (targets, heard) in [(1, 2), (2, 16), (20, 16), (10, 48), (10, 64)] {
         let length = encode(&PeerMessage::Heartbeat(heartbeat(targets, heard))).len();
         println!("message=heartbeat targets={targets} heard={heard} bytes={length}");
