Serve targets through their owners and move tokens between hosts

Cause: each host took a slot of any target by its own guess and refused where it should wait.

Change: a request goes to the owner of its target, over the peer protocol where that is another host. At the owner it waits in the fair queue for a slot. Hosts exchange heartbeats, work out who owns what, move tokens by brokers and hand targets over at a planned stop. Failed attempts are retried by their run proof.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -10,8 +10,8 @@
 use eyre::Result;
 use getopts::Options;
 
-mod latency;
 mod fairness;
+mod latency;
 mod owners;
 mod rates;
 
--- a/crates/limits/src/roster.rs
+++ b/crates/limits/src/roster.rs
@@ -27,6 +27,11 @@
         self.zones.get(zone).map_or(&[], Vec::as_slice)
     }
 
+    /// Counts the hosts of all zones.
+    pub fn host_count(&self) -> usize {
+        self.zones.values().map(Vec::len).sum()
+    }
+
     /// Returns the broker of a team in a zone.
     pub fn broker_of(&self, zone: &ZoneId, team: &TeamId) -> Option<&HostId> {
         rendezvous::first_of(team.as_str(), self.hosts_in(zone), HostId::as_str)
--- a/crates/membership/src/contact.rs
+++ b/crates/membership/src/contact.rs
@@ -90,6 +90,11 @@
         self.heard_at.max(self.reported_at)
     }
 
+    /// Returns when the newest heartbeat was sent that the peer acknowledged.
+    pub fn acknowledged_at(&self) -> Option<MonoTime> {
+        self.acknowledged_at
+    }
+
     /// Tells whether the peer acknowledged a heartbeat that was sent within the fence time.
     ///
     /// The time of sending counts and not the time of the acknowledgement: the peer heard this host
--- a/crates/membership/src/entry.rs
+++ b/crates/membership/src/entry.rs
@@ -159,6 +159,12 @@
         }
     }
 
+    /// Returns when a heartbeat was sent, if it is one of the last.
+    pub(crate) fn sent_at(&self, sequence: u64) -> Option<MonoTime> {
+        let sent = self.sent.iter().find(|(number, _)| *number == sequence);
+        sent.map(|(_, at)| *at)
+    }
+
     /// Forgets which heartbeats may still be acknowledged.
     pub(crate) fn wake(&mut self, now: MonoTime) {
         self.sent.clear();
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -322,6 +322,30 @@
         !has_fleet && !is_recent(sight.platform_at) && !is_recent(sight.fleet_at)
     }
 
+    /// Returns, for each other host of the own zone that counts, when the newest heartbeat was sent
+    /// that it acknowledged.
+    pub fn acknowledged_in_zone(&self) -> Vec<Option<MonoTime>> {
+        let mut sent = Vec::new();
+        for host in self.plan().own_zone() {
+            self.peers.with(host, |peer| {
+                if peer.counts() {
+                    sent.push(peer.machine.inner().acknowledged_at());
+                }
+            });
+        }
+        sent
+    }
+
+    /// Returns when a heartbeat to a peer was sent, if it is one of the last.
+    pub fn sent_at(&self, host: &HostId, sequence: u64) -> Option<MonoTime> {
+        self.peers.with(host, |peer| peer.sent_at(sequence))?
+    }
+
+    /// Returns the newest heartbeat that was heard of a peer.
+    pub fn mark_of(&self, host: &HostId) -> Option<SequenceMark> {
+        self.peers.with(host, |peer| peer.mark)?
+    }
+
     /// Returns where to reach a peer.
     pub fn address_of(&self, host: &HostId) -> Option<SocketAddr> {
         self.peers.with(host, |peer| peer.address)
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -26,8 +26,8 @@
 }
 
 async fn readiness(State(state): State<Arc<HostState>>) -> (StatusCode, &'static str) {
-    match state.view() {
-        Some(_) => (StatusCode::OK, "ready\n"),
-        None => (StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n"),
+    match state.is_ready() {
+        true => (StatusCode::OK, "ready\n"),
+        false => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
     }
 }
--- /dev/null
+++ b/crates/node/src/attempt.rs
@@ -0,0 +1,136 @@
+//! One attempt at a target, by its owner.
+
+use std::time::Duration;
+
+use chicorycroft_placement::prelude::*;
+use chicorycroft_proxy::{
+    names,
+    prelude::*, //
+};
+use chicorycroft_retry::prelude::*;
+use http::{
+    HeaderValue,
+    Request,
+    Response,
+    header::HOST, //
+};
+use tokio::time::Instant;
+
+use crate::{
+    delivery_error::DeliveryError,
+    slot_desk::SlotLease,
+    state::HostState, //
+};
+
+/// Sends a request to the target of a slot and returns its answer, which gives the slot back when
+/// it ends.
+///
+/// # Errors
+///
+/// Fails with what is known about whether the request ran.
+pub async fn attempt(
+    state: &HostState,
+    mut lease: SlotLease,
+    request: Request<ProxyBody>,
+    deadline: Instant,
+) -> Result<Response<ProxyBody>, DeliveryError> {
+    let target = lease.target().clone();
+    let request = address_request(request, &target.address.to_string(), deadline);
+    let started_at = Instant::now();
+    let client = state.client_of(&target);
+    let answer = match client.send(request, deadline).await {
+        Ok(answer) => answer,
+        Err(error) => {
+            let (outcome, failure) = judge_error(&error);
+            lease.set_outcome(outcome);
+            state.observe(&target, outcome, started_at.elapsed());
+            log::info!(
+                "event=attempt_failed target={} run={} error=\"{error}\"",
+                target.id,
+                failure.proof
+            );
+            return Err(failure);
+        }
+    };
+    state
+        .slots
+        .on_notice(&target.id, &notice_of(&answer.signal));
+    let latency = started_at.elapsed();
+    let outcome = judge_answer(&answer);
+    state.observe(&target, outcome, latency);
+    lease.set_outcome(outcome);
+    if answer.signal.is_not_run {
+        return Err(DeliveryError::not_run(RefusalKind::NoCapacity));
+    }
+    let idle_max = state.settings.idle_body_timeout;
+    Ok(answer.into_response(idle_max, move |end| settle(lease, end, outcome)))
+}
+
+/// Gives the slot back with what the end of the answer's body adds to its outcome.
+fn settle(mut lease: SlotLease, end: BodyEnd, outcome: AttemptOutcome) {
+    lease.set_outcome(match end {
+        BodyEnd::Whole => outcome,
+        BodyEnd::Cut => AttemptOutcome::Cut,
+        BodyEnd::Abandoned => AttemptOutcome::Cancelled,
+    });
+}
+
+fn judge_answer(answer: &TargetAnswer) -> AttemptOutcome {
+    match answer.status() {
+        _ if answer.signal.is_not_run => AttemptOutcome::Shed,
+        status if status.is_server_error() => AttemptOutcome::Wrong,
+        _ => AttemptOutcome::Good,
+    }
+}
+
+fn notice_of(signal: &TargetSignal) -> TargetNotice {
+    TargetNotice {
+        is_draining: signal.state == Some(TargetState::Draining),
+        is_cold: signal.state == Some(TargetState::Cold),
+        started_at: signal.started_at.clone(),
+    }
+}
+
+fn judge_error(error: &AttemptError) -> (AttemptOutcome, DeliveryError) {
+    let (outcome, kind) = match error {
+        AttemptError::Connect(_) | AttemptError::NotWritten => {
+            (AttemptOutcome::Refused, RefusalKind::BadGateway)
+        }
+        AttemptError::NoConnection => (AttemptOutcome::Cancelled, RefusalKind::NoCapacity),
+        AttemptError::RequestCut => (AttemptOutcome::Cancelled, RefusalKind::BadRequest),
+        AttemptError::RequestStalled => (AttemptOutcome::Cancelled, RefusalKind::SlowRequest),
+        AttemptError::TimedOut => (AttemptOutcome::TimedOut, RefusalKind::TimedOut),
+        _ => (AttemptOutcome::Cut, RefusalKind::BadGateway),
+    };
+    let proof = match error.is_not_run() {
+        true => RunProof::NotRun,
+        false => RunProof::Unknown,
+    };
+    let failure = DeliveryError {
+        kind,
+        proof,
+        retry_after: None,
+    };
+    (outcome, failure)
+}
+
+fn address_request(
+    mut request: Request<ProxyBody>,
+    host: &str,
+    deadline: Instant,
+) -> Request<ProxyBody> {
+    let path = request
+        .uri()
+        .path_and_query()
+        .map_or("/", |path| path.as_str());
+    *request.uri_mut() = path.parse().unwrap_or_default();
+    *request.version_mut() = http::Version::HTTP_11;
+    let headers = request.headers_mut();
+    if let Ok(host) = HeaderValue::from_str(host) {
+        headers.insert(HOST, host);
+    }
+    let left: Duration = deadline.saturating_duration_since(Instant::now());
+    let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    headers.insert(names::REQUEST_TIMEOUT, HeaderValue::from(millis));
+    request
+}
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -13,6 +13,13 @@
 pub struct HostClock {
     started_at: Instant,
     started_unix: UnixTime,
+    has_system_time: bool,
+}
+
+fn system_time() -> UnixTime {
+    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let millis = since_epoch.map_or(0, |time| time.as_millis());
+    UnixTime::from_millis(u64::try_from(millis).unwrap_or(u64::MAX))
 }
 
 impl HostClock {
@@ -21,16 +28,16 @@
         Self {
             started_at: Instant::now(),
             started_unix,
+            has_system_time: false,
         }
     }
 
     /// Starts the clock at the time of the system.
     pub fn with_system_time() -> Self {
-        let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-        let millis = since_epoch.map_or(0, |time| time.as_millis());
-        Self::new(UnixTime::from_millis(
-            u64::try_from(millis).unwrap_or(u64::MAX),
-        ))
+        Self {
+            has_system_time: true,
+            ..Self::new(system_time())
+        }
     }
 
     /// Returns the time since the start.
@@ -38,6 +45,17 @@
         MonoTime::START.after(self.started_at.elapsed())
     }
 
+    /// Returns the time of the world as the system tells it now, which may step.
+    ///
+    /// It goes on while a machine is suspended, unlike the runtime's clock. A clock that was started
+    /// at a given time has no system behind it and returns the same as [`HostClock::unix`].
+    pub fn wall(&self) -> UnixTime {
+        match self.has_system_time {
+            true => system_time(),
+            false => self.unix(),
+        }
+    }
+
     /// Returns the time of the world.
     pub fn unix(&self) -> UnixTime {
         self.started_unix.after(self.started_at.elapsed())
--- /dev/null
+++ b/crates/node/src/handover.rs
@@ -0,0 +1,128 @@
+//! Hands owned targets over at a planned stop, and takes them over from a host that stops.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use chicorycroft_core::prelude::*;
+use chicorycroft_inventory::prelude::*;
+use chicorycroft_peer::prelude::{
+    self as peer,
+    PeerMessage,
+    RefusalReason, //
+};
+use chicorycroft_placement::prelude::*;
+use tokio::time::Instant;
+
+use crate::{
+    decision_log::DecisionLine,
+    owned,
+    state::HostState, //
+};
+
+/// Longest time for one notice.
+const NOTICE_WAIT: Duration = Duration::from_millis(500);
+
+/// Takes the notice of a host that has stopped serving targets.
+pub fn on_notice(state: &Arc<HostState>, notice: &peer::OwnerHandover) -> PeerMessage {
+    let now = state.clock.mono();
+    let sent_at = state.members.sent_at(&notice.host, notice.echo.sequence);
+    let is_own = notice.echo.incarnation == state.incarnation;
+    let Some(echoed) = sent_at.filter(|_| is_own) else {
+        return PeerMessage::Refused(RefusalReason::NotOwner);
+    };
+    for target in &notice.targets {
+        let handover = OwnerHandover {
+            key: OwnedKey::Target(target.clone()),
+            from: notice.host.clone(),
+            heir: notice.heir.clone(),
+            echoed,
+            is_renewal: notice.is_renewal,
+        };
+        let outcome = state.owners.on_handover(&handover, now);
+        let line = DecisionLine::new("handover_received")
+            .with("target", target)
+            .with("from", &notice.host);
+        match outcome {
+            Ok(()) => line.with("decision", "take").info(),
+            Err(error) => line.with("decision", "refuse").with("reason", error).warn(),
+        }
+    }
+    owned::refresh(state);
+    PeerMessage::Accepted
+}
+
+/// Stops serving all owned targets, each when its requests have ended, and tells the next owners.
+///
+/// Returns once all are handed over or the limit is reached.
+pub async fn hand_over_all(state: &Arc<HostState>, limit: Duration) {
+    const CHECK_PERIOD: Duration = Duration::from_millis(20);
+    let deadline = Instant::now() + limit;
+    let owned = state.owned();
+    for target in owned.iter() {
+        state.slots.set_stopping(&target.id, true);
+    }
+    let mut open: Vec<Arc<TargetRecord>> = owned.iter().cloned().collect();
+    while !open.is_empty() && Instant::now() < deadline {
+        let now = state.clock.mono();
+        let is_busy = |target: &TargetId| {
+            let usage = state.slots.usage(target, now);
+            usage.is_some_and(|usage| usage.in_flight > 0)
+        };
+        let (busy, idle): (Vec<_>, Vec<_>) =
+            open.into_iter().partition(|target| is_busy(&target.id));
+        for target in idle {
+            hand_over(state, &target).await;
+        }
+        open = busy;
+        if !open.is_empty() {
+            tokio::time::sleep(CHECK_PERIOD).await;
+        }
+    }
+    for target in open {
+        DecisionLine::new("handover_skipped")
+            .with("target", &target.id)
+            .with("reason", "requests-in-flight")
+            .warn();
+    }
+}
+
+async fn hand_over(state: &Arc<HostState>, target: &TargetRecord) {
+    let line = DecisionLine::new("handover").with("target", &target.id);
+    let now = state.clock.mono();
+    let key = OwnedKey::Target(target.id.clone());
+    let home = state.view().and_then(|view| state.home_of(&view, target));
+    let Some(home) = home else {
+        return;
+    };
+    let heir = match state.owners.hand_over(&key, &home, now) {
+        Ok(heir) => heir,
+        Err(error) => {
+            line.with("decision", "keep").with("reason", error).info();
+            return;
+        }
+    };
+    let echo = state.members.mark_of(&heir);
+    let address = state.members.address_of(&heir);
+    let (Some(echo), Some(address)) = (echo, address) else {
+        return;
+    };
+    let notice = peer::OwnerHandover {
+        host: state.settings.host.clone(),
+        incarnation: state.incarnation,
+        heir: heir.clone(),
+        echo: peer::SequenceEcho {
+            incarnation: echo.incarnation,
+            sequence: echo.sequence,
+        },
+        is_renewal: false,
+        targets: vec![target.id.clone()],
+    };
+    let deadline = Instant::now() + NOTICE_WAIT;
+    let message = PeerMessage::OwnerHandover(notice);
+    let outcome = state.peers.call(address, message, deadline).await;
+    line.with("heir", &heir)
+        .with("taken", matches!(outcome, Ok(PeerMessage::Accepted)))
+        .info();
+}
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -6,13 +6,17 @@
 };
 
 use chicorycroft_border::prelude::*;
+use chicorycroft_peer::prelude::*;
 use chicorycroft_platform::prelude::*;
 use chicorycroft_proxy::prelude::*;
 use thiserror::Error;
 use tokio::{
     net::TcpListener,
     sync::watch,
-    task::JoinSet, //
+    task::{
+        JoinHandle,
+        JoinSet, //
+    },
 };
 
 use crate::{
@@ -20,8 +24,12 @@
     clock::HostClock,
     config_loop,
     decision_log::DecisionLine,
-    dispatch,
-    state::HostState, //
+    handover,
+    ingress,
+    member_loop,
+    peer_service,
+    state::HostState,
+    token_loop, //
 };
 
 /// Why a host does not start.
@@ -46,7 +54,9 @@
     caller_address: SocketAddr,
     admin_address: SocketAddr,
     stop: watch::Sender<bool>,
-    server: tokio::task::JoinHandle<bool>,
+    peer_stop: watch::Sender<bool>,
+    server: JoinHandle<bool>,
+    peer_server: JoinHandle<bool>,
     loops: JoinSet<()>,
 }
 
@@ -79,31 +89,35 @@
             .await
             .map_err(listen_error("callers", caller))?;
         let caller_address = server.address().map_err(listen_error("callers", caller))?;
+        let peer = settings.peer_listen;
+        let peer_error = listen_error("other hosts", peer);
+        let peer_server = PeerServer::new(peer).await.map_err(&peer_error)?;
+        let peer_server = peer_server.with_drain_limit(settings.drain_limit);
+        let peer_address = peer_server.address().map_err(&peer_error)?;
         let admin = settings.admin_listen;
         let admin_error = listen_error("operators", admin);
         let admin_listener = TcpListener::bind(admin).await.map_err(&admin_error)?;
         let admin_address = admin_listener.local_addr().map_err(&admin_error)?;
-        let state = Arc::new(HostState::new(settings, clock));
-        let platform = Arc::new(platform);
-        let mut loops = JoinSet::new();
-        loops.spawn(config_loop::follow(state.clone(), platform));
-        loops.spawn(config_loop::apply_bookings(state.clone()));
-        let admin_state = state.clone();
-        loops.spawn(async move {
-            if let Err(error) = admin::serve(admin_state, admin_listener).await {
-                DecisionLine::new("admin_ended").with("error", error).warn();
-            }
-        });
-        let stop = watch::Sender::new(false);
+        let state = Arc::new(HostState::new(settings, peer_address, clock));
+        let loops = start_loops(&state, platform, admin_listener);
+        let (stop, peer_stop) = (watch::Sender::new(false), watch::Sender::new(false));
         let handler_state = state.clone();
-        let handler = move |request| dispatch::handle(handler_state.clone(), request);
+        let handler = move |request| ingress::handle(handler_state.clone(), request);
         let server = tokio::spawn(server.serve(handler, stop.subscribe()));
+        let (message_state, forward_state) = (state.clone(), state.clone());
+        let peer_server = tokio::spawn(peer_server.serve(
+            move |message| peer_service::on_message(message_state.clone(), message),
+            move |head, request| peer_service::on_forward(forward_state.clone(), head, request),
+            peer_stop.subscribe(),
+        ));
         Ok(Self {
             state,
             caller_address,
             admin_address,
             stop,
+            peer_stop,
             server,
+            peer_server,
             loops,
         })
     }
@@ -123,13 +137,54 @@
         &self.state
     }
 
-    /// Stops the host: no new connections, requests run to their end.
+    /// Returns the address for other hosts.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.state.peer_address
+    }
+
+    /// Stops the host: readiness turns, owned targets go to other hosts, callers' requests run to
+    /// their end, and the other hosts' forwarded requests as well.
     ///
     /// Returns whether all requests ended within the drain limit.
     pub async fn stop(mut self) -> bool {
+        self.state.begin_stop();
+        let limit = self.state.settings.drain_limit;
+        let handover = handover::hand_over_all(&self.state, limit);
         self.stop.send_replace(true);
-        let is_drained = self.server.await.unwrap_or(false);
+        let ((), server) = tokio::join!(handover, &mut self.server);
+        self.peer_stop.send_replace(true);
+        let peer_server = (&mut self.peer_server).await;
         self.loops.shutdown().await;
-        is_drained
+        matches!((server, peer_server), (Ok(true), Ok(true)))
     }
+
+    /// Ends the host at once, as a crash does: open connections are cut.
+    pub async fn crash(mut self) {
+        self.server.abort();
+        self.peer_server.abort();
+        self.loops.shutdown().await;
+    }
+}
+
+fn start_loops(
+    state: &Arc<HostState>,
+    platform: PlatformClient,
+    admin_listener: TcpListener,
+) -> JoinSet<()> {
+    let platform = Arc::new(platform);
+    let mut loops = JoinSet::new();
+    loops.spawn(config_loop::follow(state.clone(), platform.clone()));
+    loops.spawn(config_loop::apply_bookings(state.clone()));
+    loops.spawn(member_loop::read_roster(state.clone(), platform));
+    loops.spawn(member_loop::heartbeat(state.clone()));
+    loops.spawn(member_loop::tick(state.clone()));
+    loops.spawn(token_loop::draw(state.clone()));
+    loops.spawn(token_loop::poll(state.clone()));
+    let admin_state = state.clone();
+    loops.spawn(async move {
+        if let Err(error) = admin::serve(admin_state, admin_listener).await {
+            DecisionLine::new("admin_ended").with("error", error).warn();
+        }
+    });
+    loops
 }
--- /dev/null
+++ b/crates/node/src/ingress.rs
@@ -0,0 +1,329 @@
+//! Answers callers: admission, choice of a target, delivery and retries.
+
+use std::sync::Arc;
+
+use chicorycroft_core::prelude::*;
+use chicorycroft_inventory::prelude::*;
+use chicorycroft_limits::prelude::*;
+use chicorycroft_peer::prelude::*;
+use chicorycroft_placement::prelude::*;
+use chicorycroft_proxy::{
+    head::check_request,
+    names,
+    prelude::*, //
+};
+use chicorycroft_retry::prelude::*;
+use http::{
+    HeaderValue,
+    Request,
+    Response,
+    request::Parts, //
+};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use crate::{
+    admission::{
+        AdmissionRefusal,
+        AdmittedRequest, //
+        authorize,
+    },
+    decision_log::DecisionLine,
+    delivery::{
+        deliver,
+        owner_of, //
+    },
+    delivery_error::DeliveryError,
+    replay::ReplayBody,
+    state::HostState,
+    token_loop, //
+};
+
+/// Bytes that an upload must bring in each idle time.
+const UPLOAD_PROGRESS_MIN: usize = 1024;
+
+/// Candidates that a decision line names; a service may have dozens.
+const PASSED_NAMED_MAX: usize = 4;
+
+/// Answers one request of a caller.
+pub async fn handle(state: Arc<HostState>, request: Request<Incoming>) -> Response<ProxyBody> {
+    let id = RequestId::new(state.next_request());
+    let arrival = Instant::now();
+    let (mut parts, body) = request.into_parts();
+    let checked = check_request(&parts);
+    let key = take_key(&mut parts);
+    clean_request(&mut parts);
+    let line = DecisionLine::new("request")
+        .with("id", id)
+        .with("method", &parts.method)
+        .with("path", parts.uri.path());
+    let refusal = match (checked, key) {
+        (Err(kind), _) => kind.into(),
+        (_, Err(_)) => RefusalKind::BadRequest.into(),
+        (Ok(()), Ok(key)) => match admit(&state, &parts, key.as_ref()).await {
+            Ok((view, admitted)) => {
+                let line = line
+                    .with("route", &admitted.route.id)
+                    .with("team", admitted.team.as_ref().map_or("-", TeamId::as_str));
+                let exchange = CallerExchange::new(state, view, admitted, id, arrival);
+                return exchange.run(parts, body, line).await;
+            }
+            Err(refusal) => refusal,
+        },
+    };
+    refuse(
+        line,
+        refusal.kind,
+        RunStatement::NotRun,
+        refusal.retry_after,
+    )
+}
+
+async fn admit(
+    state: &HostState,
+    parts: &Parts,
+    key: Option<&CallerKey>,
+) -> Result<(Arc<FleetView>, AdmittedRequest), AdmissionRefusal> {
+    if !state.is_serving() {
+        return Err(RefusalKind::NotReady.into());
+    }
+    let view = state.view().ok_or(RefusalKind::NotReady)?;
+    let admitted = authorize(&view, parts.method.as_str(), parts.uri.path(), key)?;
+    if let Some(team) = &admitted.team {
+        let terms = state.terms_of(&view, team).ok_or(RefusalKind::BadKey)?;
+        let take = || state.ledger.try_take(team, &terms, state.clock.mono());
+        if let Err(shortage) = take() {
+            wait_for_token(state, team, shortage, take).await?;
+        }
+    }
+    Ok((view, admitted))
+}
+
+/// Waits for the grant of a draw, where one is open.
+async fn wait_for_token(
+    state: &HostState,
+    team: &TeamId,
+    shortage: TokenShortage,
+    take: impl Fn() -> Result<(), TokenShortage>,
+) -> Result<(), AdmissionRefusal> {
+    if !shortage.is_draw_open {
+        return Err(shortage.into());
+    }
+    let deadline = Instant::now() + token_loop::DRAW_WAIT;
+    state.draws.ask(team);
+    loop {
+        let granted = state.draws.granted();
+        match take() {
+            Ok(()) => return Ok(()),
+            Err(shortage) if Instant::now() >= deadline => return Err(shortage.into()),
+            Err(_) => {}
+        }
+        // A grant for any team wakes all waiters; few wait at once.
+        let _ = tokio::time::timeout_at(deadline, granted).await;
+    }
+}
+
+fn refuse(
+    line: DecisionLine,
+    kind: RefusalKind,
+    run: RunStatement,
+    retry_after: Option<std::time::Duration>,
+) -> Response<ProxyBody> {
+    line.with("decision", "refuse")
+        .with("reason", kind.name())
+        .with("run", run)
+        .info();
+    kind.respond(run, retry_after)
+}
+
+/// One admitted request on its way to an answer.
+struct CallerExchange {
+    state: Arc<HostState>,
+    view: Arc<FleetView>,
+    admitted: AdmittedRequest,
+    id: RequestId,
+    deadline: DeadlineClock,
+    history: AttemptHistory,
+}
+
+impl CallerExchange {
+    fn new(
+        state: Arc<HostState>,
+        view: Arc<FleetView>,
+        admitted: AdmittedRequest,
+        id: RequestId,
+        arrival: Instant,
+    ) -> Self {
+        let now = state.clock.mono();
+        let left = admitted.deadline.saturating_sub(arrival.elapsed());
+        state.retries.record_request(&admitted.route.service, now);
+        Self {
+            state,
+            view,
+            admitted,
+            id,
+            deadline: DeadlineClock::new(left, now),
+            history: AttemptHistory::new(),
+        }
+    }
+
+    fn kind(&self) -> RequestKind {
+        match self.admitted.is_idempotent {
+            true => RequestKind::Idempotent,
+            false => RequestKind::NonIdempotent,
+        }
+    }
+
+    async fn run(
+        mut self,
+        parts: Parts,
+        body: Incoming,
+        line: DecisionLine,
+    ) -> Response<ProxyBody> {
+        let idle_max = self.state.settings.idle_body_timeout;
+        let body = WatchedBody::new(body, idle_max, |_| {}).with_progress_min(UPLOAD_PROGRESS_MIN);
+        let body = ReplayBody::new(body.boxed_unsync());
+        loop {
+            let Some((target, owner, choice)) = self.choose() else {
+                let run = statement_of(self.history.proof());
+                let line = line.with("attempts", self.history.len());
+                return refuse(line, RefusalKind::NoCapacity, run, None);
+            };
+            let now = self.state.clock.mono();
+            let number = self.history.begin(target.id.clone(), now);
+            let line = line
+                .clone()
+                .with("target", &target.id)
+                .with("owner", &owner)
+                .with("attempt", self.history.len())
+                .with("passed", passed_text(&choice));
+            let request = self.build_request(&parts, body.next_attempt());
+            self.state.chooser.on_sent(&target.id);
+            let delivered = deliver(&self.state, &owner, self.head(&target), request).await;
+            self.state.chooser.on_ended(&target.id);
+            let is_fault = |status: http::StatusCode| status.is_server_error();
+            let proof = match &delivered {
+                Ok(response) if is_fault(response.status()) && self.admitted.is_idempotent => {
+                    RunProof::Unknown
+                }
+                Ok(_) => RunProof::Ran,
+                Err(failure) => failure.proof,
+            };
+            self.history.end(number, proof);
+            match self.decide(&body) {
+                RetryDecision::RetryElsewhere => {
+                    line.with("decision", "retry").with("run", proof).info();
+                }
+                RetryDecision::GiveUp { reason, .. } => {
+                    let line = line.with("end", reason);
+                    return self.finish(delivered, line);
+                }
+            }
+        }
+    }
+
+    fn decide(&self, body: &ReplayBody) -> RetryDecision {
+        if !body.can_replay() {
+            return RetryDecision::GiveUp {
+                run: self.history.proof().into(),
+                reason: GiveUpReason::NoTime,
+            };
+        }
+        self.state.retries.may_retry(
+            &self.admitted.route.service,
+            self.kind(),
+            &self.history,
+            &self.deadline,
+            self.state.clock.mono(),
+        )
+    }
+
+    fn finish(
+        &self,
+        delivered: Result<Response<ProxyBody>, DeliveryError>,
+        line: DecisionLine,
+    ) -> Response<ProxyBody> {
+        match delivered {
+            Ok(mut response) => {
+                line.with("decision", "forward")
+                    .with("status", response.status().as_u16())
+                    .info();
+                *response.version_mut() = http::Version::HTTP_11;
+                response
+            }
+            Err(failure) => {
+                let run = statement_of(self.history.proof());
+                refuse(line, failure.kind, run, failure.retry_after)
+            }
+        }
+    }
+
+    /// Chooses a target that was not tried, and its owner.
+    fn choose(&self) -> Option<(Arc<TargetRecord>, HostId, TargetChoice)> {
+        let (state, view) = (&self.state, &self.view);
+        let candidates: Vec<TargetCandidate> = view
+            .targets_in(&self.admitted.route.service)
+            .map(|target| TargetCandidate {
+                id: target.id.clone(),
+                zone: target.zone.clone(),
+                is_suspect: state.is_suspect(&target.id),
+                is_excluded: self.history.targets().any(|tried| tried == &target.id)
+                    || owner_of(state, target).is_none(),
+            })
+            .collect();
+        let now = state.clock.mono();
+        let choice = state
+            .chooser
+            .choose(&candidates, &state.settings.zone, state.random(), now);
+        let target = view.snapshot().target(choice.chosen.as_ref()?)?.clone();
+        let owner = owner_of(state, &target)?;
+        Some((target, owner, choice))
+    }
+
+    fn head(&self, target: &TargetRecord) -> ForwardHead {
+        let now = self.state.clock.mono();
+        let left = self.deadline.for_next_hop(now).unwrap_or_default();
+        ForwardHead {
+            request: self.id,
+            route: self.admitted.route.id.clone(),
+            team: self.admitted.team.clone(),
+            service: target.service.clone(),
+            target: target.id.clone(),
+            left_millis: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+            attempt: u8::try_from(self.history.len()).unwrap_or(u8::MAX),
+            is_idempotent: self.admitted.is_idempotent,
+        }
+    }
+
+    fn build_request(&self, parts: &Parts, body: ProxyBody) -> Request<ProxyBody> {
+        let mut request = Request::new(body);
+        *request.method_mut() = parts.method.clone();
+        *request.uri_mut() = parts.uri.clone();
+        *request.headers_mut() = parts.headers.clone();
+        if let Some(team) = &self.admitted.team
+            && let Ok(team) = HeaderValue::from_str(team.as_str())
+        {
+            request.headers_mut().insert(names::TEAM, team);
+        }
+        request
+    }
+}
+
+fn statement_of(proof: RunProof) -> RunStatement {
+    match RunVerdict::from(proof) {
+        RunVerdict::NotRun => RunStatement::NotRun,
+        RunVerdict::Unknown => RunStatement::Unknown,
+    }
+}
+
+/// Names some of the candidates that were passed over, with the reasons.
+fn passed_text(choice: &TargetChoice) -> String {
+    let named = choice.passed.iter().take(PASSED_NAMED_MAX);
+    let named = named.map(|(target, reason)| format!("{target}:{reason}"));
+    let mut text = named.collect::<Vec<_>>().join(",");
+    if choice.passed.len() > PASSED_NAMED_MAX {
+        text += &format!(",+{}", choice.passed.len() - PASSED_NAMED_MAX);
+    }
+    text
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,24 +1,44 @@
 //! One running host: joins the decisions with the edges.
 //!
 //! - [`clock`]: the clocks of the runtime and of the world.
-//! - [`replay`]: request bodies that can be sent again.
 //! - [`state`]: what all tasks of the host share.
 //! - [`decision_log`]: one key=value line for each decision.
-//! - [`admission`]: route, key and rate of a request.
-//! - [`dispatch`]: choice of a target and the attempts.
+//! - [`ingress`]: answers callers: admission, choice of a target, delivery and retries.
+//! - [`admission`]: route and key of a request.
+//! - [`replay`]: request bodies that can be sent again.
+//! - [`delivery`]: brings a request to the owner of its target.
+//! - [`owner`]: serves requests for owned targets.
+//! - [`slot_desk`]: requests that wait for a slot.
+//! - [`attempt`]: one attempt at a target.
+//! - [`delivery_error`]: why a request got no answer from a target.
+//! - [`owned`]: the targets that this host owns.
+//! - [`handover`]: hands owned targets over at a planned stop.
+//! - [`member_loop`]: heartbeats, list of hosts, pauses.
+//! - [`token_loop`]: moves tokens between hosts.
+//! - [`peer_service`]: answers other hosts.
 //! - [`config_loop`]: follows the published configuration.
 //! - [`admin`]: health, readiness, metrics and status.
 //! - [`host`]: starts and stops all of it.
 
 pub mod admin;
 pub mod admission;
+pub mod attempt;
 pub mod clock;
 pub mod config_loop;
 pub mod decision_log;
-pub mod dispatch;
+pub mod delivery;
+pub mod delivery_error;
+pub mod handover;
 pub mod host;
+pub mod ingress;
+pub mod member_loop;
+pub mod owned;
+pub mod owner;
+pub mod peer_service;
 pub mod replay;
+pub mod slot_desk;
 pub mod state;
+pub mod token_loop;
 
 /// The names that most users of the crate need.
 pub mod prelude {
--- /dev/null
+++ b/crates/node/src/owner.rs
@@ -0,0 +1,93 @@
+//! Serves requests for the targets that this host owns.
+
+use std::sync::Arc;
+
+use chicorycroft_fairness::prelude::*;
+use chicorycroft_inventory::prelude::*;
+use chicorycroft_peer::prelude::*;
+use chicorycroft_proxy::prelude::*;
+use http::{
+    Request,
+    Response, //
+};
+use tokio::time::Instant;
+
+use crate::{
+    attempt::attempt,
+    decision_log::DecisionLine,
+    delivery_error::DeliveryError,
+    slot_desk,
+    state::HostState, //
+};
+
+/// Answers a request for an owned target, after a wait for a slot where there is none.
+///
+/// # Errors
+///
+/// Fails with what is known about whether the request ran.
+pub async fn serve(
+    state: &Arc<HostState>,
+    head: &ForwardHead,
+    request: Request<ProxyBody>,
+) -> Result<Response<ProxyBody>, DeliveryError> {
+    let arrival = Instant::now();
+    let deadline = arrival + head.time_left();
+    let line = DecisionLine::new("owner_decision")
+        .with("id", head.request)
+        .with("service", &head.service)
+        .with("asked", &head.target);
+    if let Err((reason, failure)) = check(state, head) {
+        line.with("decision", "refuse")
+            .with("reason", reason)
+            .info();
+        return Err(failure);
+    }
+    let view = state
+        .view()
+        .ok_or(DeliveryError::not_run(RefusalKind::NotReady))?;
+    let service = view.snapshot().service(&head.service);
+    let queue_wait = service
+        .map(|service| service.queue_wait)
+        .unwrap_or_default();
+    let team = head.team.clone().map_or(QueueTeam::Open, QueueTeam::Team);
+    let wait_until = deadline.min(arrival + queue_wait);
+    let order = (team, &head.target);
+    match slot_desk::acquire(state, &head.service, order, wait_until).await {
+        Ok(lease) => {
+            line.with("decision", "send")
+                .with("target", &lease.target().id)
+                .with("waited_us", arrival.elapsed().as_micros())
+                .info();
+            attempt(state, lease, request, deadline).await
+        }
+        Err(refusal) => {
+            line.with("decision", "refuse")
+                .with("reason", refusal)
+                .info();
+            let mut failure = DeliveryError::not_run(RefusalKind::NoCapacity);
+            failure.retry_after = Some(queue_wait);
+            Err(failure)
+        }
+    }
+}
+
+/// Checks that this host may serve a request for its target now.
+fn check(state: &HostState, head: &ForwardHead) -> Result<(), (String, DeliveryError)> {
+    let refuse = |reason: &dyn std::fmt::Display, kind| {
+        Err((reason.to_string(), DeliveryError::not_run(kind)))
+    };
+    let Some(view) = state.view() else {
+        return refuse(&"no-configuration", RefusalKind::NotReady);
+    };
+    match view.standing_of(&head.target) {
+        TargetStanding::In => {}
+        standing => return refuse(&format!("target-{standing:?}"), RefusalKind::NoCapacity),
+    }
+    let Some(target) = view.snapshot().target(&head.target) else {
+        return refuse(&"target-unlisted", RefusalKind::NoCapacity);
+    };
+    match state.may_serve(target, state.clock.mono()) {
+        Ok(()) => Ok(()),
+        Err(error) => refuse(&error, RefusalKind::NoCapacity),
+    }
+}
--- a/crates/node/tests/first_path.rs
+++ b/crates/node/tests/first_path.rs
@@ -10,6 +10,7 @@
 use chicorycroft_border::prelude::*;
 use chicorycroft_core::prelude::*;
 use chicorycroft_node::prelude::*;
+use chicorycroft_platform::prelude::*;
 use chicorycroft_standin::prelude::*;
 use tokio::{
     io::{
@@ -37,14 +38,20 @@
 
 async fn start_host(platform: &StandinPlatform) -> EntryHost {
     let settings = "{host: entry-1, zone: muscat-1, platform: '127.0.0.1:1', \
-         caller_listen: '127.0.0.1:0', admin_listen: '127.0.0.1:0'}";
+         caller_listen: '127.0.0.1:0', peer_listen: '127.0.0.1:0', admin_listen: '127.0.0.1:0'}";
     let settings = HostSettings::new(settings).unwrap();
     let clock = HostClock::new(UnixTime::from_millis(0));
+    platform.set_hosts(vec![HostListing {
+        id: settings.host.clone(),
+        zone: settings.zone.clone(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        is_leaving: false,
+    }]);
     let host = EntryHost::start(settings, platform.client(), clock)
         .await
         .unwrap();
     let limit = Instant::now() + Duration::from_secs(5);
-    while host.state().view().is_none() && Instant::now() < limit {
+    while host.state().owned().iter().next().is_none() && Instant::now() < limit {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
     host
@@ -68,9 +75,7 @@
     platform.publish(1, &[("all", documents(&address.to_string()))]);
     let host = start_host(&platform).await;
     // A host starts without tokens; the team's rate yields two in this time.
-    tokio::time::pause();
-    tokio::time::advance(Duration::from_secs(1)).await;
-    tokio::time::resume();
+    tokio::time::sleep(Duration::from_secs(1)).await;
 
     let head = format!("GET /rates/oman?api_key={KEY}&w=2 HTTP/1.1\r\nx-api-key: {KEY}");
     let answer = call(&host, &head).await;
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -49,6 +49,7 @@
         },
         messages::{
             DrawId,
+            DrawReach,
             EjectionGrant,
             EjectionRelease,
             EjectionRequest,
--- a/crates/peer/src/messages.rs
+++ b/crates/peer/src/messages.rs
@@ -14,7 +14,8 @@
 use crate::{
     heartbeat::{
         Heartbeat,
-        HeartbeatAck, //
+        HeartbeatAck,
+        SequenceEcho, //
     },
     parts::{
         PartsAnswer,
@@ -48,15 +49,30 @@
     pub wanted: TokenAmount,
     /// Identity of the draw.
     pub id: DrawId,
+    /// How far the draw reaches.
+    pub reach: DrawReach,
 }
 
-/// Tokens with the same remaining life.
+/// How far a draw reaches.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum DrawReach {
+    /// The broker may ask the whole fleet.
+    Fleet,
+    /// The broker may ask its own zone.
+    Zone,
+    /// The host gives from its own account.
+    Host,
+}
+
+/// Tokens that were minted one after the other.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TokenLot {
     /// Number of tokens.
     pub amount: TokenAmount,
-    /// Remaining life in microseconds, counted from the moment the draw was sent.
-    pub life_micros: u64,
+    /// Life left to the first part of the lot, in microseconds, when the sender deducted it.
+    pub first_left_micros: u64,
+    /// Life left to the last part of the lot, in microseconds.
+    pub last_left_micros: u64,
 }
 
 /// The answer to a draw.
@@ -64,6 +80,14 @@
 pub struct TokenGrant {
     /// The draw that is answered.
     pub id: DrawId,
+    /// The team.
+    pub team: TeamId,
+    /// Rate of the team under which the sender held the tokens.
+    pub rate: RequestRate,
+    /// Burst of the team under which the sender held the tokens.
+    pub burst: BurstSize,
+    /// Number of hosts that shared the rate at the sender.
+    pub minters: u32,
     /// The tokens that change hands; empty when there are none.
     pub lots: Vec<TokenLot>,
 }
@@ -146,6 +170,12 @@
     pub host: HostId,
     /// Its incarnation.
     pub incarnation: HostIncarnation,
+    /// The only host that may use the notice.
+    pub heir: HostId,
+    /// The last heartbeat of the heir that the sender heard, which bounds the notice's age.
+    pub echo: SequenceEcho,
+    /// Whether the sender stopped serving earlier and only goes on leaving the targets to the heir.
+    pub is_renewal: bool,
     /// The targets.
     pub targets: Vec<TargetId>,
 }
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -100,15 +100,21 @@
                 team: TeamId::new("harbour").unwrap(),
                 wanted: TokenAmount::from_whole(20),
                 id: draw_id(),
+                reach: DrawReach::Fleet,
             }),
         ),
         (
             "token-grant",
             PeerMessage::TokenGrant(TokenGrant {
                 id: draw_id(),
+                team: TeamId::new("harbour").unwrap(),
+                rate: RequestRate::from_whole(30),
+                burst: BurstSize::from_whole(60),
+                minters: 48,
                 lots: vec![TokenLot {
                     amount: TokenAmount::from_whole(20),
-                    life_micros: 1_500_000,
+                    first_left_micros: 1_400_000,
+                    last_left_micros: 1_500_000,
                 }],
             }),
         ),
@@ -176,6 +182,9 @@
             PeerMessage::OwnerHandover(OwnerHandover {
                 host: host(1),
                 incarnation,
+                heir: host(2),
+                echo,
+                is_renewal: false,
                 targets: vec![target],
             }),
         ),
--- a/crates/placement/src/chooser.rs
+++ b/crates/placement/src/chooser.rs
@@ -1,6 +1,9 @@
 //! Choice among the targets of a service.
 
-use std::time::Duration;
+use std::{
+    fmt,
+    time::Duration, //
+};
 
 use chicorycroft_core::prelude::*;
 
@@ -41,6 +44,18 @@
     NotDrawn,
 }
 
+impl fmt::Display for PassReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Tried => f.write_str("tried"),
+            Self::OtherZone => f.write_str("other-zone"),
+            Self::Suspect => f.write_str("suspect"),
+            Self::Loaded(load) => write!(f, "load-{load}"),
+            Self::NotDrawn => f.write_str("not-drawn"),
+        }
+    }
+}
+
 /// The chosen target and the others.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct TargetChoice {
--- a/crates/placement/src/owners.rs
+++ b/crates/placement/src/owners.rs
@@ -76,10 +76,17 @@
     must_refresh: Option<MonoTime>,
 }
 
+/// This host.
+#[derive(Debug)]
+struct LocalHost {
+    id: HostId,
+    zone: ZoneId,
+}
+
 /// Which host owns each key, and whether this host may serve it.
 #[derive(Debug)]
 pub struct OwnerTable {
-    own: ListedHost,
+    own: LocalHost,
     times: OwnerTimes,
     zones: ShardMap<ZoneId, ZoneHosts>,
     keys: ShardMap<OwnedKey, KeyRecord>,
@@ -88,9 +95,9 @@
 
 impl OwnerTable {
     /// Makes the table of a host that has just started and knows no previous owner.
-    pub fn new(own: ListedHost, times: OwnerTimes, now: MonoTime) -> Self {
+    pub fn new(id: HostId, zone: ZoneId, times: OwnerTimes, now: MonoTime) -> Self {
         Self {
-            own,
+            own: LocalHost { id, zone },
             times,
             zones: ShardMap::new(),
             keys: ShardMap::new(),
--- a/crates/proxy/src/refusal.rs
+++ b/crates/proxy/src/refusal.rs
@@ -94,6 +94,29 @@
         }
     }
 
+    /// All kinds.
+    const ALL: [Self; 14] = [
+        Self::BadRequest,
+        Self::HeadTooLarge,
+        Self::NoRoute,
+        Self::NoMethod,
+        Self::BadKey,
+        Self::NotAllowed,
+        Self::OverRate,
+        Self::NoCapacity,
+        Self::NotReady,
+        Self::BadGateway,
+        Self::TimedOut,
+        Self::SlowRequest,
+        Self::BadExpectation,
+        Self::TooManyConnections,
+    ];
+
+    /// Returns the kind with a name.
+    pub fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|kind| kind.name() == name)
+    }
+
     /// Returns the name for logs, metrics and the `type` member.
     pub fn name(self) -> &'static str {
         match self {
@@ -145,16 +168,6 @@
         }
     }
 
-    /// Returns the kind with a name, of those that the connection guard gives.
-    pub(crate) fn from_name(name: &str) -> Option<Self> {
-        const GUARD_KINDS: [RefusalKind; 3] = [
-            RefusalKind::BadRequest,
-            RefusalKind::HeadTooLarge,
-            RefusalKind::SlowRequest,
-        ];
-        GUARD_KINDS.into_iter().find(|kind| kind.name() == name)
-    }
-
     /// Builds the answer.
     pub fn respond(self, run: RunStatement, retry_after: Option<Duration>) -> Response<ProxyBody> {
         let status = self.status();
