Speak HTTP/2 to targets by prior knowledge

Cause: a refused stream or a GOAWAY below a stream's id proves that a request did not run, which HTTP/1.1 cannot tell.

Change: TargetClient::with_protocol; AttemptError::RefusedStream and GoAway; a connection's tasks form a group that keeps the permit until the socket is closed, also for the tasks that the library starts.

--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -18,17 +18,11 @@
 use http::{
     Request,
     Response,
-    StatusCode, //
+    StatusCode,
+    Version, //
 };
 use http_body_util::BodyExt;
-use hyper::{
-    body::Incoming,
-    client::conn::http1::{
-        Builder,
-        SendRequest, //
-    },
-};
-use hyper_util::rt::TokioIo;
+use hyper::body::Incoming;
 use thiserror::Error;
 use tokio::{
     net::TcpStream,
@@ -37,7 +31,6 @@
         Semaphore,
         watch, //
     },
-    task::JoinHandle,
     time::{
         Instant, //
         sleep_until,
@@ -64,8 +57,12 @@
         SentBody, //
     },
     signals::TargetSignal,
+    target_sender::TargetSender,
+    task_group::TaskGroup,
 };
 
+pub use crate::target_sender::TargetProtocol;
+
 /// Longest time that a connection stays idle.
 const IDLE_MAX: Duration = Duration::from_secs(30);
 
@@ -79,9 +76,6 @@
 /// Longest time that a kept connection takes to be ready again; it only needs one turn of its task.
 const READY_MAX: Duration = Duration::from_millis(50);
 
-/// Largest buffer of a connection, in bytes. It bounds the head of an answer.
-const BUFFER_MAX: usize = 64 << 10;
-
 /// Why an attempt gave no answer.
 #[derive(Debug, Error)]
 pub enum AttemptError {
@@ -94,6 +88,12 @@
     /// The attempt ended before any byte of the request was written.
     #[error("the connection ended before the request was written")]
     NotWritten,
+    /// The target refused the HTTP/2 stream before any processing (RFC 9113 section 8.7).
+    #[error("the target refused the stream")]
+    RefusedStream,
+    /// The target sent GOAWAY with a last stream id below that of the request.
+    #[error("the target went away before it took the request")]
+    GoAway,
     /// The connection broke after some of the request may have been written.
     #[error("the connection broke: {0}")]
     Broken(hyper::Error),
@@ -112,45 +112,45 @@
 }
 
 impl AttemptError {
-    /// Tells whether the request has certainly not run, because none of it was written.
+    /// Tells whether the request has certainly not run: none of it was written, or the target said
+    /// so by the protocol.
     pub fn is_not_run(&self) -> bool {
         matches!(
             self,
-            Self::Connect(_) | Self::NoConnection | Self::NotWritten
+            Self::Connect(_)
+                | Self::NoConnection
+                | Self::NotWritten
+                | Self::RefusedStream
+                | Self::GoAway
         )
     }
-}
 
-/// Holds the permit of a connection in use. Its task and its user share it, so that the permit is
-/// free only when the socket is closed or the connection is idle again.
-type PermitCell = Arc<Mutex<Option<OwnedSemaphorePermit>>>;
+    fn of_connection(error: hyper::Error) -> Self {
+        let source = std::error::Error::source(&error);
+        match source.and_then(|source| source.downcast_ref::<h2::Error>()) {
+            Some(h2) if h2.is_remote() && h2.reason() == Some(h2::Reason::REFUSED_STREAM) => {
+                Self::RefusedStream
+            }
+            // The library gives this error to streams above the last id only; streams that the
+            // target may have taken end with an I/O error.
+            Some(h2) if h2.is_remote() && h2.is_go_away() => Self::GoAway,
+            _ => Self::Broken(error),
+        }
+    }
+}
 
 /// One connection. Dropping it closes the socket.
 #[derive(Debug)]
 struct TargetConnection {
-    sender: SendRequest<SentBody>,
+    sender: TargetSender,
     meter: WriteMeter,
-    task: JoinHandle<()>,
-    permit: PermitCell,
+    tasks: TaskGroup,
     idle_since: watch::Sender<Option<Instant>>,
 }
 
-impl TargetConnection {
-    fn permit(&self) -> MutexGuard<'_, Option<OwnedSemaphorePermit>> {
-        self.permit.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Closes the socket and waits until it is closed.
-    async fn close(mut self) {
-        self.task.abort();
-        // The task fails only because it was ended.
-        let _ = (&mut self.task).await;
-    }
-}
-
 impl Drop for TargetConnection {
     fn drop(&mut self) {
-        self.task.abort();
+        self.tasks.abort();
     }
 }
 
@@ -199,6 +199,8 @@
     ) -> Response<ProxyBody> {
         let (mut parts, body) = self.response.into_parts();
         clean_answer(&mut parts);
+        // The version of the target's connection says nothing about the caller's.
+        parts.version = Version::HTTP_11;
         let (client, connection, progress) = (self.client, self.connection, self.progress);
         let body = WatchedBody::new(body, idle_max, move |end| {
             // An answer may end before its request; the rest of the request must not be read as
@@ -218,6 +220,7 @@
 #[derive(Debug)]
 pub struct TargetClient {
     address: SocketAddr,
+    protocol: TargetProtocol,
     permits: Arc<Semaphore>,
     idle: Mutex<Vec<TargetConnection>>,
 }
@@ -227,51 +230,53 @@
     pub fn new(address: SocketAddr, connections_max: usize) -> Self {
         Self {
             address,
+            protocol: TargetProtocol::Http1,
             permits: Arc::new(Semaphore::new(connections_max)),
             idle: Mutex::new(Vec::new()),
         }
     }
 
+    /// Makes the client speak another protocol than HTTP/1.1.
+    ///
+    /// An HTTP/2 connection too carries one request at a time: closing it must hit no other one.
+    pub fn with_protocol(mut self, protocol: TargetProtocol) -> Self {
+        self.protocol = protocol;
+        self
+    }
+
     fn idle(&self) -> MutexGuard<'_, Vec<TargetConnection>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn keep(&self, connection: TargetConnection) {
-        let cell = connection.permit.clone();
+        let tasks = connection.tasks.clone();
         connection.idle_since.send_replace(Some(Instant::now()));
         self.idle().push(connection);
         // The permit goes last: whoever gets it finds the idle connection.
-        cell.lock().unwrap_or_else(PoisonError::into_inner).take();
+        drop(tasks.swap_permit(None));
     }
 
-    /// Takes an idle connection that is still of use and closes those that are not.
-    ///
-    /// `permit` moves to the connection that is looked at, so that it stays taken until the socket
-    /// is closed even if the future is dropped.
-    async fn take_idle(
-        &self,
-        permit: &mut Option<OwnedSemaphorePermit>,
-    ) -> Option<TargetConnection> {
+    /// Takes an idle connection or opens one, once a permit is free.
+    async fn acquire(&self) -> Result<TargetConnection, AttemptError> {
         loop {
-            let mut connection = self.idle().pop()?;
-            *connection.permit() = permit.take();
+            let permit = self.permits.clone().acquire_owned().await;
+            let permit = permit.map_err(|_| AttemptError::NoConnection)?;
+            let Some(mut connection) = self.idle().pop() else {
+                return self.connect(permit).await;
+            };
+            connection.tasks.swap_permit(Some(permit));
             let since = connection.idle_since.send_replace(None);
             let is_fresh = since.is_some_and(|since| since.elapsed() < IDLE_MAX);
-            if is_fresh {
-                let limit = Instant::now() + READY_MAX;
-                if let Ok(Ok(())) = timeout_at(limit, connection.sender.ready()).await {
-                    return Some(connection);
-                }
+            let limit = Instant::now() + READY_MAX;
+            if is_fresh && let Ok(Ok(())) = timeout_at(limit, connection.sender.ready()).await {
+                return Ok(connection);
             }
-            let cell = connection.permit.clone();
-            connection.close().await;
-            *permit = cell.lock().unwrap_or_else(PoisonError::into_inner).take();
         }
     }
 
     async fn connect(
         &self,
-        permit: Option<OwnedSemaphorePermit>,
+        permit: OwnedSemaphorePermit,
     ) -> Result<TargetConnection, AttemptError> {
         let stream = tokio::time::timeout(CONNECT_MAX, TcpStream::connect(self.address))
             .await
@@ -280,49 +285,33 @@
         stream.set_nodelay(true).map_err(AttemptError::Connect)?;
         let meter = WriteMeter::default();
         let stream = MeteredStream::new(stream, meter.clone());
-        let (sender, connection) = Builder::new()
-            .max_buf_size(BUFFER_MAX)
-            .handshake(TokioIo::new(stream))
-            .await
-            .map_err(|_| AttemptError::NotWritten)?;
-        let permit = PermitCell::new(Mutex::new(permit));
-        let cell = permit.clone();
+        let tasks = TaskGroup::new(permit);
         let idle_since = watch::Sender::new(None);
         let expired = idle_expired(idle_since.subscribe());
-        let task = tokio::spawn(async move {
-            // The cell outlives the socket, which the connection owns.
-            let _cell = cell;
-            tokio::select! {
-                ended = connection => if let Err(error) = ended {
-                    log::debug!("event=target_connection_ended error=\"{error}\"");
-                },
-                () = expired => {}
-            }
-        });
+        let sender = TargetSender::start(self.protocol, stream, &tasks, expired)
+            .await
+            .map_err(|_| AttemptError::NotWritten)?;
         Ok(TargetConnection {
             sender,
             meter,
-            task,
-            permit,
+            tasks,
             idle_since,
         })
     }
 
-    /// Takes an idle connection or opens one, once a permit is free.
-    async fn acquire(&self) -> Result<TargetConnection, AttemptError> {
-        let permit = self.permits.clone().acquire_owned().await;
-        let mut permit = permit.map_err(|_| AttemptError::NoConnection)?.into();
-        match self.take_idle(&mut permit).await {
-            Some(connection) => Ok(connection),
-            None => self.connect(permit).await,
-        }
-    }
-
     /// Closes all idle connections. They may be as silent as one that has just timed out.
-    async fn close_idle(&self) {
-        let connections = std::mem::take(&mut *self.idle());
+    fn close_idle(&self) {
+        let mut idle = self.idle();
+        let connections = std::mem::take(&mut *idle);
         for connection in connections {
-            connection.close().await;
+            // A connection without the time of its last use is not taken again.
+            connection.idle_since.send_replace(None);
+            // It needs a permit until its socket is closed. When none is free, the request that got
+            // the last one closes it.
+            match self.permits.clone().try_acquire_owned() {
+                Ok(permit) => drop(connection.tasks.swap_permit(Some(permit))),
+                Err(_) => idle.push(connection),
+            }
         }
     }
 
@@ -344,7 +333,7 @@
         let written = connection.meter.count();
         let progress = SendProgress::new();
         let request = request.map(|body| SentBody::new(body, progress.clone()));
-        let sent = timeout_at(deadline, connection.sender.try_send_request(request)).await;
+        let sent = timeout_at(deadline, connection.sender.send(request, self.address)).await;
         let error = match sent {
             Ok(Ok(response)) if response.status() != StatusCode::SWITCHING_PROTOCOLS => {
                 return Ok(TargetAnswer {
@@ -356,19 +345,18 @@
                 });
             }
             Ok(Ok(_)) => AttemptError::BadAnswer,
-            Ok(Err(failure)) => AttemptError::Broken(failure.into_error()),
+            Ok(Err(failure)) => AttemptError::of_connection(failure),
             Err(_) => {
-                self.close_idle().await;
+                self.close_idle();
                 AttemptError::TimedOut
             }
         };
-        let meter = connection.meter.clone();
         // The count is final only when the socket is closed.
-        connection.close().await;
+        connection.tasks.close().await;
         Err(match error {
             _ if progress.is(SENT_CUT) => AttemptError::RequestCut,
             _ if progress.is(SENT_STALLED) => AttemptError::RequestStalled,
-            _ if meter.count() == written => AttemptError::NotWritten,
+            _ if connection.meter.count() == written => AttemptError::NotWritten,
             error => error,
         })
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -22,6 +22,8 @@
 mod sent_body;
 pub mod server;
 pub mod signals;
+mod target_sender;
+mod task_group;
 
 /// The names that most users of the crate need.
 pub mod prelude {
@@ -37,7 +39,8 @@
         client::{
             AttemptError,
             TargetAnswer,
-            TargetClient, //
+            TargetClient,
+            TargetProtocol, //
         },
         head::{
             CallerAddress, //
--- a/crates/proxy/tests/edge/main.rs
+++ b/crates/proxy/tests/edge/main.rs
@@ -11,3 +11,4 @@
 mod keys;
 mod streams;
 mod targets;
+mod targets_http2;
--- a/crates/proxy/tests/edge/targets.rs
+++ b/crates/proxy/tests/edge/targets.rs
@@ -35,22 +35,25 @@
 
 const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
-fn client(address: SocketAddr) -> Arc<TargetClient> {
+pub(crate) fn client(address: SocketAddr) -> Arc<TargetClient> {
     Arc::new(TargetClient::new(address, 1))
 }
 
-fn request(path: &str, body: ProxyBody) -> Request<ProxyBody> {
+pub(crate) fn request(path: &str, body: ProxyBody) -> Request<ProxyBody> {
     let request = Request::builder().method("POST").uri(path);
     request.header("host", "target").body(body).unwrap()
 }
 
-async fn send(client: &Arc<TargetClient>, path: &str) -> Result<TargetAnswer, AttemptError> {
+pub(crate) async fn send(
+    client: &Arc<TargetClient>,
+    path: &str,
+) -> Result<TargetAnswer, AttemptError> {
     let deadline = Instant::now() + WAIT_MAX;
     client.send(request(path, empty_body()), deadline).await
 }
 
 /// Reads an answer to its end.
-async fn read(answer: TargetAnswer) -> (BodyEnd, String) {
+pub(crate) async fn read(answer: TargetAnswer) -> (BodyEnd, String) {
     let (sender, end) = oneshot::channel();
     let on_end = |end| sender.send(end).unwrap();
     let mut body = answer.into_response(WAIT_MAX, on_end).into_body();
@@ -174,6 +177,24 @@
     assert!(third.is_ok());
 }
 
+/// Guards against idle connections that are silent like the one that has just timed out.
+#[tokio::test(start_paused = true)]
+async fn timeout_closes_idle_connections() {
+    let (listener, address) = listen().await;
+    let client = Arc::new(TargetClient::new(address, 2));
+    let (first, (_, mut first_stream)) =
+        tokio::join!(send(&client, "/1"), answer_raw(&listener, OK));
+    let (second, (_, second_stream)) = tokio::join!(send(&client, "/2"), answer_raw(&listener, ""));
+    assert!(matches!(second, Err(AttemptError::TimedOut)));
+    read(first.unwrap()).await;
+    let (third, _) = tokio::join!(
+        send(&client, "/3"),
+        read_until(&mut first_stream, "\r\n\r\n")
+    );
+    assert!(matches!(third, Err(AttemptError::TimedOut)));
+    drop(second_stream);
+}
+
 /// Guards against a target that goes on with work that nobody waits for.
 #[tokio::test]
 async fn abandoned_request_closes_its_connection() {
