Decide about failing targets

Cause: Nothing told a failing target from a healthy one, and nothing kept ejections above the floor. Conclusion: The second stage waits until the counters of the peers cover the fault.

--- /dev/null
+++ b/crates/health/tests/evidence.rs
@@ -0,0 +1,97 @@
+//! The evidence accuses targets that stand out, and nobody when the whole service fails.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "a test stops at what it does not expect"
+)]
+
+use std::time::Duration;
+
+use chicorycroft_core::prelude::*;
+use chicorycroft_health::prelude::*;
+use chicorycroft_placement::prelude::*;
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
+use rand_chacha::ChaCha8Rng;
+
+/// Runs six targets for 20 s at 40 answers a second each and returns which ones were accused.
+fn accused(
+    seed: u64,
+    answer_of: impl Fn(usize, &mut ChaCha8Rng) -> (AttemptOutcome, u64),
+) -> Vec<usize> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let service = ServiceId::new("rate").unwrap();
+    let baseline = ServiceBaseline::new();
+    let mut tests: Vec<_> = (0..6)
+        .map(|_| EvidenceTest::new(EvidenceTimes::default()))
+        .collect();
+    let mut accused = Vec::new();
+    for at in (0..20_000).step_by(25) {
+        let now = MonoTime::from_millis(at);
+        for (n, test) in tests.iter_mut().enumerate() {
+            if at % 500 == 0 {
+                let host = HostId::new(&format!("h{n}")).unwrap();
+                baseline.on_counters(&service, &host, test.counters(now), now);
+            }
+            // The first seconds are healthy, so that the service has a past to differ from.
+            let (outcome, millis) = match at < 5_000 {
+                true => (AttemptOutcome::Good, 20),
+                false => answer_of(n, &mut rng),
+            };
+            let reference = baseline.reference(&service, &test.counters(now), now);
+            let latency = Duration::from_millis(millis);
+            let verdict = test.record(outcome, latency, reference.as_ref(), now);
+            if matches!(verdict, Some(HealthVerdict::Failing(_))) && !accused.contains(&n) {
+                accused.push(n);
+            }
+        }
+    }
+    accused
+}
+
+/// Guards against a partial fault that counting failures in a row never sees.
+#[test]
+fn targets_that_stand_out_are_accused() {
+    let wrong = |n: usize, rng: &mut ChaCha8Rng| match n == 2 && rng.random_bool(0.3) {
+        true => (AttemptOutcome::Wrong, 20),
+        false => (AttemptOutcome::Good, 20),
+    };
+    assert_eq!(accused(1, wrong), [2]);
+    let slow = |n: usize, _: &mut ChaCha8Rng| (AttemptOutcome::Good, if n == 4 { 200 } else { 20 });
+    assert_eq!(accused(2, slow), [4]);
+    let shed = |n: usize, _: &mut ChaCha8Rng| match n {
+        0 => (AttemptOutcome::Shed, 1),
+        _ => (AttemptOutcome::Good, 20),
+    };
+    assert_eq!(accused(3, shed), [0]);
+}
+
+/// Guards against ejections when the whole service is slow or failing, which no ejection mends.
+#[test]
+fn service_wide_faults_accuse_nobody() {
+    for seed in 0..20 {
+        let slow = accused(seed, |_, _| (AttemptOutcome::Good, 200));
+        assert!(slow.is_empty(), "seed {seed}: {slow:?}");
+        let wrong = accused(seed, |_, rng| match rng.random_bool(0.4) {
+            true => (AttemptOutcome::Wrong, 20),
+            false => (AttemptOutcome::Good, 20),
+        });
+        assert!(wrong.is_empty(), "seed {seed}: {wrong:?}");
+    }
+}
+
+/// Guards against a verdict about a target when nothing is known about the others.
+#[test]
+fn without_reference_there_is_no_verdict() {
+    let mut test = EvidenceTest::new(EvidenceTimes::default());
+    for millis in 0..100 {
+        let now = MonoTime::from_millis(millis);
+        assert_eq!(
+            test.record(AttemptOutcome::Refused, Duration::ZERO, None, now),
+            None
+        );
+    }
+    assert_eq!(test.total(FailureKind::Refused), 100);
+}
--- a/crates/placement/tests/ownership.rs
+++ b/crates/placement/tests/ownership.rs
@@ -403,3 +403,31 @@
     assert!(matches!(refused, Err(OwnershipError::HandedOver { .. })));
     assert_eq!(table.may_serve(&owned, &home("z"), at(12_000)), Ok(()));
 }
+
+/// Guards against a host that resumes after a gap in which another one may have taken over, or is
+/// about to do so on news that are as old as the fence allows.
+#[test]
+fn gap_in_contact_above_two_and_a_half_seconds_starts_the_wait_anew() {
+    for (gap, expected) in [
+        (2_500, Ok(())),
+        (
+            2_501,
+            Err(OwnershipError::TooEarly {
+                until: MonoTime::from_millis(16_501),
+            }),
+        ),
+    ] {
+        let table = OwnerTable::new(listed(host(1), "z"), OwnerTimes::default(), MonoTime::START);
+        table.on_roster(
+            [listed(host(1), "z"), listed(host(2), "z")],
+            MonoTime::START,
+        );
+        for millis in (0..=10_000).step_by(500) {
+            let now = MonoTime::from_millis(millis);
+            table.on_contact(now, now);
+        }
+        let now = MonoTime::from_millis(10_000 + gap);
+        table.on_contact(now, now);
+        assert_eq!(table.may_serve(&key("t"), &home("z"), now), expected);
+    }
+}
