Add the configuration follower, readiness and the booking clock

Cause: a host must never go back to a lower version, and must not serve after a start or a pause by stale configuration. Change: ConfigFollower as a statig machine (announced, fetching, checking), readiness by reports of peers, BookingClock; parsing stays elsewhere.

--- a/crates/inventory/src/lib.rs
+++ b/crates/inventory/src/lib.rs
@@ -6,11 +6,17 @@
 //! - [`routes`]: finds the route of a request.
 //! - [`keys`]: finds the team of a key.
 //! - [`view`]: what is in force at a given time, bookings included.
+//! - [`follow`]: which published version to fetch, adopt or refuse, and readiness.
+//! - [`clock`]: the time by which bookings come into force.
 //!
 //! Parsing is elsewhere, so that any front end can build a snapshot.
 
 pub mod bookings;
+pub mod clock;
+pub mod follow;
+mod follow_states;
 pub mod keys;
+mod readiness;
 pub mod records;
 pub mod routes;
 pub mod snapshot;
@@ -23,6 +29,19 @@
             BookedAction,
             BookedChange, //
         },
+        clock::BookingClock,
+        follow::{
+            AdoptionError,
+            ConfigFollower,
+            FetchPlan,
+            HostCount,
+            HostReadiness,
+            IndexSource,
+            IndexSummary,
+            IndexVerdict,
+            PartSummary,
+            PartVerdict, //
+        },
         keys::KeyRing,
         records::{
             FleetRules,
