Harden the platform adapter and bound its calls

Cause: the platform may answer wrongly, slowly or not at all, and allows about 2,000 calls a second in all.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -4,13 +4,18 @@
     fmt,
     future::Future,
     net::SocketAddr,
-    pin::Pin, //
+    pin::Pin,
+    sync::Arc,
+    time::Duration, //
 };
 
 use bytes::Bytes;
 use chicorycroft_core::prelude::*;
 use smol_str::SmolStr;
 use thiserror::Error;
+use tokio::time::Instant;
+
+use crate::budget::CallBudget;
 
 /// Why the platform gave no answer.
 #[derive(Clone, Debug, Error)]
@@ -27,6 +32,18 @@
         /// Name of the value.
         name: SmolStr,
     },
+    /// The name is no valid name of a value.
+    #[error("{name:?} is no valid name of a value")]
+    BadName {
+        /// The name.
+        name: SmolStr,
+    },
+    /// This host has made as many calls as it may.
+    #[error("the budget of calls is used up for {wait:?}")]
+    OverBudget {
+        /// Time until the next call is allowed.
+        wait: Duration,
+    },
     /// The answer makes no sense.
     #[error("the platform's answer is not valid: {reason}")]
     BadAnswer {
@@ -72,6 +89,32 @@
     list_hosts: HostsCall,
 }
 
+/// Longest time that a call waits for the budget.
+const BUDGET_WAIT_MAX: Duration = Duration::from_secs(5);
+
+/// A budget with the clock that it goes by.
+struct CallGate {
+    budget: Arc<CallBudget>,
+    started_at: Instant,
+}
+
+impl CallGate {
+    async fn enter(&self) -> Result<(), PlatformError> {
+        let deadline = Instant::now() + BUDGET_WAIT_MAX;
+        loop {
+            let now = MonoTime::START.after(self.started_at.elapsed());
+            let Err(wait) = self.budget.try_take(now) else {
+                return Ok(());
+            };
+            if Instant::now() + wait > deadline {
+                return Err(PlatformError::OverBudget { wait });
+            }
+            // The timer of the runtime has a resolution of 1 ms; a shorter sleep would not wait.
+            tokio::time::sleep(wait.max(Duration::from_millis(1))).await;
+        }
+    }
+}
+
 impl fmt::Debug for PlatformClient {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("PlatformClient(..)")
@@ -95,6 +138,40 @@
         }
     }
 
+    /// Makes a client whose calls wait until the budget allows them.
+    pub fn with_budget(self, budget: Arc<CallBudget>) -> Self {
+        let client = Arc::new(self);
+        let gate = Arc::new(CallGate {
+            budget,
+            started_at: Instant::now(),
+        });
+        let (reader, read_gate) = (client.clone(), gate.clone());
+        let (waiter, wait_gate) = (client.clone(), gate.clone());
+        Self::new(
+            move |name| {
+                let (client, gate) = (reader.clone(), read_gate.clone());
+                Box::pin(async move {
+                    gate.enter().await?;
+                    client.read(&name).await
+                })
+            },
+            move |name, version| {
+                let (client, gate) = (waiter.clone(), wait_gate.clone());
+                Box::pin(async move {
+                    gate.enter().await?;
+                    client.wait_newer(&name, version).await
+                })
+            },
+            move || {
+                let (client, gate) = (client.clone(), gate.clone());
+                Box::pin(async move {
+                    gate.enter().await?;
+                    client.list_hosts().await
+                })
+            },
+        )
+    }
+
     /// Reads a value.
     ///
     /// # Errors
