--- a/crates/border/src/document.rs
+++ b/crates/border/src/document.rs
@@ -5,122 +5,65 @@
 
 use std::{
     net::SocketAddr,
-    str::FromStr,
     time::Duration, //
 };
 
 use chicorycroft_core::prelude::*;
 use chicorycroft_inventory::prelude::*;
-use smol_str::{
-    SmolStr, //
-    format_smolstr,
-};
-use thiserror::Error;
 
-use crate::generated::configuration::{
-    AccessKind,
-    ActionEntry,
-    BookingEntry,
-    FleetDocument,
-    IdempotencyKind,
-    RouteEntry,
-    RulesEntry,
-    ServiceEntry,
-    TargetEntry,
-    TeamEntry,
-    ZoneEntry, //
+pub use crate::{
+    errors::BorderError,
+    sources::SourceDocument, //
 };
-
-/// Why a document is refused.
-#[derive(Clone, Debug, Error)]
-pub enum BorderError {
-    /// The text is no valid YAML or JSON, or does not follow the schema.
-    #[error("{document}: {reason}")]
-    Syntax {
-        /// Name of the document.
-        document: SmolStr,
-        /// What the parser found, with line and column.
-        reason: SmolStr,
-    },
-    /// A value is not valid.
-    #[error("{document}: {entry}: {field}: {reason}")]
-    Value {
-        /// Name of the document.
-        document: SmolStr,
-        /// Entry at fault, such as `team lusail`.
-        entry: SmolStr,
-        /// Field at fault.
-        field: &'static str,
-        /// What is wrong and how to mend it.
-        reason: SmolStr,
+use crate::{
+    generated::configuration::{
+        AccessKind,
+        ActionEntry,
+        BookingEntry,
+        IdempotencyKind,
+        RouteEntry,
+        RulesEntry,
+        ServiceEntry,
+        TargetEntry,
+        TeamEntry,
+        ZoneEntry, //
     },
-    /// The rules are missing, or given more than once.
-    #[error("the rules must be given in exactly one document, found {count}")]
-    RulesCount {
-        /// Number of documents that hold rules.
-        count: usize,
-    },
-    /// The documents contradict each other.
-    #[error(transparent)]
-    Snapshot(#[from] SnapshotError),
-}
-
-/// Where a value stands, for errors.
-#[derive(Clone, Copy)]
-struct EntryPlace<'a> {
-    document: &'a str,
-    kind: &'static str,
-    id: &'a str,
-}
-
-impl EntryPlace<'_> {
-    fn refuse(self, field: &'static str, reason: impl ToString) -> BorderError {
-        BorderError::Value {
-            document: self.document.into(),
-            entry: format_smolstr!("{} {}", self.kind, self.id),
-            field,
-            reason: reason.to_string().into(),
-        }
-    }
-
-    fn parse<T>(self, field: &'static str, text: &str) -> Result<T, BorderError>
-    where
-        T: FromStr,
-        T::Err: ToString,
-    {
-        text.parse()
-            .map_err(|error: T::Err| self.refuse(field, error.to_string()))
-    }
-
-    fn parse_all<T, C>(self, field: &'static str, texts: &[String]) -> Result<C, BorderError>
-    where
-        T: FromStr,
-        T::Err: ToString,
-        C: FromIterator<T>,
-    {
-        texts.iter().map(|text| self.parse(field, text)).collect()
-    }
-
-    /// Turns a number into an amount by way of its decimal text, which keeps six decimals exact.
-    fn amount<T>(self, field: &'static str, number: f64) -> Result<T, BorderError>
-    where
-        T: FromStr,
-        T::Err: ToString,
-    {
-        self.parse(field, &format!("{number}"))
-    }
-}
+    places::DocumentPlace,
+    sources::EntryPlace, //
+};
 
 /// Parses one document.
 ///
 /// # Errors
 ///
 /// Fails when the text does not follow the schema.
-pub fn read_document(name: &str, text: &str) -> Result<FleetDocument, BorderError> {
-    serde_saphyr::from_str(text).map_err(|error| BorderError::Syntax {
-        document: name.into(),
-        reason: error.to_string().into(),
-    })
+pub fn read_document(name: &str, text: &str) -> Result<SourceDocument, BorderError> {
+    SourceDocument::new(name, text)
+}
+
+fn find_rules(documents: &[SourceDocument]) -> Result<FleetRules, BorderError> {
+    let mut holders = documents.iter().filter_map(|document| {
+        document
+            .content()
+            .rules
+            .as_ref()
+            .map(|rules| (document, rules))
+    });
+    let Some((document, rules)) = holders.next() else {
+        let first = documents
+            .first()
+            .map_or("configuration", |first| first.name());
+        return Err(BorderError::NoRules {
+            place: DocumentPlace::new(first),
+        });
+    };
+    match holders.next() {
+        Some((second, _)) => Err(BorderError::SecondRules {
+            place: second.place_of(("rule", 0), ""),
+            first: document.place_of(("rule", 0), ""),
+        }),
+        None => read_rules(document, rules),
+    }
 }
 
 /// Joins documents into the parts of a snapshot.
@@ -128,48 +71,94 @@
 /// # Errors
 ///
 /// Fails on the first value that is not valid.
-pub fn read_parts(documents: &[(SmolStr, FleetDocument)]) -> Result<SnapshotParts, BorderError> {
-    let rules: Vec<_> = documents
-        .iter()
-        .filter_map(|(name, document)| document.rules.as_ref().map(|rules| (name, rules)))
-        .collect();
-    let &[(rules_name, rules)] = rules.as_slice() else {
-        return Err(BorderError::RulesCount { count: rules.len() });
-    };
+pub fn read_parts(documents: &[SourceDocument]) -> Result<SnapshotParts, BorderError> {
     let mut parts = SnapshotParts {
         zones: Vec::new(),
         services: Vec::new(),
         targets: Vec::new(),
         teams: Vec::new(),
         routes: Vec::new(),
-        rules: read_rules(rules_name, rules)?,
+        rules: find_rules(documents)?,
     };
-    for (name, document) in documents {
-        append(&mut parts.zones, name, &document.zones, read_zone)?;
-        append(&mut parts.services, name, &document.services, read_service)?;
-        append(&mut parts.targets, name, &document.targets, read_target)?;
-        append(&mut parts.teams, name, &document.teams, read_team)?;
-        append(&mut parts.routes, name, &document.routes, read_route)?;
+    for document in documents {
+        let content = document.content();
+        append(&mut parts.zones, document, &content.zones, read_zone)?;
+        append(
+            &mut parts.services,
+            document,
+            &content.services,
+            read_service,
+        )?;
+        append(&mut parts.targets, document, &content.targets, read_target)?;
+        append(&mut parts.teams, document, &content.teams, read_team)?;
+        append(&mut parts.routes, document, &content.routes, read_route)?;
     }
     Ok(parts)
 }
 
+/// Joins documents into a snapshot. A contradiction is reported at the record at fault.
+///
+/// # Errors
+///
+/// Fails on the first value that is not valid, and on the first contradiction.
+pub fn build_snapshot(
+    version: ConfigVersion,
+    documents: &[SourceDocument],
+) -> Result<FleetSnapshot, BorderError> {
+    let parts = read_parts(documents)?;
+    FleetSnapshot::new(version, parts).map_err(|error| BorderError::Snapshot {
+        place: place_of_fault(documents, &error),
+        error,
+    })
+}
+
+fn place_of_fault(documents: &[SourceDocument], error: &SnapshotError) -> DocumentPlace {
+    let (kind, name) = error.record();
+    let field = match error {
+        SnapshotError::Duplicate { .. } => "id",
+        SnapshotError::Missing { .. } if kind == "booking" => "action",
+        SnapshotError::Missing { wanted_kind, .. } if *wanted_kind == "team" => "teams",
+        SnapshotError::Missing { wanted_kind, .. } => wanted_kind,
+        SnapshotError::SharedKey { .. } => "key_digests",
+        SnapshotError::RouteCollision { .. } => "prefix",
+        SnapshotError::TooLow { field, .. } => field,
+        SnapshotError::EndBeforeStart { .. } => "end",
+    };
+    let is_duplicate = matches!(error, SnapshotError::Duplicate { .. });
+    let mut found = documents.iter().flat_map(|document| {
+        let indexes = document.find(kind, &name).into_iter();
+        indexes.map(move |index| (document, index))
+    });
+    match found.nth(usize::from(is_duplicate)) {
+        Some((document, index)) => document.place_of((kind, index), field),
+        None => DocumentPlace::new(
+            documents
+                .first()
+                .map_or("configuration", |first| first.name()),
+        ),
+    }
+}
+
 fn append<E, R>(
     records: &mut Vec<R>,
-    document: &str,
+    document: &SourceDocument,
     entries: &[E],
-    read: impl Fn(&str, &E) -> Result<R, BorderError>,
+    read: impl Fn((&SourceDocument, usize), &E) -> Result<R, BorderError>,
 ) -> Result<(), BorderError> {
     records.reserve(entries.len());
-    for entry in entries {
-        records.push(read(document, entry)?);
+    for (index, entry) in entries.iter().enumerate() {
+        records.push(read((document, index), entry)?);
     }
     Ok(())
 }
 
-fn read_zone(document: &str, entry: &ZoneEntry) -> Result<ZoneRecord, BorderError> {
+fn read_zone(
+    (document, index): (&SourceDocument, usize),
+    entry: &ZoneEntry,
+) -> Result<ZoneRecord, BorderError> {
     let place = EntryPlace {
         document,
+        index,
         kind: "zone",
         id: &entry.id,
     };
@@ -179,9 +168,13 @@
     })
 }
 
-fn read_service(document: &str, entry: &ServiceEntry) -> Result<ServiceRecord, BorderError> {
+fn read_service(
+    (document, index): (&SourceDocument, usize),
+    entry: &ServiceEntry,
+) -> Result<ServiceRecord, BorderError> {
     let place = EntryPlace {
         document,
+        index,
         kind: "service",
         id: &entry.id,
     };
@@ -196,9 +189,13 @@
     })
 }
 
-fn read_target(document: &str, entry: &TargetEntry) -> Result<TargetRecord, BorderError> {
+fn read_target(
+    (document, index): (&SourceDocument, usize),
+    entry: &TargetEntry,
+) -> Result<TargetRecord, BorderError> {
     let place = EntryPlace {
         document,
+        index,
         kind: "target",
         id: &entry.id,
     };
@@ -206,13 +203,22 @@
         id: place.parse("id", &entry.id)?,
         service: place.parse("service", &entry.service)?,
         zone: place.parse("zone", &entry.zone)?,
-        address: place.parse::<SocketAddr>("address", &entry.address)?,
+        address: read_address(place, &entry.address)?,
     })
 }
 
-fn read_team(document: &str, entry: &TeamEntry) -> Result<TeamRecord, BorderError> {
+fn read_address(place: EntryPlace<'_>, text: &str) -> Result<SocketAddr, BorderError> {
+    let remedy = "write an IP number and a port, such as 127.0.0.1:9000";
+    text.parse().map_err(|_| place.refuse("address", remedy))
+}
+
+fn read_team(
+    (document, index): (&SourceDocument, usize),
+    entry: &TeamEntry,
+) -> Result<TeamRecord, BorderError> {
     let place = EntryPlace {
         document,
+        index,
         kind: "team",
         id: &entry.id,
     };
@@ -230,9 +236,13 @@
     })
 }
 
-fn read_route(document: &str, entry: &RouteEntry) -> Result<RouteRecord, BorderError> {
+fn read_route(
+    (document, index): (&SourceDocument, usize),
+    entry: &RouteEntry,
+) -> Result<RouteRecord, BorderError> {
     let place = EntryPlace {
         document,
+        index,
         kind: "route",
         id: &entry.id,
     };
@@ -264,20 +274,25 @@
     })
 }
 
-fn read_rules(document: &str, entry: &RulesEntry) -> Result<FleetRules, BorderError> {
+fn read_rules(document: &SourceDocument, entry: &RulesEntry) -> Result<FleetRules, BorderError> {
     let bookings = entry
         .bookings
         .iter()
-        .map(|booking| read_booking(document, booking));
+        .enumerate()
+        .map(|(index, booking)| read_booking((document, index), booking));
     Ok(FleetRules {
         host_bound: entry.host_bound.get(),
         bookings: bookings.collect::<Result<_, _>>()?,
     })
 }
 
-fn read_booking(document: &str, entry: &BookingEntry) -> Result<BookedChange, BorderError> {
+fn read_booking(
+    (document, index): (&SourceDocument, usize),
+    entry: &BookingEntry,
+) -> Result<BookedChange, BorderError> {
     let place = EntryPlace {
         document,
+        index,
         kind: "booking",
         id: &entry.id,
     };
--- a/crates/border/src/index.rs
+++ b/crates/border/src/index.rs
@@ -1,11 +1,25 @@
 //! The list of parts that make one version of the configuration.
 
-use chicorycroft_core::prelude::*;
-use smol_str::SmolStr;
+use chicorycroft_core::{
+    digest::DigestError,
+    prelude::*, //
+};
+use indexmap::IndexSet;
+use smol_str::{
+    SmolStr, //
+    format_smolstr,
+};
 
 use crate::{
     document::BorderError,
-    generated::index::IndexDocument, //
+    generated::index::{
+        IndexDocument,
+        PartEntry, //
+    },
+    places::{
+        parse_text,
+        place_of_entry, //
+    },
 };
 
 /// A part as the index lists it.
@@ -34,27 +48,37 @@
     ///
     /// Fails when the text does not follow the schema or a digest is not valid.
     pub fn new(text: &str) -> Result<Self, BorderError> {
-        let document: IndexDocument =
-            serde_saphyr::from_str(text).map_err(|error| BorderError::Syntax {
-                document: "index".into(),
-                reason: error.to_string().into(),
-            })?;
-        let read_part = |entry: crate::generated::index::PartEntry| {
-            let digest = entry.digest.parse().map_err(|error| BorderError::Value {
-                document: "index".into(),
-                entry: entry.name.as_str().into(),
-                field: "digest",
-                reason: ToString::to_string(&error as &chicorycroft_core::digest::DigestError)
-                    .into(),
-            })?;
+        let document: IndexDocument = parse_text("index", text)?;
+        let mut names = IndexSet::new();
+        let read_part = |(index, entry): (usize, PartEntry)| {
+            let refuse = |field, reason: &str| BorderError::Value {
+                place: place_of_entry("index", text, ("part", index), field),
+                entry: format_smolstr!("part {}", entry.name),
+                field,
+                reason: reason.into(),
+            };
+            if !names.insert(entry.name.clone()) {
+                return Err(refuse(
+                    "name",
+                    "the part is listed twice; remove one of them",
+                ));
+            }
+            let digest = entry
+                .digest
+                .parse()
+                .map_err(|error: DigestError| refuse("digest", &error.to_string()))?;
             Ok(IndexPart {
                 name: entry.name.as_str().into(),
                 version: ConfigVersion::new(entry.version.get()),
                 digest,
             })
         };
-        let parts: Result<Vec<_>, BorderError> =
-            document.parts.into_iter().map(read_part).collect();
+        let parts: Result<Vec<_>, BorderError> = document
+            .parts
+            .into_iter()
+            .enumerate()
+            .map(read_part)
+            .collect();
         Ok(Self {
             version: ConfigVersion::new(document.version.get()),
             digest: DocumentDigest::of_document(text.as_bytes()),
--- a/crates/border/src/settings.rs
+++ b/crates/border/src/settings.rs
@@ -6,30 +6,22 @@
 };
 
 use chicorycroft_core::prelude::*;
-use smol_str::SmolStr;
 use thiserror::Error;
 
-use crate::generated::settings::SettingsDocument;
 pub use crate::generated::settings::SettingsDocumentLogLevel as LogLevel;
+use crate::{
+    document::BorderError,
+    generated::settings::SettingsDocument,
+    places::{
+        parse_text,
+        place_of_field, //
+    },
+};
 
-/// Why settings are refused.
+/// Why settings are refused, with document, line and column.
 #[derive(Clone, Debug, Error)]
-pub enum SettingsError {
-    /// The text is no valid YAML or does not follow the schema.
-    #[error("settings: {reason}")]
-    Syntax {
-        /// What the parser found, with line and column.
-        reason: SmolStr,
-    },
-    /// A value is not valid.
-    #[error("settings: {field}: {reason}")]
-    Value {
-        /// Field at fault.
-        field: &'static str,
-        /// What is wrong.
-        reason: SmolStr,
-    },
-}
+#[error(transparent)]
+pub struct SettingsError(#[from] pub BorderError);
 
 /// Settings of one daemon, checked.
 #[derive(Clone, Debug)]
@@ -60,36 +52,70 @@
     pub drain_limit: Duration,
 }
 
-fn parse<T>(field: &'static str, text: &str) -> Result<T, SettingsError>
-where
-    T: std::str::FromStr,
-    T::Err: ToString,
-{
-    text.parse().map_err(|error: T::Err| SettingsError::Value {
-        field,
-        reason: error.to_string().into(),
-    })
+/// Smallest bound on the head of a request that leaves room for keys and cookies, in bytes.
+const HEAD_BYTES_LEAST: u32 = 1024;
+
+/// The text of settings, from which errors take their place.
+struct SettingsText<'a> {
+    name: &'a str,
+    text: &'a str,
+}
+
+impl SettingsText<'_> {
+    fn refuse(&self, field: &'static str, reason: &str) -> BorderError {
+        BorderError::Value {
+            place: place_of_field(self.name, self.text, field),
+            entry: "settings".into(),
+            field,
+            reason: reason.into(),
+        }
+    }
+
+    fn parse<T>(&self, field: &'static str, value: &str) -> Result<T, BorderError>
+    where
+        T: std::str::FromStr,
+        T::Err: ToString,
+    {
+        let refuse = |error: T::Err| self.refuse(field, &error.to_string());
+        value.parse().map_err(refuse)
+    }
+
+    fn address(&self, field: &'static str, value: &str) -> Result<SocketAddr, BorderError> {
+        let remedy = "write an IP number and a port, such as 127.0.0.1:8080";
+        value.parse().map_err(|_| self.refuse(field, remedy))
+    }
 }
 
 impl HostSettings {
-    /// Parses settings.
+    /// Parses settings. Errors name the document `settings`.
     ///
     /// # Errors
     ///
     /// Fails when the text does not follow the schema or a value is not valid.
     pub fn new(text: &str) -> Result<Self, SettingsError> {
-        let document: SettingsDocument =
-            serde_saphyr::from_str(text).map_err(|error| SettingsError::Syntax {
-                reason: error.to_string().into(),
-            })?;
+        Self::with_name("settings", text)
+    }
+
+    /// Parses settings of a file. Errors name the file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the text does not follow the schema or a value is not valid.
+    pub fn with_name(name: &str, text: &str) -> Result<Self, SettingsError> {
+        let document: SettingsDocument = parse_text(name, text)?;
+        let source = SettingsText { name, text };
+        if document.head_bytes_max < HEAD_BYTES_LEAST {
+            let reason = format!("write at least {HEAD_BYTES_LEAST}");
+            return Err(source.refuse("head_bytes_max", &reason).into());
+        }
         let millis = |value: u32| Duration::from_millis(value.into());
         Ok(Self {
-            host: parse("host", &document.host)?,
-            zone: parse("zone", &document.zone)?,
-            platform: parse("platform", &document.platform)?,
-            caller_listen: parse("caller_listen", &document.caller_listen)?,
-            peer_listen: parse("peer_listen", &document.peer_listen)?,
-            admin_listen: parse("admin_listen", &document.admin_listen)?,
+            host: source.parse("host", &document.host)?,
+            zone: source.parse("zone", &document.zone)?,
+            platform: source.address("platform", &document.platform)?,
+            caller_listen: source.address("caller_listen", &document.caller_listen)?,
+            peer_listen: source.address("peer_listen", &document.peer_listen)?,
+            admin_listen: source.address("admin_listen", &document.admin_listen)?,
             log_level: document.log_level,
             head_bytes_max: document.head_bytes_max as usize,
             head_timeout: millis(document.head_timeout_ms.get()),
--- a/crates/node/src/config_loop.rs
+++ b/crates/node/src/config_loop.rs
@@ -64,10 +64,9 @@
             });
         }
         let text = text_of(&part.name, &value)?;
-        documents.push((part.name.clone(), read_document(&part.name, &text)?));
+        documents.push(read_document(&part.name, &text)?);
     }
-    let parts = read_parts(&documents)?;
-    Ok(FleetSnapshot::new(index.version(), parts).map_err(BorderError::from)?)
+    Ok(build_snapshot(index.version(), &documents)?)
 }
 
 /// Adopts a published index if it is newer than the version in force.
