Show status, explanations and metrics at the admin address

Cause: the admin address told health and readiness only, and nothing counted requests. Change: admin works on plain HostStatus facts that the host collects by a closure; /metrics, /status, /explain and POST /drain are added, and the daemon stops when a drain is asked for. HostMetrics bounds its labels at 512 routes and 128 teams and holds no key. Conclusion: operators see why a target is out and what a request would get.

--- a/crates/border/src/places.rs
+++ b/crates/border/src/places.rs
@@ -142,6 +142,13 @@
     })
 }
 
+/// Characters of a text, with control characters replaced.
+pub(crate) fn printable(text: &str) -> impl Iterator<Item = char> {
+    let replacement = char::REPLACEMENT_CHARACTER;
+    text.chars()
+        .map(move |c| if c.is_control() { replacement } else { c })
+}
+
 /// Message of the parser on one line, without the position and the excerpt that it appends.
 fn reason_of(error: &serde_saphyr::Error) -> SmolStr {
     let text = error.without_snippet().to_string();
@@ -155,7 +162,7 @@
         Some((head, _)) => format!("{head}; remove one of them"),
         None => line.replace("rejected by the configured policy", "is not allowed"),
     };
-    let shown: String = line.chars().take(300).collect();
+    let shown: String = printable(&line).take(300).collect();
     if matches!(error.without_snippet(), serde_saphyr::Error::Budget { .. }) {
         return format_smolstr!(
             "{shown}; write the document without anchors and aliases, and at most {DEPTH_MAX} \
--- a/crates/border/src/sources.rs
+++ b/crates/border/src/sources.rs
@@ -14,6 +14,7 @@
         DocumentPlace,
         parse_text,
         place_of_entry, //
+        printable,
     },
 };
 
@@ -145,7 +146,7 @@
     }
 }
 
-/// Start of a text, so that an error stays short whatever the document holds.
+/// Start of a text, so that an error stays short and moves no cursor, whatever the document holds.
 fn shortened(text: &str) -> String {
-    text.chars().take(64).collect()
+    printable(text).take(64).collect()
 }
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -59,6 +59,7 @@
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        () = host.drain_requested() => {}
     }
     log::info!("event=stop_begun");
     let is_drained = host.stop().await;
@@ -68,7 +69,7 @@
 
 fn start(path: &str) -> Result<bool> {
     let text = std::fs::read_to_string(path).wrap_err_with(|| format!("cannot read {path}"))?;
-    let settings = HostSettings::new(&text).wrap_err_with(|| path.to_owned())?;
+    let settings = HostSettings::with_name(path, &text)?;
     start_log(settings.log_level)?;
     tokio::runtime::Runtime::new()?.block_on(run(settings))
 }
--- a/crates/inventory/src/bookings.rs
+++ b/crates/inventory/src/bookings.rs
@@ -1,5 +1,7 @@
 //! Changes that operators book ahead, with a start and, for some, an end.
 
+use std::fmt;
+
 use chicorycroft_core::prelude::*;
 use smol_str::SmolStr;
 
@@ -22,6 +24,25 @@
     ServiceFloor(ServiceId, CapacityRatio),
 }
 
+impl fmt::Display for BookedAction {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::ZoneOut(zone) => write!(f, "zone_out {zone}"),
+            Self::TargetStop(target) => write!(f, "target_stop {target}"),
+            Self::HostStop(host) => write!(f, "host_stop {host}"),
+            Self::TeamSuspended(team) => write!(f, "team_suspended {team}"),
+            Self::TeamLimit(team, limit) => {
+                write!(
+                    f,
+                    "team_limit {team} rate {} burst {}",
+                    limit.rate, limit.burst
+                )
+            }
+            Self::ServiceFloor(service, floor) => write!(f, "service_floor {service} {floor}"),
+        }
+    }
+}
+
 /// A change with the time it is in force.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct BookedChange {
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use chicorycroft_core::prelude::*;
 use chicorycroft_inventory::prelude::*;
 use chicorycroft_placement::prelude::*;
 use chicorycroft_proxy::{
@@ -31,6 +32,7 @@
 
 /// Answers one request of a caller.
 pub async fn handle(state: Arc<HostState>, request: Request<Incoming>) -> Response<ProxyBody> {
+    let arrived_at = Instant::now();
     let number = state.next_request();
     let (mut parts, body) = request.into_parts();
     let key = take_key(&mut parts);
@@ -39,17 +41,19 @@
         .with("method", &parts.method)
         .with("path", parts.uri.path());
     let Some(view) = state.view() else {
-        return refuse(line, RefusalKind::NotReady.into(), RunStatement::NotRun);
+        let kind = RefusalKind::NotReady;
+        return refuse(&state, None, line, kind.into(), RunStatement::NotRun);
     };
     let admitted = match admit(&state, &view, &parts, key.as_ref()) {
         Ok(admitted) => admitted,
-        Err(refusal) => return refuse(line, refusal, RunStatement::NotRun),
+        Err(refusal) => return refuse(&state, None, line, refusal, RunStatement::NotRun),
     };
     let line = line.with("route", &admitted.route.id);
     let line = match &admitted.team {
         Some(team) => line.with("team", team),
         None => line,
     };
+    state.metrics.on_added_latency(arrived_at.elapsed());
     attempt(&state, &view, &admitted, parts, body, line).await
 }
 
@@ -64,14 +68,24 @@
         let limit = view.limit_of(team).ok_or(RefusalKind::BadKey)?;
         let minters = view.snapshot().rules().host_bound;
         let now = state.clock.mono();
-        state
-            .ledger
-            .try_take(team, (limit.rate, limit.burst), minters, now)?;
+        let amounts = (limit.rate, limit.burst);
+        let taken = state.ledger.try_take(team, amounts, minters, now);
+        state.metrics.on_token(team, taken.is_ok());
+        taken?;
     }
     Ok(admitted)
 }
 
-fn refuse(line: DecisionLine, refusal: AdmissionRefusal, run: RunStatement) -> Response<ProxyBody> {
+fn refuse(
+    state: &HostState,
+    route: Option<&RouteId>,
+    line: DecisionLine,
+    refusal: AdmissionRefusal,
+    run: RunStatement,
+) -> Response<ProxyBody> {
+    let status = refusal.kind.status();
+    state.metrics.on_request(route, "refuse", status);
+    state.metrics.on_refusal(refusal.kind);
     line.with("decision", "refuse")
         .with("reason", refusal.kind.name())
         .with("run", run)
@@ -104,9 +118,11 @@
     body: Incoming,
     line: DecisionLine,
 ) -> Response<ProxyBody> {
+    let route = &admitted.route.id;
     let service = view.snapshot().service(&admitted.route.service);
     let Some((target, permit)) = service.and_then(|service| choose(state, view, service)) else {
-        return refuse(line, RefusalKind::NoCapacity.into(), RunStatement::NotRun);
+        let refusal = RefusalKind::NoCapacity.into();
+        return refuse(state, Some(route), line, refusal, RunStatement::NotRun);
     };
     let deadline = Instant::now() + admitted.deadline;
     let line = line.with("target", &target.id);
@@ -118,6 +134,9 @@
                 .with("status", response.status().as_u16())
                 .info();
             let (parts, body) = response.into_parts();
+            state
+                .metrics
+                .on_request(Some(route), "forward", parts.status);
             let state = state.clone();
             let idle_max = state.settings.idle_body_timeout;
             let outcome = if parts.status.is_server_error() {
@@ -132,6 +151,7 @@
                     BodyEnd::Abandoned => AttemptOutcome::Cancelled,
                 };
                 state.slots.release(permit, outcome);
+                state.metrics.on_attempt(outcome);
                 if end == BodyEnd::Whole {
                     client.put_idle(sender);
                 }
@@ -157,7 +177,14 @@
                 ),
             };
             state.slots.release(permit, outcome);
-            refuse(line.with("error", error), kind.into(), run)
+            state.metrics.on_attempt(outcome);
+            refuse(
+                state,
+                Some(route),
+                line.with("error", error),
+                kind.into(),
+                run,
+            )
         }
     }
 }
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -8,6 +8,7 @@
 use chicorycroft_border::prelude::*;
 use chicorycroft_platform::prelude::*;
 use chicorycroft_proxy::prelude::*;
+use indexmap::IndexMap;
 use thiserror::Error;
 use tokio::{
     net::TcpListener,
@@ -16,12 +17,17 @@
 };
 
 use crate::{
-    admin,
+    admin::{
+        self,
+        AdminCalls, //
+    },
     clock::HostClock,
     config_loop,
     decision_log::DecisionLine,
     dispatch,
-    state::HostState, //
+    metrics::HostMetrics,
+    state::HostState,
+    status::HostStatus, //
 };
 
 /// Why a host does not start.
@@ -37,6 +43,34 @@
         /// The system's reason.
         source: std::io::Error,
     },
+    /// The metrics cannot be set up.
+    #[error("the metrics cannot be set up: {0}")]
+    Metrics(#[from] prometheus::Error),
+}
+
+/// Collects what the admin address shows.
+fn collect_status(state: &HostState, is_stopping: bool) -> HostStatus {
+    let view = state.view();
+    let unready_reason = match &view {
+        _ if is_stopping => Some("a planned stop has begun".into()),
+        None => Some("no configuration yet".into()),
+        Some(view) if view.is_host_stopping(&state.settings.host) => {
+            Some("a booking stops this host".into())
+        }
+        Some(_) => None,
+    };
+    HostStatus {
+        host: state.settings.host.clone(),
+        zone: state.settings.zone.clone(),
+        unready_reason,
+        is_stopping,
+        at: state.clock.unix(),
+        view,
+        refused_version: None,
+        targets: IndexMap::new(),
+        teams: IndexMap::new(),
+        peers: Vec::new(),
+    }
 }
 
 /// A running entry host.
@@ -46,6 +80,7 @@
     caller_address: SocketAddr,
     admin_address: SocketAddr,
     stop: watch::Sender<bool>,
+    drain: watch::Sender<bool>,
     server: tokio::task::JoinHandle<bool>,
     loops: JoinSet<()>,
 }
@@ -83,14 +118,17 @@
         let admin_error = listen_error("operators", admin);
         let admin_listener = TcpListener::bind(admin).await.map_err(&admin_error)?;
         let admin_address = admin_listener.local_addr().map_err(&admin_error)?;
-        let state = Arc::new(HostState::new(settings, clock));
+        let state = Arc::new(HostState::new(settings, clock, HostMetrics::new()?));
         let platform = Arc::new(platform);
         let mut loops = JoinSet::new();
         loops.spawn(config_loop::follow(state.clone(), platform));
         loops.spawn(config_loop::apply_bookings(state.clone()));
-        let admin_state = state.clone();
+        let drain = watch::Sender::new(false);
+        let (admin_state, is_stopping) = (state.clone(), drain.subscribe());
+        let collect = move || collect_status(&admin_state, *is_stopping.borrow());
+        let calls = AdminCalls::new(collect, state.metrics.clone(), drain.clone());
         loops.spawn(async move {
-            if let Err(error) = admin::serve(admin_state, admin_listener).await {
+            if let Err(error) = admin::serve(calls, admin_listener).await {
                 DecisionLine::new("admin_ended").with("error", error).warn();
             }
         });
@@ -103,6 +141,7 @@
             caller_address,
             admin_address,
             stop,
+            drain,
             server,
             loops,
         })
@@ -123,10 +162,17 @@
         &self.state
     }
 
+    /// Waits until operators ask for a planned stop at the admin address.
+    pub async fn drain_requested(&self) {
+        // The sender lives as long as the host, so that the wait does not fail.
+        let _ = self.drain.subscribe().wait_for(|&is_asked| is_asked).await;
+    }
+
     /// Stops the host: no new connections, requests run to their end.
     ///
     /// Returns whether all requests ended within the drain limit.
     pub async fn stop(mut self) -> bool {
+        self.drain.send_replace(true);
         self.stop.send_replace(true);
         let is_drained = self.server.await.unwrap_or(false);
         self.loops.shutdown().await;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,7 +6,9 @@
 //! - [`admission`]: route, key and rate of a request.
 //! - [`dispatch`]: choice of a target and the attempts.
 //! - [`config_loop`]: follows the published configuration.
-//! - [`admin`]: health, readiness, metrics and status.
+//! - [`status`]: what operators see of the host.
+//! - [`metrics`]: counters, gauges and histograms.
+//! - [`admin`]: serves both, with health, readiness and planned stops.
 //! - [`host`]: starts and stops all of it.
 
 pub mod admin;
@@ -16,7 +18,9 @@
 pub mod decision_log;
 pub mod dispatch;
 pub mod host;
+pub mod metrics;
 pub mod state;
+pub mod status;
 
 /// The names that most users of the crate need.
 pub mod prelude {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -17,7 +17,10 @@
 use chicorycroft_placement::prelude::*;
 use chicorycroft_proxy::prelude::*;
 
-use crate::clock::HostClock;
+use crate::{
+    clock::HostClock,
+    metrics::HostMetrics, //
+};
 
 /// State of one host that all of its tasks share.
 #[derive(Debug)]
@@ -30,6 +33,8 @@
     pub ledger: TokenLedger,
     /// Slots of targets.
     pub slots: SlotPool,
+    /// Counters, gauges and histograms.
+    pub metrics: Arc<HostMetrics>,
     clients: ShardMap<TargetId, Arc<TargetClient>>,
     view: RwLock<Option<Arc<FleetView>>>,
     last_request: AtomicU64,
@@ -37,12 +42,13 @@
 
 impl HostState {
     /// Makes the state of a host that has no configuration yet.
-    pub fn new(settings: HostSettings, clock: HostClock) -> Self {
+    pub fn new(settings: HostSettings, clock: HostClock, metrics: HostMetrics) -> Self {
         Self {
             settings,
             clock,
             ledger: TokenLedger::new(clock.mono()),
             slots: SlotPool::new(),
+            metrics: Arc::new(metrics),
             clients: ShardMap::new(),
             view: RwLock::new(None),
             last_request: AtomicU64::new(0),
