Add the operators' client

Cause: a configuration could only be checked by publishing it. Conclusion: a change is checked, compared and split offline before the platform has it.

--- /dev/null
+++ b/crates/cli/src/check.rs
@@ -0,0 +1,89 @@
+//! Validates files offline.
+
+use chicorycroft_border::prelude::*;
+use chicorycroft_core::prelude::*;
+use chicorycroft_inventory::prelude::*;
+
+use crate::{
+    CommandOutcome, EXIT_FINDINGS,
+    files::{
+        FileError,
+        read_documents,
+        read_file, //
+    },
+    usage_error,
+};
+
+/// Builds a snapshot of files.
+///
+/// # Errors
+///
+/// Returns all errors that can be found at once.
+pub fn read_snapshot(paths: &[String]) -> Result<FleetSnapshot, Vec<FileError>> {
+    let documents = read_documents(paths)?;
+    build_snapshot(ConfigVersion::default(), &documents).map_err(|error| vec![error.into()])
+}
+
+/// Makes an outcome of errors, one line each.
+pub fn findings(errors: &[FileError]) -> CommandOutcome {
+    let lines = errors.iter().map(|error| format!("{error}\n"));
+    CommandOutcome {
+        output: lines.collect(),
+        errors: String::new(),
+        status: EXIT_FINDINGS,
+    }
+}
+
+fn summary_of(snapshot: &FleetSnapshot) -> String {
+    let rules = snapshot.rules();
+    format!(
+        "ok: {} zones, {} services, {} targets, {} teams, {} routes, {} bookings\n",
+        snapshot.zones().count(),
+        snapshot.services().count(),
+        snapshot.targets().count(),
+        snapshot.teams().count(),
+        snapshot.routes().iter().count(),
+        rules.bookings.len(),
+    )
+}
+
+fn check_settings(path: &str, snapshot: Option<&FleetSnapshot>) -> Result<String, String> {
+    let text = read_file(path).map_err(|error| error.to_string())?;
+    let settings = HostSettings::with_name(path, &text).map_err(|error| error.to_string())?;
+    if snapshot.is_some_and(|snapshot| snapshot.zone(&settings.zone).is_none()) {
+        let place = chicorycroft_border::places::place_of_field(path, &text, "zone");
+        return Err(format!(
+            "{place}: settings: zone: zone {} is not listed; list it, or correct the name",
+            settings.zone
+        ));
+    }
+    Ok(format!("ok: settings of {}\n", settings.host))
+}
+
+/// Validates an inventory and rules, and settings against them.
+pub fn run(paths: &[String], settings: &[String]) -> CommandOutcome {
+    if paths.is_empty() && settings.is_empty() {
+        return usage_error("check needs a file");
+    }
+    let mut outcome = CommandOutcome::default();
+    let mut snapshot = None;
+    if !paths.is_empty() {
+        match read_snapshot(paths) {
+            Ok(read) => {
+                outcome.output.push_str(&summary_of(&read));
+                snapshot = Some(read);
+            }
+            Err(errors) => outcome = findings(&errors),
+        }
+    }
+    for path in settings {
+        match check_settings(path, snapshot.as_ref()) {
+            Ok(line) => outcome.output.push_str(&line),
+            Err(error) => {
+                outcome.output.push_str(&format!("{error}\n"));
+                outcome.status = EXIT_FINDINGS;
+            }
+        }
+    }
+    outcome
+}
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,228 @@
+//! The operators' client: checks and compares configurations, and asks running hosts.
+//!
+//! - [`check`]: validates files offline.
+//! - [`diff`]: what another configuration would change, and when.
+//! - [`parts`]: writes parts and their index for publishing.
+//! - [`admin_client`]: asks the admin address of a host.
+//! - [`report`]: tables of status and explanations.
+//! - [`files`]: reads files with bounds.
+//!
+//! Every command is a function from arguments to a [`CommandOutcome`]; only [`finish`] writes. The
+//! output has no colour, and is the same on a terminal and in a file.
+
+use std::{
+    io::{
+        self,
+        Write, //
+    },
+    process::ExitCode,
+};
+
+use getopts::{
+    Matches,
+    Options, //
+};
+
+pub mod admin_client;
+pub mod check;
+pub mod diff;
+pub mod files;
+pub mod parts;
+pub mod report;
+
+/// Exit status when a check finds errors.
+pub const EXIT_FINDINGS: u8 = 1;
+/// Exit status for a command line that is not valid, as `sysexits` has it.
+pub const EXIT_USAGE: u8 = 64;
+/// Exit status when a host does not answer, as `sysexits` has it.
+pub const EXIT_UNAVAILABLE: u8 = 69;
+/// Exit status when output cannot be written, as `sysexits` has it.
+pub const EXIT_IO: u8 = 74;
+
+/// What a command prints and how it ends.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct CommandOutcome {
+    /// Text for the standard output.
+    pub output: String,
+    /// Text for the standard error output.
+    pub errors: String,
+    /// Exit status.
+    pub status: u8,
+}
+
+impl CommandOutcome {
+    /// Makes an outcome of a success.
+    pub fn new(output: impl Into<String>) -> Self {
+        Self {
+            output: output.into(),
+            ..Self::default()
+        }
+    }
+
+    /// Makes an outcome of a failure with one line for the standard error output.
+    pub fn with_error(status: u8, error: impl std::fmt::Display) -> Self {
+        Self {
+            errors: format!("chicorycroft: {error}\n"),
+            status,
+            ..Self::default()
+        }
+    }
+}
+
+/// One subcommand.
+struct CommandEntry {
+    name: &'static str,
+    arguments: &'static str,
+    summary: &'static str,
+    options: fn(&mut Options),
+    run: fn(&Matches) -> CommandOutcome,
+}
+
+const COMMANDS: &[CommandEntry] = &[
+    CommandEntry {
+        name: "check",
+        arguments: "FILE... [--settings FILE]",
+        summary: "Validates an inventory, rules and settings without a fleet.",
+        options: |options| {
+            options.optmulti("", "settings", "settings of a host to validate too", "FILE");
+        },
+        run: |matches| check::run(&matches.free, &matches.opt_strs("settings")),
+    },
+    CommandEntry {
+        name: "diff",
+        arguments: "OLD... -- NEW...",
+        summary: "Shows what new files would change, and when.",
+        options: |_| {},
+        run: |matches| diff::run(&matches.free),
+    },
+    CommandEntry {
+        name: "parts",
+        arguments: "FILE... --out DIR",
+        summary: "Writes an index and its parts for publishing.",
+        options: |options| {
+            options.optopt("", "out", "directory for the index and the parts", "DIR");
+            options.optopt("", "previous", "index that is published now", "FILE");
+            options.optopt(
+                "",
+                "version",
+                "version; one above the previous by default",
+                "N",
+            );
+        },
+        run: parts::run,
+    },
+    CommandEntry {
+        name: "status",
+        arguments: "--admin ADDR... [--json]",
+        summary: "Shows versions, targets, teams and bookings of hosts.",
+        options: |options| {
+            options.optmulti(
+                "",
+                "admin",
+                "admin address of a host, may be repeated",
+                "ADDR",
+            );
+            options.optflag("", "json", "print the hosts' answers as JSON lines");
+        },
+        run: |matches| {
+            admin_client::status(&matches.opt_strs("admin"), matches.opt_present("json"))
+        },
+    },
+    CommandEntry {
+        name: "explain",
+        arguments: "--admin ADDR METHOD PATH [--team TEAM]",
+        summary: "Shows the route, limits and targets that a request would get.",
+        options: |options| {
+            options.optopt("", "admin", "admin address of a host", "ADDR");
+            options.optopt("", "team", "team that would send the request", "TEAM");
+        },
+        run: admin_client::explain,
+    },
+    CommandEntry {
+        name: "drain",
+        arguments: "--admin ADDR",
+        summary: "Starts the planned stop of a host.",
+        options: |options| {
+            options.optopt("", "admin", "admin address of the host", "ADDR");
+        },
+        run: admin_client::drain,
+    },
+];
+
+/// Makes an outcome for a command line that is not valid.
+pub(crate) fn usage_error(reason: impl std::fmt::Display) -> CommandOutcome {
+    let reason = format!("{reason}; see chicorycroft --help");
+    CommandOutcome::with_error(EXIT_USAGE, reason)
+}
+
+fn overview() -> String {
+    let mut text = String::from("Usage: chicorycroft COMMAND [ARGUMENTS]\n\nCommands:\n");
+    for command in COMMANDS {
+        text.push_str(&format!("    {:<8} {}\n", command.name, command.summary));
+    }
+    text.push_str(
+        "\nchicorycroft COMMAND --help shows the arguments of a command.\n\n\
+         Exit status: 0 success, 1 findings, 64 wrong usage, 69 a host does not answer, 74 a file \
+         cannot be written.\n",
+    );
+    text
+}
+
+/// Runs the command of a command line, without the name of the program.
+pub fn run(arguments: &[String]) -> CommandOutcome {
+    let Some((name, rest)) = arguments.split_first() else {
+        return usage_error("a command is missing");
+    };
+    if matches!(name.as_str(), "-h" | "--help" | "help") {
+        return CommandOutcome::new(overview());
+    }
+    let Some(command) = COMMANDS.iter().find(|command| command.name == name) else {
+        return usage_error(format!("there is no command {name:?}"));
+    };
+    let mut options = Options::new();
+    (command.options)(&mut options);
+    options.optflag("h", "help", "print this help");
+    // The separator of `diff` is kept: getopts drops it.
+    let kept = rest
+        .iter()
+        .map(|argument| match (command.name, argument.as_str()) {
+            ("diff", "--") => diff::SEPARATOR.to_owned(),
+            _ => argument.clone(),
+        });
+    let matches = match options.parse(kept) {
+        Ok(matches) => matches,
+        Err(error) => return usage_error(error),
+    };
+    if matches.opt_present("help") {
+        let brief = format!(
+            "Usage: chicorycroft {} {}\n\n{}",
+            command.name, command.arguments, command.summary
+        );
+        return CommandOutcome::new(options.usage(&brief));
+    }
+    (command.run)(&matches)
+}
+
+/// Writes an outcome and returns its exit status. A reader that closes the pipe early, such as
+/// `head`, is no error.
+pub fn write_outcome(
+    outcome: &CommandOutcome,
+    output: &mut dyn Write,
+    errors: &mut dyn Write,
+) -> u8 {
+    let written = output
+        .write_all(outcome.output.as_bytes())
+        .and_then(|()| output.flush());
+    // Nothing is left to report to when the standard error output fails.
+    let _ = errors.write_all(outcome.errors.as_bytes());
+    match written {
+        Err(error) if error.kind() != io::ErrorKind::BrokenPipe => EXIT_IO,
+        _ => outcome.status,
+    }
+}
+
+/// Writes an outcome to the standard streams and returns its exit status.
+pub fn finish(outcome: &CommandOutcome) -> ExitCode {
+    let (mut output, mut errors) = (io::stdout().lock(), io::stderr().lock());
+    ExitCode::from(write_outcome(outcome, &mut output, &mut errors))
+}
