--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -356,6 +356,20 @@
         self.peers.with(host, |peer| peer.standing())
     }
 
+    /// Returns what is known about all peers, by name.
+    pub fn standings(&self) -> Vec<(LiveHost, PeerStanding)> {
+        let mut standings = Vec::new();
+        self.peers.for_each(|host, peer| {
+            let host = LiveHost {
+                id: host.clone(),
+                zone: peer.zone.clone(),
+            };
+            standings.push((host, peer.standing()));
+        });
+        standings.sort_by(|(one, _), (other, _)| one.id.cmp(&other.id));
+        standings
+    }
+
     /// Returns when anybody last heard a peer.
     pub fn last_heard(&self, host: &HostId) -> Option<MonoTime> {
         self.peers
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -20,15 +20,20 @@
 };
 
 use crate::{
-    admin,
+    admin::{
+        self,
+        AdminCalls, //
+    },
     clock::HostClock,
     config_loop,
     decision_log::DecisionLine,
     handover,
     ingress,
     member_loop,
+    metrics::HostMetrics,
     peer_service,
     state::HostState,
+    status_facts::collect_status,
     token_loop, //
 };
 
@@ -45,6 +50,9 @@
         /// The system's reason.
         source: std::io::Error,
     },
+    /// The metrics cannot be set up.
+    #[error("the metrics cannot be set up: {0}")]
+    Metrics(#[from] prometheus::Error),
 }
 
 /// A running entry host.
@@ -53,6 +61,7 @@
     state: Arc<HostState>,
     caller_address: SocketAddr,
     admin_address: SocketAddr,
+    drain: watch::Sender<bool>,
     stop: watch::Sender<bool>,
     peer_stop: watch::Sender<bool>,
     server: JoinHandle<bool>,
@@ -98,8 +107,14 @@
         let admin_error = listen_error("operators", admin);
         let admin_listener = TcpListener::bind(admin).await.map_err(&admin_error)?;
         let admin_address = admin_listener.local_addr().map_err(&admin_error)?;
-        let state = Arc::new(HostState::new(settings, peer_address, clock));
-        let loops = start_loops(&state, platform, admin_listener);
+        let state = Arc::new(HostState::new(
+            settings,
+            peer_address,
+            clock,
+            HostMetrics::new()?,
+        ));
+        let drain = watch::Sender::new(false);
+        let loops = start_loops(&state, platform, admin_listener, &drain);
         let (stop, peer_stop) = (watch::Sender::new(false), watch::Sender::new(false));
         let handler_state = state.clone();
         let handler = move |request| ingress::handle(handler_state.clone(), request);
@@ -115,6 +130,7 @@
             caller_address,
             admin_address,
             stop,
+            drain,
             peer_stop,
             server,
             peer_server,
@@ -137,6 +153,12 @@
         &self.state
     }
 
+    /// Waits until operators ask for a planned stop at the admin address.
+    pub async fn drain_requested(&self) {
+        // The sender lives as long as the host, so that the wait does not fail.
+        let _ = self.drain.subscribe().wait_for(|&is_asked| is_asked).await;
+    }
+
     /// Returns the address for other hosts.
     pub fn peer_address(&self) -> SocketAddr {
         self.state.peer_address
@@ -147,6 +169,7 @@
     ///
     /// Returns whether all requests ended within the drain limit.
     pub async fn stop(mut self) -> bool {
+        self.drain.send_replace(true);
         self.state.begin_stop();
         let limit = self.state.settings.drain_limit;
         let handover = handover::hand_over_all(&self.state, limit);
@@ -170,6 +193,7 @@
     state: &Arc<HostState>,
     platform: PlatformClient,
     admin_listener: TcpListener,
+    drain: &watch::Sender<bool>,
 ) -> JoinSet<()> {
     let platform = Arc::new(platform);
     let mut loops = JoinSet::new();
@@ -181,8 +205,10 @@
     loops.spawn(token_loop::draw(state.clone()));
     loops.spawn(token_loop::poll(state.clone()));
     let admin_state = state.clone();
+    let collect = move || collect_status(&admin_state);
+    let calls = AdminCalls::new(collect, state.metrics.clone(), drain.clone());
     loops.spawn(async move {
-        if let Err(error) = admin::serve(admin_state, admin_listener).await {
+        if let Err(error) = admin::serve(calls, admin_listener).await {
             DecisionLine::new("admin_ended").with("error", error).warn();
         }
     });
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -66,6 +66,7 @@
                 let line = line
                     .with("route", &admitted.route.id)
                     .with("team", admitted.team.as_ref().map_or("-", TeamId::as_str));
+                state.metrics.on_added_latency(arrival.elapsed());
                 let exchange = CallerExchange::new(state, view, admitted, id, arrival);
                 return exchange.run(parts, body, line).await;
             }
@@ -93,9 +94,12 @@
     if let Some(team) = &admitted.team {
         let terms = state.terms_of(&view, team).ok_or(RefusalKind::BadKey)?;
         let take = || state.ledger.try_take(team, &terms, state.clock.mono());
-        if let Err(shortage) = take() {
-            wait_for_token(state, team, shortage, take).await?;
-        }
+        let taken = match take() {
+            Ok(()) => Ok(()),
+            Err(shortage) => wait_for_token(state, team, shortage, take).await,
+        };
+        state.metrics.on_token(team, taken.is_ok());
+        taken?;
     }
     Ok((view, admitted))
 }
@@ -125,11 +129,14 @@
 }
 
 fn refuse(
+    state: &HostState,
     line: DecisionLine,
     kind: RefusalKind,
     run: RunStatement,
     retry_after: Option<std::time::Duration>,
 ) -> Response<ProxyBody> {
+    state.metrics.on_request(None, "refuse", kind.status());
+    state.metrics.on_refusal(kind);
     line.with("decision", "refuse")
         .with("reason", kind.name())
         .with("run", run)
@@ -188,7 +195,7 @@
             let Some((target, owner, choice)) = self.choose() else {
                 let run = statement_of(self.history.proof());
                 let line = line.with("attempts", self.history.len());
-                return refuse(line, RefusalKind::NoCapacity, run, None);
+                return refuse(&self.state, line, RefusalKind::NoCapacity, run, None);
             };
             let now = self.state.clock.mono();
             let number = self.history.begin(target.id.clone(), now);
@@ -213,6 +220,7 @@
             self.history.end(number, proof);
             match self.decide(&body) {
                 RetryDecision::RetryElsewhere => {
+                    self.state.metrics.on_retry();
                     line.with("decision", "retry").with("run", proof).info();
                 }
                 RetryDecision::GiveUp { reason, .. } => {
@@ -246,15 +254,18 @@
     ) -> Response<ProxyBody> {
         match delivered {
             Ok(mut response) => {
+                let route = Some(&self.admitted.route.id);
+                let status = response.status();
+                self.state.metrics.on_request(route, "forward", status);
                 line.with("decision", "forward")
-                    .with("status", response.status().as_u16())
+                    .with("status", status.as_u16())
                     .info();
                 *response.version_mut() = http::Version::HTTP_11;
                 response
             }
             Err(failure) => {
                 let run = statement_of(self.history.proof());
-                refuse(line, failure.kind, run, failure.retry_after)
+                refuse(&self.state, line, failure.kind, run, failure.retry_after)
             }
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,7 +17,10 @@
 //! - [`token_loop`]: moves tokens between hosts.
 //! - [`peer_service`]: answers other hosts.
 //! - [`config_loop`]: follows the published configuration.
-//! - [`admin`]: health, readiness, metrics and status.
+//! - [`status`]: what operators see of the host.
+//! - [`status_facts`]: collects the facts for it.
+//! - [`metrics`]: counters, gauges and histograms.
+//! - [`admin`]: serves both, with health, readiness and planned stops.
 //! - [`host`]: starts and stops all of it.
 
 pub mod admin;
@@ -32,12 +35,15 @@
 pub mod host;
 pub mod ingress;
 pub mod member_loop;
+pub mod metrics;
 pub mod owned;
 pub mod owner;
 pub mod peer_service;
 pub mod replay;
 pub mod slot_desk;
 pub mod state;
+pub mod status;
+pub mod status_facts;
 pub mod token_loop;
 
 /// The names that most users of the crate need.
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -54,6 +54,7 @@
     let order = (team, &head.target);
     match slot_desk::acquire(state, &head.service, order, wait_until).await {
         Ok(lease) => {
+            state.metrics.on_queue_wait(arrival.elapsed());
             line.with("decision", "send")
                 .with("target", &lease.target().id)
                 .with("waited_us", arrival.elapsed().as_micros())
--- a/crates/node/src/slot_desk.rs
+++ b/crates/node/src/slot_desk.rs
@@ -112,6 +112,7 @@
         if let Some(permit) = self.permit.take() {
             let now = self.state.clock.mono();
             self.state.slots.release(permit, self.outcome, now);
+            self.state.metrics.on_attempt(self.outcome);
             hand_out(&self.state, &self.target.service);
         }
     }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -19,9 +19,11 @@
 use chicorycroft_proxy::prelude::*;
 use chicorycroft_retry::prelude::*;
 use indexmap::IndexMap;
+use smol_str::SmolStr;
 
 use crate::{
     clock::HostClock,
+    metrics::HostMetrics,
     owned::OwnedTargets,
     slot_desk::SlotDesk,
     token_loop::DrawBell, //
@@ -62,11 +64,14 @@
     pub members: PeerTable,
     /// Connections to other hosts.
     pub peers: PeerClient,
+    /// Counters, gauges and histograms.
+    pub metrics: Arc<HostMetrics>,
     owned: RwLock<Arc<OwnedTargets>>,
     roster: RwLock<Arc<ZoneRoster>>,
     suspects: ShardMap<TargetId, bool>,
     clients: ShardMap<TargetId, Arc<TargetClient>>,
     view: RwLock<Option<Arc<FleetView>>>,
+    refused_version: RwLock<Option<SmolStr>>,
     last_request: AtomicU64,
     random: AtomicU64,
     is_stopping: AtomicBool,
@@ -86,6 +91,7 @@
         settings: HostSettings,
         peer_address: std::net::SocketAddr,
         clock: HostClock,
+        metrics: HostMetrics,
     ) -> Self {
         let (host, zone, now) = (settings.host.clone(), settings.zone.clone(), clock.mono());
         let incarnation = HostIncarnation::new(clock.unix().as_millis());
@@ -109,11 +115,13 @@
             retries: RetryBudget::new(),
             members: PeerTable::new(member, incarnation, rules),
             peers: PeerClient::new(),
+            metrics: Arc::new(metrics),
             owned: RwLock::default(),
             roster: RwLock::default(),
             suspects: ShardMap::new(),
             clients: ShardMap::new(),
             view: RwLock::new(None),
+            refused_version: RwLock::new(None),
             last_request: AtomicU64::new(0),
             random: AtomicU64::new(incarnation.get()),
             is_stopping: AtomicBool::new(false),
@@ -195,6 +203,28 @@
         self.is_serving() && !self.is_stopping()
     }
 
+    /// Returns why this host takes no requests although it has a configuration.
+    pub fn unready_reason(&self) -> Option<SmolStr> {
+        let is_isolated = self.members.is_isolated(self.clock.mono());
+        is_isolated.then(|| "neither the platform nor most of the fleet answers".into())
+    }
+
+    /// Returns why the last published version was refused.
+    pub fn refused_version(&self) -> Option<SmolStr> {
+        read(&self.refused_version)
+    }
+
+    /// Notes why a published version was refused, or that the last one was accepted.
+    pub fn set_refused_version(&self, reason: Option<SmolStr>) {
+        write(&self.refused_version, reason);
+    }
+
+    /// Returns why a target gets no work although operators let it have some.
+    pub fn out_reason(&self, target: &TargetRecord) -> Option<SmolStr> {
+        let _ = target;
+        None
+    }
+
     /// Tells whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         self.is_stopping.load(Ordering::Relaxed)
--- a/crates/placement/tests/ownership.rs
+++ b/crates/placement/tests/ownership.rs
@@ -26,6 +26,10 @@
 const STEP_MILLIS: u64 = 50;
 const BEAT_MILLIS: u64 = 500;
 
+fn table_of(own: ListedHost) -> OwnerTable {
+    OwnerTable::new(own.id, own.zone, OwnerTimes::default(), MonoTime::START)
+}
+
 fn host(n: usize) -> HostId {
     HostId::new(&format!("h{n}")).unwrap()
 }
@@ -78,7 +82,7 @@
 impl Process {
     fn new(n: usize, count: usize, incarnation: u64, at: u64) -> Self {
         let own = listed(host(n), "z");
-        let table = OwnerTable::new(own, OwnerTimes::default(), MonoTime::START);
+        let table = table_of(own);
         table.on_roster((0..count).map(|n| listed(host(n), "z")), MonoTime::START);
         Self {
             incarnation,
@@ -327,7 +331,7 @@
 /// other, and a host of another zone that does not hear them must not take their targets.
 #[test]
 fn other_zone_takes_over_only_when_the_roster_lists_no_host() {
-    let outsider = OwnerTable::new(listed(host(2), "y"), OwnerTimes::default(), MonoTime::START);
+    let outsider = table_of(listed(host(2), "y"));
     let both = [listed(host(1), "z"), listed(host(2), "y")];
     outsider.on_roster(both.clone(), MonoTime::START);
     let later = MonoTime::from_millis(60_000);
@@ -344,7 +348,7 @@
 /// use by another host.
 #[test]
 fn late_or_foreign_handover_is_refused() {
-    let table = OwnerTable::new(listed(host(1), "z"), OwnerTimes::default(), MonoTime::START);
+    let table = table_of(listed(host(1), "z"));
     let handover = |heir, echoed| OwnerHandover {
         key: key("t"),
         from: host(2),
@@ -363,7 +367,7 @@
 /// Guards against a lone host that never starts, and against one that the platform has dropped.
 #[test]
 fn lone_host_serves_at_once_while_it_is_listed() {
-    let table = OwnerTable::new(listed(host(1), "z"), OwnerTimes::default(), MonoTime::START);
+    let table = table_of(listed(host(1), "z"));
     let serve = || table.may_serve(&key("t"), &home("z"), MonoTime::from_millis(10));
     assert_eq!(serve(), Err(OwnershipError::NotListed));
     table.on_roster([listed(host(1), "z")], MonoTime::START);
@@ -376,7 +380,7 @@
 #[test]
 fn renewed_handover_keeps_the_key_away() {
     let zone = ZoneId::new("z").unwrap();
-    let table = OwnerTable::new(listed(host(1), "z"), OwnerTimes::default(), MonoTime::START);
+    let table = table_of(listed(host(1), "z"));
     table.on_roster(
         [listed(host(1), "z"), listed(host(2), "z")],
         MonoTime::START,
@@ -417,7 +421,7 @@
             }),
         ),
     ] {
-        let table = OwnerTable::new(listed(host(1), "z"), OwnerTimes::default(), MonoTime::START);
+        let table = table_of(listed(host(1), "z"));
         table.on_roster(
             [listed(host(1), "z"), listed(host(2), "z")],
             MonoTime::START,
