--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -74,6 +74,7 @@
         },
     };
     refuse(
+        &state,
         line,
         refusal.kind,
         RunStatement::NotRun,
