--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -43,6 +43,7 @@
     status::{
         ExplainQuery,
         HostStatus, //
+        count_targets,
         explain_document,
         status_document,
     },
@@ -83,10 +84,9 @@
         if let Some(view) = &status.view {
             metrics.set_config_version(view.snapshot().version());
         }
-        let document = status_document(&status);
-        let count_in = document.targets.iter().filter(|target| target.in_).count();
+        let (count_in, count_out) = count_targets(&status);
         metrics.set_targets("in", count_in);
-        metrics.set_targets("out", document.targets.len() - count_in);
+        metrics.set_targets("out", count_out);
         let facts = || status.targets.values();
         let in_use = facts()
             .filter_map(|facts| facts.in_use)
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -68,7 +68,7 @@
         view,
         refused_version: None,
         targets: IndexMap::new(),
-        teams: IndexMap::new(),
+        teams: state.metrics.team_counts(),
         peers: Vec::new(),
     }
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -12,6 +12,7 @@
 use chicorycroft_placement::prelude::*;
 use chicorycroft_proxy::prelude::*;
 use http::StatusCode;
+use indexmap::IndexMap;
 use prometheus::{
     Encoder,
     Histogram,
@@ -27,6 +28,8 @@
 };
 use smol_str::SmolStr;
 
+use crate::status::TeamFacts;
+
 /// Most routes with a label of their own.
 const ROUTE_LABELS_MAX: usize = 512;
 
@@ -224,6 +227,22 @@
         counter.with_label_values(&[team]).inc();
     }
 
+    /// Returns the counts of the teams that have a label of their own.
+    pub fn team_counts(&self) -> IndexMap<TeamId, TeamFacts> {
+        let mut counts = IndexMap::new();
+        self.teams.seen.for_each(|name, ()| {
+            let Ok(team) = TeamId::new(name) else {
+                return;
+            };
+            let facts = TeamFacts {
+                admitted: self.admitted.with_label_values(&[name]).get(),
+                refused: self.over_rate.with_label_values(&[name]).get(),
+            };
+            counts.insert(team, facts);
+        });
+        counts
+    }
+
     /// Counts an ejection. The reasons are a fixed set.
     pub fn on_ejection(&self, reason: &'static str) {
         self.ejections.with_label_values(&[reason]).inc();
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -107,6 +107,22 @@
     }
 }
 
+/// Returns how many targets may have new work, and how many may not.
+pub fn count_targets(status: &HostStatus) -> (usize, usize) {
+    let Some(view) = &status.view else {
+        return (0, 0);
+    };
+    let targets = view.snapshot().targets();
+    let is_in = targets.map(|target| target_state(status, view, &target.id).0);
+    is_in.fold((0, 0), |(count_in, count_out), is_in| {
+        if is_in {
+            (count_in + 1, count_out)
+        } else {
+            (count_in, count_out + 1)
+        }
+    })
+}
+
 fn target_status(status: &HostStatus, view: &FleetView, target: &TargetRecord) -> TargetStatus {
     let facts = status.targets.get(&target.id).cloned().unwrap_or_default();
     let (in_, reason) = target_state(status, view, &target.id);
--- a/crates/node/tests/metrics.rs
+++ b/crates/node/tests/metrics.rs
@@ -91,6 +91,8 @@
     for line in lines {
         assert!(metrics.contains(line), "{line} is missing in {metrics}");
     }
+    let team = "{\"admitted\":0,\"burst\":\"0\",\"id\":\"lusail\",\"rate\":\"0\",\"refused\":1}";
+    assert!(status.contains(team), "{status}");
     let text = metrics + &status;
     assert!(
         !text.contains("k-secret") && !text.contains(&digest.to_string()),
