Measure detection of failing targets and cold starts

Change: Experiments detection and cold. The verdict stands, probes start after two attempts without a sign of life, another host is asked after four, and the deadline of a probe follows the median.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,5 +1,7 @@
 //! Experiments on the decisions of the fleet. Each prints the rows of one table.
 //!
+//! - [`cold`]: requests at cold targets while a zone returns.
+//! - [`detection`]: time until a failing target is out of use, and false ejections.
 //! - [`owners`]: how evenly rendezvous hashing spreads targets over hosts.
 
 use std::process::ExitCode;
@@ -7,6 +9,8 @@
 use eyre::Result;
 use getopts::Options;
 
+mod cold;
+mod detection;
 mod owners;
 
 /// Exit status for a command line that is not valid, as `sysexits` has it.
@@ -19,11 +23,23 @@
     run: fn(seed: u64) -> Result<()>,
 }
 
-const EXPERIMENTS: &[ExperimentEntry] = &[ExperimentEntry {
-    name: "owners",
-    brief: "spread of targets over their owners",
-    run: owners::run,
-}];
+const EXPERIMENTS: &[ExperimentEntry] = &[
+    ExperimentEntry {
+        name: "cold",
+        brief: "requests at cold targets while a zone returns",
+        run: cold::run,
+    },
+    ExperimentEntry {
+        name: "detection",
+        brief: "time to eject failing targets, and false ejections",
+        run: detection::run,
+    },
+    ExperimentEntry {
+        name: "owners",
+        brief: "spread of targets over their owners",
+        run: owners::run,
+    },
+];
 
 fn print_help(options: &Options) {
     let brief = "Usage: chicorycroft-bench EXPERIMENT [--seed NUMBER]";
--- a/crates/health/src/baseline.rs
+++ b/crates/health/src/baseline.rs
@@ -8,7 +8,10 @@
 use chicorycroft_core::prelude::*;
 use indexmap::IndexMap;
 
-use crate::latency::LatencyHistogram;
+use crate::latency::{
+    LatencyHistogram,
+    shortest_of, //
+};
 
 /// Age at which the counters of a host no longer count.
 const COUNTERS_LIFE: Duration = Duration::from_secs(5);
@@ -19,6 +22,9 @@
 /// A latency is slow from this many buckets above the median, which is five and a half times.
 const SLOW_BUCKETS: usize = 5;
 
+/// Shortest time that a probe gets: ten times what one takes.
+const PROBE_DEADLINE_MIN: Duration = Duration::from_millis(250);
+
 /// What a host counted for a service during the last window.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ServiceCounters {
@@ -55,6 +61,14 @@
     pub slow_rate: f64,
 }
 
+impl BaselineReference {
+    /// Returns how long a probe may take. A fixed time would turn a slowdown of the whole service
+    /// into failures of the targets that are probed.
+    pub fn probe_deadline(&self) -> Duration {
+        shortest_of(self.slow_bucket).max(PROBE_DEADLINE_MIN)
+    }
+}
+
 /// Latest counters of every host for every service.
 #[derive(Debug, Default)]
 pub struct ServiceBaseline {
--- a/crates/health/src/evidence.rs
+++ b/crates/health/src/evidence.rs
@@ -21,6 +21,13 @@
     latency::bucket_of,
 };
 
+/// Attempts in a row without a sign of life after which probes start.
+const PROBE_FROM_IN_ROW: u32 = 2;
+
+/// Attempts in a row without a sign of life after which another host is asked. When four in ten
+/// attempts of a whole service fail so, three targets in a hundred would be asked about by chance.
+const CUT_OFF_IN_ROW: u32 = 4;
+
 /// What is wrong with a target.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum FailureKind {
@@ -173,6 +180,7 @@
     window: VecDeque<SeenAttempt>,
     stage: CaseStage,
     totals: [u64; 6],
+    unreachable_in_row: u32,
 }
 
 impl EvidenceTest {
@@ -189,6 +197,18 @@
         self.totals[kind as usize]
     }
 
+    /// Tells whether the owner should probe the target without waiting for requests: a suspect gets
+    /// few of them, and one that does not answer holds each until its deadline.
+    pub fn wants_probe(&self) -> bool {
+        self.stage != CaseStage::Open || self.unreachable_in_row >= PROBE_FROM_IN_ROW
+    }
+
+    /// Tells whether the target gives no sign of life, so that another host should be asked at
+    /// once. A moved target is still in use; no comparison with the others is needed for that.
+    pub fn is_cut_off(&self) -> bool {
+        self.unreachable_in_row >= CUT_OFF_IN_ROW
+    }
+
     /// Returns the counters of the window, which also go into those of the service.
     pub fn counters(&mut self, now: MonoTime) -> ServiceCounters {
         let window = self.times.window;
@@ -231,6 +251,10 @@
         if let Some(kind) = failure {
             self.totals[kind as usize] += 1;
         }
+        self.unreachable_in_row = match failure {
+            Some(kind) if kind.is_unreachable() => self.unreachable_in_row.saturating_add(1),
+            _ => 0,
+        };
         let answered = matches!(outcome, AttemptOutcome::Good | AttemptOutcome::Slow);
         self.window.push_back(SeenAttempt {
             at: now,
@@ -260,8 +284,8 @@
                 self.stage = CaseStage::Suspected(kind, now);
                 Some(HealthVerdict::Suspect(kind))
             }
+            // The verdict stands until an answer weakens it, while others are asked about it.
             (CaseStage::Confirming(_), Some(true)) if self.stands_out(reference, now) => {
-                self.restart();
                 Some(HealthVerdict::Failing(self.main_kind()))
             }
             (CaseStage::Confirming(kind), Some(true) | None) => Some(HealthVerdict::Suspect(kind)),
--- a/crates/health/src/latency.rs
+++ b/crates/health/src/latency.rs
@@ -34,6 +34,13 @@
     bucket.min(BUCKET_COUNT - 1)
 }
 
+/// Returns the shortest latency of a bucket.
+pub fn shortest_of(bucket: usize) -> Duration {
+    let bucket = bucket.min(BUCKET_COUNT - 1);
+    let octave = FIRST_MICROS << (bucket / 2);
+    Duration::from_micros(octave + octave / 2 * (bucket as u64 % 2))
+}
+
 impl LatencyHistogram {
     /// Makes an empty histogram.
     pub fn new() -> Self {
--- a/crates/health/tests/evidence.rs
+++ b/crates/health/tests/evidence.rs
@@ -95,3 +95,49 @@
     }
     assert_eq!(test.total(FailureKind::Refused), 100);
 }
+
+/// Guards against probes that turn a slowdown of the whole service into failures: with a fixed
+/// deadline of 250 ms, targets were moved and ejected when all answers took ten times as long.
+#[test]
+fn probe_deadline_follows_the_median_of_the_service() {
+    let (service, host) = (ServiceId::new("rate").unwrap(), HostId::new("h").unwrap());
+    let baseline = ServiceBaseline::new();
+    for (millis, at_least) in [(25, 250), (250, 1_000)] {
+        let mut counters = ServiceCounters {
+            attempts: 100,
+            ..ServiceCounters::default()
+        };
+        (0..100).for_each(|_| counters.latencies.record(Duration::from_millis(millis)));
+        baseline.on_counters(&service, &host, counters, MonoTime::START);
+        let own = ServiceCounters::default();
+        let reference = baseline.reference(&service, &own, MonoTime::START).unwrap();
+        assert!(reference.probe_deadline() >= Duration::from_millis(at_least));
+    }
+}
+
+/// Guards against the loss of a verdict while another host is asked: the evidence had to be
+/// gathered anew, which doubled the time to eject a dead target.
+#[test]
+fn verdict_stands_and_a_silent_target_is_probed() {
+    let reference = BaselineReference {
+        failure_rate: 0.02,
+        shed_rate: 0.0,
+        slow_bucket: 40,
+        slow_rate: 0.0,
+    };
+    let mut test = EvidenceTest::new(EvidenceTimes::default());
+    let mut verdicts = Vec::new();
+    for n in 0..40 {
+        assert_eq!(test.wants_probe(), n >= 2, "after {n} attempts");
+        assert_eq!(test.is_cut_off(), n >= 4, "after {n} attempts");
+        let now = MonoTime::from_millis(100 * n);
+        let outcome = AttemptOutcome::Refused;
+        verdicts.push(test.record(outcome, Duration::ZERO, Some(&reference), now));
+    }
+    let failing = Some(HealthVerdict::Failing(FailureKind::Refused));
+    let first = verdicts
+        .iter()
+        .position(|verdict| *verdict == failing)
+        .unwrap();
+    assert!(verdicts[first..].iter().all(|verdict| *verdict == failing));
+}
