--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,6 +2,8 @@
 //!
 //! - [`latency`]: latency that one entry host adds.
 //! - [`fairness`]: the share of the worst-served team while another one sends too much.
+//! - [`cold`]: requests at cold targets while a zone returns.
+//! - [`detection`]: time until a failing target is out of use, and false ejections.
 //! - [`owners`]: how evenly rendezvous hashing spreads targets over hosts.
 //! - [`rates`]: refusals within the rate, overshoot and cost of moving tokens between hosts.
 
@@ -12,6 +14,8 @@
 
 mod fairness;
 mod latency;
+mod cold;
+mod detection;
 mod owners;
 mod rates;
 
@@ -36,6 +40,16 @@
         brief: "share of the worst-served team beside a team at five times its share",
         run: fairness::run,
     },
+    ExperimentEntry {
+        name: "cold",
+        brief: "requests at cold targets while a zone returns",
+        run: cold::run,
+    },
+    ExperimentEntry {
+        name: "detection",
+        brief: "time to eject failing targets, and false ejections",
+        run: detection::run,
+    },
     ExperimentEntry {
         name: "owners",
         brief: "spread of targets over their owners",
