Let the metrics test find free ports and an owner

Cause: the test started a host on the default peer port, so that two hosts at once failed to listen.

Change: the test takes a free port, lists its host on the platform and waits until the target has an owner.

Conclusion: the verdict does not depend on other processes.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -12,10 +12,10 @@
 use eyre::Result;
 use getopts::Options;
 
-mod fairness;
-mod latency;
 mod cold;
 mod detection;
+mod fairness;
+mod latency;
 mod owners;
 mod rates;
 
--- a/crates/node/tests/metrics.rs
+++ b/crates/node/tests/metrics.rs
@@ -10,6 +10,7 @@
 use chicorycroft_border::prelude::*;
 use chicorycroft_core::prelude::*;
 use chicorycroft_node::prelude::*;
+use chicorycroft_platform::prelude::*;
 use chicorycroft_standin::prelude::*;
 use tokio::{
     io::{
@@ -22,16 +23,22 @@
 
 async fn start_host(platform: &StandinPlatform) -> EntryHost {
     let settings = "{host: entry-1, zone: north-1, platform: '127.0.0.1:1', \
-         caller_listen: '127.0.0.1:0', admin_listen: '127.0.0.1:0'}";
+         caller_listen: '127.0.0.1:0', peer_listen: '127.0.0.1:0', admin_listen: '127.0.0.1:0'}";
     let settings = HostSettings::new(settings).unwrap();
+    platform.set_hosts(vec![HostListing {
+        id: settings.host.clone(),
+        zone: settings.zone.clone(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        is_leaving: false,
+    }]);
     let clock = HostClock::new(UnixTime::from_millis(0));
     let host = EntryHost::start(settings, platform.client(), clock).await;
     host.unwrap()
 }
 
-async fn wait_for_configuration(host: &EntryHost) {
+async fn wait_for_target(host: &EntryHost) {
     let limit = Instant::now() + Duration::from_secs(5);
-    while host.state().view().is_none() && Instant::now() < limit {
+    while host.state().owned().iter().next().is_none() && Instant::now() < limit {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
 }
@@ -65,7 +72,7 @@
     let platform = StandinPlatform::new();
     platform.publish(1, &[("all", document)]);
     let host = start_host(&platform).await;
-    wait_for_configuration(&host).await;
+    wait_for_target(&host).await;
     let callers = host.caller_address();
 
     let open = call(callers, "GET /health HTTP/1.1").await;
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -24,7 +24,6 @@
 
 /// Hosts in one zone before targets of one service.
 pub(crate) struct TestFleet {
-    pub(crate) platform: StandinPlatform,
     pub(crate) hosts: Vec<EntryHost>,
     pub(crate) targets: Vec<StandinTarget>,
 }
@@ -84,11 +83,7 @@
             is_leaving: false,
         };
         platform.set_hosts(hosts.iter().map(listing).collect());
-        let fleet = Self {
-            platform,
-            hosts,
-            targets,
-        };
+        let fleet = Self { hosts, targets };
         fleet.wait_for_owners().await;
         fleet
     }
