Check answers against their schemas, and part counts across a power of two

Cause: the test of a growing fleet passed without the rule that it guards, and no test compared the admin answers with the published schemas. Change: the test crosses a power of two, and a test validates status and explanation.

--- a/crates/border/tests/parts.rs
+++ b/crates/border/tests/parts.rs
@@ -112,11 +112,16 @@
 /// Guards against a growth by a few teams that renumbers all parts.
 #[test]
 fn growth_keeps_number_of_parts() {
-    let before = write(1, None, &team_lines(2000, 5));
-    let after = write(2, Some(&before), &team_lines(2200, 5));
-    assert_eq!(
-        before.parts.keys().collect::<Vec<_>>(),
-        after.parts.keys().collect::<Vec<_>>()
+    let names = |written: &WrittenParts| written.parts.keys().cloned().collect::<Vec<_>>();
+    let before = write(1, None, &team_lines(1500, 5));
+    let grown = team_lines(2500, 5);
+    let after = write(2, Some(&before), &grown);
+    assert_eq!(names(&before), names(&after));
+    let afresh = write(2, None, &grown);
+    assert_ne!(
+        names(&afresh),
+        names(&after),
+        "the growth must cross a power of two"
     );
 }
 
--- a/crates/node/tests/admin.rs
+++ b/crates/node/tests/admin.rs
@@ -127,6 +127,33 @@
     insta::assert_snapshot!(text);
 }
 
+/// Guards against answers that do not follow their published schema.
+#[test]
+fn answers_follow_their_schemas() {
+    let status = status_at("2026-12-04T12:00:00Z");
+    let query = ExplainQuery {
+        method: "GET".into(),
+        path: "/rates".into(),
+        team: Some("lusail".into()),
+    };
+    let answers = [
+        (
+            include_str!("../../border/schema/status.schema.json"),
+            serde_json::to_value(status_document(&status)).unwrap(),
+        ),
+        (
+            include_str!("../../border/schema/explain.schema.json"),
+            serde_json::to_value(explain_document(&status, &query)).unwrap(),
+        ),
+    ];
+    for (schema, answer) in answers {
+        let schema = serde_json::from_str(schema).unwrap();
+        let validator = jsonschema::draft7::new(&schema).unwrap();
+        let errors: Vec<_> = validator.iter_errors(&answer).collect();
+        assert!(errors.is_empty(), "{errors:?}");
+    }
+}
+
 /// Guards against metrics that grow with the number of routes and teams.
 #[test]
 fn label_sets_are_bounded() {
