Search ownership schedules with clocks that differ

Cause: The random schedules used equal clocks, and the conditions of the rule were not written down. Change: Clocks are up to 1 % wrong; the module lists the conditions.

--- a/crates/placement/src/owners.rs
+++ b/crates/placement/src/owners.rs
@@ -4,6 +4,16 @@
 //! lists no host there, one zone of the region that rendezvous hashing picks. Two hosts that are in
 //! contact with more than half of the same zone share a witness. That witness is what makes the
 //! times of [`OwnerTimes`] sufficient; hosts of two zones would share none.
+//!
+//! At most one host serves a key as long as
+//!
+//! - the rosters of the hosts of a zone differ by at most one host, and those of the region agree
+//!   within the takeover time on the zones that have hosts;
+//! - hosts acknowledge the newest incarnation of a name only, and in order;
+//! - each heartbeat carries an acknowledgement together with what its sender heard up to then;
+//! - clocks run at the same rate within a few parts in a hundred;
+//! - a process asks [`OwnerTable::may_serve`] right before it sends, and calls
+//!   [`OwnerTable::on_wake`] first after a pause.
 
 use std::{
     collections::HashSet,
--- a/crates/placement/tests/ownership.rs
+++ b/crates/placement/tests/ownership.rs
@@ -66,6 +66,7 @@
 struct Process {
     incarnation: u64,
     started: u64,
+    clock_mille: u64,
     paused_until: u64,
     table: OwnerTable,
     seen: Vec<Option<(u64, MonoTime)>>,
@@ -83,6 +84,7 @@
         Self {
             incarnation,
             started: at,
+            clock_mille: 990 + (incarnation * 7 + n as u64 * 10) % 21,
             paused_until: 0,
             table,
             seen: vec![None; count],
@@ -93,9 +95,9 @@
         }
     }
 
-    /// Each process has a clock of its own that starts with it.
+    /// Each process has a clock of its own that starts with it and is up to 1 % wrong.
     fn now(&self, at: u64) -> MonoTime {
-        MonoTime::from_millis(at - self.started)
+        MonoTime::from_micros((at - self.started) * self.clock_mille)
     }
 
     fn receive(&mut self, own: usize, beat: Beat, now: MonoTime) {
