Drop idle connections between hosts

Cause: an idle connection may have gone silent, and a host of a large fleet would keep one to each other host. Change: connections idle for 30 s are replaced at the next use and closed by sweep_idle; the test of the planned stop also checks that the server waits for the request.

--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -6,6 +6,7 @@
         Arc,
         atomic::{
             AtomicU8,
+            AtomicU64,
             Ordering, //
         },
     },
@@ -87,6 +88,10 @@
 /// Longest time for the answer to a ping.
 const PING_MAX: Duration = Duration::from_secs(1);
 
+/// Longest time that a connection stays idle. It may have gone silent meanwhile, and a host in a large
+/// fleet would else keep a connection to every other one.
+const IDLE_MAX: Duration = Duration::from_secs(30);
+
 /// Most data that waits in one stream's send buffer, in bytes.
 const SEND_BUFFER_MAX: usize = 64 << 10;
 
@@ -98,6 +103,15 @@
     sender: OnceCell<SendRequest<ClientBody>>,
     /// Format version that the peer understands.
     version: AtomicU8,
+    /// Milliseconds from the start of the client to the last use.
+    used_at: AtomicU64,
+}
+
+impl PeerLink {
+    fn is_idle(&self, now_millis: u64) -> bool {
+        let idle = now_millis.saturating_sub(self.used_at.load(Ordering::Relaxed));
+        Duration::from_millis(idle) > IDLE_MAX
+    }
 }
 
 /// Connections to all peers.
@@ -105,6 +119,7 @@
 pub struct PeerClient {
     links: ShardMap<SocketAddr, Arc<PeerLink>>,
     codec: PeerCodec,
+    started_at: Instant,
 }
 
 impl Default for PeerClient {
@@ -164,24 +179,40 @@
         Self {
             links: ShardMap::new(),
             codec,
+            started_at: Instant::now(),
         }
     }
 
     fn link_to(&self, address: SocketAddr) -> Arc<PeerLink> {
+        let now = self.millis();
         let make = || {
             Arc::new(PeerLink {
                 sender: OnceCell::new(),
                 version: AtomicU8::new(self.codec.highest().get()),
+                used_at: AtomicU64::new(now),
             })
         };
         self.links.with_or_insert(&address, make, |link| {
-            if link.sender.get().is_some_and(SendRequest::is_closed) {
+            if link.sender.get().is_some_and(SendRequest::is_closed) || link.is_idle(now) {
                 *link = make();
             }
+            link.used_at.store(now, Ordering::Relaxed);
             link.clone()
         })
     }
 
+    fn millis(&self) -> u64 {
+        u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Closes connections that have been idle for 30 s; requests under way on them go on. Returns
+    /// the number of those that stay.
+    pub fn sweep_idle(&self) -> usize {
+        let now = self.millis();
+        self.links.retain(|_, link| !link.is_idle(now));
+        self.links.len()
+    }
+
     /// Lets later calls make a new connection; requests under way on this one go on.
     fn replace(&self, address: SocketAddr, link: &Arc<PeerLink>) {
         self.links
--- a/crates/peer/tests/transport.rs
+++ b/crates/peer/tests/transport.rs
@@ -278,6 +278,22 @@
     assert_eq!(answer, PeerMessage::Accepted);
 }
 
+/// Guards against a host that keeps a connection to every other one, and against a request on a
+/// connection that went silent while it was idle.
+#[tokio::test]
+async fn idle_connection_is_dropped() {
+    let (address, _stop) = start(PeerCodec::new()).await;
+    let client = PeerClient::new();
+    client.call(address, probe(), soon()).await.unwrap();
+    assert_eq!(client.sweep_idle(), 1);
+    tokio::time::pause();
+    tokio::time::advance(Duration::from_secs(31)).await;
+    tokio::time::resume();
+    assert_eq!(client.sweep_idle(), 0);
+    let answer = client.call(address, probe(), soon()).await.unwrap();
+    assert_eq!(answer, PeerMessage::Accepted);
+}
+
 /// Guards against a forwarded request that waits for its whole deadline on a silent connection.
 #[tokio::test]
 async fn ping_ends_a_forwarded_request_on_a_silent_connection() {
@@ -388,6 +404,10 @@
         }
     };
     assert!(!matches!(error, PeerError::TimedOut), "{error}");
+    assert!(
+        !served.is_finished(),
+        "the server did not wait for the request"
+    );
     may_end.notify_one();
     let response = first.await.unwrap().unwrap();
     assert_eq!(body_of(response).await, "whole");
