Test that stalled uploads do not hold up messages between hosts

Cause: all streams to a peer share one connection, and its flow-control window. Change: a test with 16 uploads whose target reads nothing. Conclusion: heartbeats pass beside stalled uploads.

--- a/crates/peer/tests/transport.rs
+++ b/crates/peer/tests/transport.rs
@@ -278,6 +278,40 @@
     assert_eq!(answer, PeerMessage::Accepted);
 }
 
+/// Guards against heartbeats that wait behind uploads whose target reads slowly.
+#[tokio::test]
+async fn stalled_uploads_do_not_hold_up_messages() {
+    const UPLOADS: u32 = 16;
+    let server = PeerServer::new(LOOPBACK).await.unwrap();
+    let address = server.address().unwrap();
+    let (_stop, stopped) = watch::channel(false);
+    let begun = Arc::new(tokio::sync::Semaphore::new(0));
+    let has_begun = begun.clone();
+    let stall = move |_: ForwardHead, request: Request<Incoming>| {
+        begun.add_permits(1);
+        async move {
+            std::future::pending::<()>().await;
+            drop(request);
+            Response::new(Full::<Bytes>::default())
+        }
+    };
+    tokio::spawn(server.serve(on_message, stall, stopped));
+    let client = Arc::new(PeerClient::new());
+    for _ in 0..UPLOADS {
+        let (client, sent) = (client.clone(), Arc::default());
+        let body = BlockBody { left: 16, sent };
+        let request = Request::post("/documents").body(body).unwrap();
+        tokio::spawn(async move { client.forward(address, head(), request, soon()).await });
+    }
+    let all_begun = has_begun.acquire_many(UPLOADS).await;
+    all_begun.unwrap().forget();
+    // The uploads fill their windows meanwhile.
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let deadline = Instant::now() + Duration::from_secs(5);
+    let answer = client.call(address, probe(), deadline).await;
+    assert_eq!(answer.unwrap(), PeerMessage::Accepted);
+}
+
 /// Guards against a host that keeps a connection to every other one, and against a request on a
 /// connection that went silent while it was idle.
 #[tokio::test]
