--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -278,7 +278,7 @@
     );
 }
 
-/// Guards against a panic on any bytes, and against two encodings of one message.
+/// Guards against a panic on any bytes, and against a message that cannot be encoded again.
 #[test]
 fn mutated_bytes_never_panic() {
     fn check(choice: usize, changes: Vec<(usize, u8)>, cut: usize) -> bool {
