Draw less often and bring small teams' tokens together

Cause: with the first broker, 31 to 43 % of the requests within the rate were refused when a team's load came to one host: collections 10 ms apart used up the allowance and brought nothing, and tokens of small teams expired in parts of less than one on many hosts.

Change: a broker collects at most four times in the life of a token and takes all that a giver can spare. Hosts refill from the first broker of the fleet, and from that of their zone after two refills without an answer. A refill that would not complete one token is left empty. A host keeps tokens for its own demand only where its share of the burst is four or more. Allowances are a setting of the broker.

--- a/crates/limits/src/account.rs
+++ b/crates/limits/src/account.rs
@@ -22,19 +22,31 @@
 };
 
 /// Time after which a draw without a grant no longer holds up the next one.
-const DRAW_PENDING: Duration = Duration::from_millis(100);
+const DRAW_PENDING: Duration = Duration::from_millis(20);
 
 /// Time after which the grant of a draw is no longer taken.
 const DRAW_OPEN: Duration = Duration::from_secs(1);
 
-/// Pause after an empty grant; it doubles up to [`DRAW_PAUSE_MAX`]. Teams above their rate would
-/// otherwise draw without end on every host.
-const DRAW_PAUSE_MIN: Duration = Duration::from_millis(50);
+/// Pause after a grant of less than half of what was wanted; it doubles up to [`DRAW_PAUSE_MAX`].
+/// Teams above their rate would otherwise draw without end on every host.
+const DRAW_PAUSE_MIN: Duration = Duration::from_millis(10);
 const DRAW_PAUSE_MAX: Duration = Duration::from_millis(800);
 
+/// Least share of a burst at which a host keeps tokens for its own demand. Hosts with a smaller one
+/// seldom complete a token, and what they keep would expire in parts of less than one.
+const KEEPING_SHARE: TokenAmount = TokenAmount::from_whole(4);
+
 /// Most drawers whose last draw is remembered, to recognise doubled draws.
 const DRAWERS_MAX: usize = 64;
 
+/// A draw whose grant has not come.
+#[derive(Clone, Copy, Debug)]
+struct OpenDraw {
+    sent_at: MonoTime,
+    wanted: TokenAmount,
+    purpose: DrawPurpose,
+}
+
 /// Tokens of one team on one host, its open draws and its demand.
 #[derive(Debug)]
 pub(crate) struct TeamAccount {
@@ -44,7 +56,8 @@
     touched_at: MonoTime,
     epoch: u64,
     demand: DemandMeter,
-    open_draws: IndexMap<u64, (MonoTime, DrawPurpose)>,
+    open_draws: IndexMap<u64, OpenDraw>,
+    is_unmet: bool,
     drawers: IndexMap<HostId, (HostIncarnation, u64)>,
     next_draw_at: MonoTime,
     draw_pause: Duration,
@@ -60,6 +73,7 @@
             epoch,
             demand: DemandMeter::default(),
             open_draws: IndexMap::new(),
+            is_unmet: false,
             drawers: IndexMap::new(),
             next_draw_at: MonoTime::START,
             draw_pause: DRAW_PAUSE_MIN,
@@ -125,13 +139,18 @@
         if is_enough {
             self.lots.withdraw(TokenAmount::ONE);
         }
+        self.is_unmet = !is_enough;
         is_enough
     }
 
+    /// Returns what the balance lacks to one token.
+    pub(crate) fn missing_to_one(&self) -> TokenAmount {
+        TokenAmount::ONE.saturating_sub(self.balance())
+    }
+
     /// Returns how long minting alone takes to complete one token.
     pub(crate) fn time_to_one(&self) -> Duration {
-        let missing = TokenAmount::ONE.saturating_sub(self.balance());
-        let missing = BurstSize::from_micros(missing.as_micros());
+        let missing = BurstSize::from_micros(self.missing_to_one().as_micros());
         missing
             .accrual_time(self.terms.share())
             .unwrap_or(Duration::MAX)
@@ -143,39 +162,69 @@
 
     /// Tells whether a draw is on its way, so that a waiting request may still be served.
     pub(crate) fn is_draw_pending(&self, now: MonoTime) -> bool {
-        let is_recent = |(sent_at, _): &(MonoTime, _)| now.since(*sent_at) < DRAW_PENDING;
+        let is_recent = |draw: &OpenDraw| now.since(draw.sent_at) < DRAW_PENDING;
         self.open_draws.values().any(is_recent)
     }
 
     fn is_refill_pending(&self, now: MonoTime) -> bool {
-        self.open_draws.values().any(|&(sent_at, purpose)| {
-            purpose == DrawPurpose::Refill && now.since(sent_at) < DRAW_PENDING
+        self.open_draws.values().any(|draw| {
+            draw.purpose == DrawPurpose::Refill && now.since(draw.sent_at) < DRAW_PENDING
         })
     }
 
+    /// Counts refills without an answer in the last second. One may be a lost message.
+    pub(crate) fn unanswered_refills(&self, now: MonoTime) -> usize {
+        let is_unanswered = |draw: &&OpenDraw| {
+            draw.purpose == DrawPurpose::Refill
+                && (DRAW_PENDING..=DRAW_OPEN).contains(&now.since(draw.sent_at))
+        };
+        self.open_draws.values().filter(is_unanswered).count()
+    }
+
     /// Returns what this host can give without running short itself.
     pub(crate) fn surplus(&self, now: MonoTime) -> TokenAmount {
-        self.balance().saturating_sub(self.target(now))
+        let share = self.terms.burst.as_micros() / u64::from(self.terms.minters.max(1));
+        let has_demand = !self.demand.level_at(now).is_zero();
+        let kept = match has_demand && share >= KEEPING_SHARE.as_micros() {
+            true => self.target(now).saturating_add(TokenAmount::ONE),
+            false => TokenAmount::ZERO,
+        };
+        self.balance().saturating_sub(kept)
     }
 
     /// Returns the tokens that the next draw should ask for, if one is due.
+    ///
+    /// A host with few requests draws only when one finds no token; others draw ahead of need.
     pub(crate) fn due_draw(&self, now: MonoTime) -> Option<TokenAmount> {
         let is_held_up = now < self.next_draw_at || self.is_refill_pending(now);
         let is_useless = self.terms.life().is_zero()
             || self.terms.burst.as_micros() < TokenAmount::ONE.as_micros();
-        if is_held_up || is_useless || self.demand.level_at(now).is_zero() {
+        if is_held_up || is_useless {
             return None;
         }
-        let target = self.target(now).max(TokenAmount::ONE);
-        let half = TokenAmount::from_micros(target.as_micros() / 2).max(TokenAmount::ONE);
-        let balance = self.balance();
-        (balance < half).then(|| target.saturating_sub(balance))
+        let (target, balance) = (self.target(now), self.balance());
+        let least = TokenAmount::from_micros(target.as_micros() / 3);
+        let is_low = target >= TokenAmount::ONE && balance < least.max(TokenAmount::ONE);
+        let is_short = self.is_unmet && balance < TokenAmount::ONE;
+        let wanted = target.max(TokenAmount::ONE).saturating_sub(balance);
+        (is_low || is_short).then_some(wanted)
     }
 
-    pub(crate) fn open_draw(&mut self, sequence: u64, purpose: DrawPurpose, now: MonoTime) {
+    pub(crate) fn open_draw(
+        &mut self,
+        sequence: u64,
+        wanted: TokenAmount,
+        purpose: DrawPurpose,
+        now: MonoTime,
+    ) {
         self.open_draws
-            .retain(|_, (sent_at, _)| now.since(*sent_at) <= DRAW_OPEN);
-        self.open_draws.insert(sequence, (now, purpose));
+            .retain(|_, draw| now.since(draw.sent_at) <= DRAW_OPEN);
+        let draw = OpenDraw {
+            sent_at: now,
+            wanted,
+            purpose,
+        };
+        self.open_draws.insert(sequence, draw);
     }
 
     /// Deducts what a draw may have: all but what this host is about to need itself.
@@ -194,7 +243,11 @@
             self.drawers.shift_remove_index(0);
         }
         self.drawers.insert(draw.id.host.clone(), stamp);
-        let lots = self.lots.withdraw(self.surplus(now).min(draw.wanted));
+        let given = self.surplus(now).min(draw.wanted);
+        let is_useful = given >= draw.least;
+        let lots = self
+            .lots
+            .withdraw(if is_useful { given } else { TokenAmount::ZERO });
         let granted = |lot: TokenLot| GrantedLot {
             amount: lot.amount,
             first_left: lot.first.since(now),
@@ -212,7 +265,8 @@
     ///
     /// Their life counts from the time at which the draw was sent, which is before the deduction.
     pub(crate) fn accept(&mut self, grant: &TokenGrant, now: MonoTime) -> Option<TokenAmount> {
-        let (sent_at, purpose) = self.open_draws.swap_remove(&grant.draw.sequence)?;
+        let draw = self.open_draws.swap_remove(&grant.draw.sequence)?;
+        let sent_at = draw.sent_at;
         if now.since(sent_at) > DRAW_OPEN {
             return None;
         }
@@ -230,14 +284,14 @@
         for lot in lots.withdraw(amount) {
             self.lots.insert(lot);
         }
-        if purpose == DrawPurpose::Refill {
-            self.pace_draws(amount, now);
+        if draw.purpose == DrawPurpose::Refill {
+            self.pace_draws(amount.as_micros() < draw.wanted.as_micros() / 2, now);
         }
         Some(amount)
     }
 
-    fn pace_draws(&mut self, received: TokenAmount, now: MonoTime) {
-        if received.is_zero() {
+    fn pace_draws(&mut self, is_poor: bool, now: MonoTime) {
+        if is_poor {
             self.next_draw_at = now.after(self.draw_pause);
             self.draw_pause = (self.draw_pause * 2).min(DRAW_PAUSE_MAX);
         } else {
--- a/crates/limits/src/allowance.rs
+++ b/crates/limits/src/allowance.rs
@@ -1,23 +1,29 @@
 //! Bound on the draws that one host sends.
 //!
-//! A draw takes about 60 bytes and a grant about 110 with two lots, so that a draw that is answered
-//! costs 170 bytes at each end. [`DRAWS_PER_SECOND`] is 24: a host sends and answers on average at
-//! most 24 draws a second each, 2 x 24 x 170 = 8.2 KB/s in the worst case, below the 9 KB/s of the
-//! design size, and the bound does not depend on the number of hosts or teams.
+//! A draw takes about 60 bytes and a grant about 110 with two lots, so that an answered draw costs
+//! 170 bytes at each end. A host that sends `d` draws a second answers as many on average, which
+//! makes 340 x `d` bytes a second at most.
 //!
-//! - 48 hosts, 8 teams: a team whose whole load is at one host needs about 4 refills a second there
-//!   and, at its broker, collections from 15 hosts of the zone and 2 brokers.
-//! - 1,700 hosts, 10 zones: a broker has 169 hosts in its zone and 9 brokers elsewhere. It visits
-//!   them in turn as the allowance permits; 1,700 hosts send at most 40,800 draws a second in all.
+//! - 48 hosts, 8 teams, a burst of one second: a broker visits the 17 givers twice in the life of a
+//!   token, and 8 teams have 24 brokers. That makes 8 x (17 + 2 x 15) x 2 = 752 draws a second in the
+//!   fleet, 16 for each host, and about 3 refills a second of each team. [`SMALL_FLEET`] allows 96,
+//!   because one host may be the broker of several teams.
+//! - 1,700 hosts, 10 zones: [`LARGE_FLEET`] allows 24 draws a second, at most 24 x 340 = 8.2 KB/s of
+//!   the 9 KB/s for control. A broker visits the 169 hosts of its zone in turn as that permits; the
+//!   bound does not grow with the number of teams.
+
+use std::time::Duration;
 
 use chicorycroft_core::prelude::*;
 
-/// Draws that a host may send each second in the long run.
-pub const DRAWS_PER_SECOND: u32 = 24;
+/// Draws a second that a host of a small fleet may send.
+pub const SMALL_FLEET: RequestRate = RequestRate::from_whole(96);
+
+/// Draws a second that a host of a fleet of the design size may send.
+pub const LARGE_FLEET: RequestRate = RequestRate::from_whole(24);
 
-/// Draws that a host may send at once: two collections from the 17 givers of a fleet of 48 hosts
-/// in 3 zones, with room for refills.
-pub const DRAWS_AT_ONCE: u32 = 48;
+/// Time over which unused draws add up: two collections one after the other.
+const SAVED_FOR: Duration = Duration::from_secs(2);
 
 /// Draws that only refills may use, so that collecting for others never stops a host's own.
 const REFILLS_AT_ONCE: u32 = 8;
@@ -25,23 +31,25 @@
 /// Counts the draws that a host may send now.
 #[derive(Clone, Copy, Debug)]
 pub struct DrawAllowance {
+    rate: RequestRate,
     level: TokenAmount,
     counted_until: MonoTime,
 }
 
 impl DrawAllowance {
-    /// Makes a full allowance.
-    pub fn new(now: MonoTime) -> Self {
+    /// Makes a full allowance of a number of draws a second.
+    pub fn new(rate: RequestRate, now: MonoTime) -> Self {
         Self {
-            level: TokenAmount::from_whole(DRAWS_AT_ONCE),
+            rate,
+            level: rate.accrued_over(SAVED_FOR),
             counted_until: now,
         }
     }
 
     fn fill(&mut self, now: MonoTime) {
         let elapsed = now.since(self.counted_until);
-        let accrued = RequestRate::from_whole(DRAWS_PER_SECOND).accrued_over(elapsed);
-        let limit = TokenAmount::from_whole(DRAWS_AT_ONCE);
+        let accrued = self.rate.accrued_over(elapsed);
+        let limit = self.rate.accrued_over(SAVED_FOR);
         self.level = self.level.saturating_add(accrued).min(limit);
         self.counted_until = self.counted_until.max(now);
     }
--- a/crates/limits/src/broker.rs
+++ b/crates/limits/src/broker.rs
@@ -1,9 +1,13 @@
 //! Collects surplus and hands it to hosts that are short.
 //!
-//! A team's broker is one host of each zone. It works only while some host is short of the team's
+//! A team has one broker in each zone. A broker works only while some host is short of the team's
 //! tokens: it asks the hosts of its zone and the brokers of the other zones for what they can
 //! spare, keeps half a second of demand in its host's ledger, and answers refills from there. A
 //! refill that finds too little waits for the collection, a few milliseconds at most.
+//!
+//! Hosts refill from the first broker of the fleet, so that the tokens of a small team come together
+//! in one place instead of lying in parts of less than one token in each zone. While that broker
+//! does not answer, they refill from the one of their own zone.
 
 use std::sync::{
     Mutex,
@@ -68,12 +72,12 @@
 }
 
 impl TokenBroker {
-    /// Makes the broker of a host in a zone.
-    pub fn new(zone: ZoneId, now: MonoTime) -> Self {
+    /// Makes the broker of a host in a zone, which may send a number of draws a second.
+    pub fn new(zone: ZoneId, draws: RequestRate, now: MonoTime) -> Self {
         Self {
             zone,
             desks: ShardMap::new(),
-            allowance: Mutex::new(DrawAllowance::new(now)),
+            allowance: Mutex::new(DrawAllowance::new(draws, now)),
         }
     }
 
@@ -88,10 +92,14 @@
     ///
     /// Call it after each `try_take`, so that a host draws before it is empty.
     pub fn refill(&self, team: &TeamId, context: &BrokerContext<'_>) -> Vec<TokenLetter> {
-        let Some(broker) = context.roster.broker_of(&self.zone, team) else {
+        let (ledger, now) = (context.ledger, context.now);
+        let broker = match ledger.is_broker_silent(team, now) {
+            false => context.roster.home_of(team),
+            true => context.roster.broker_of(&self.zone, team),
+        };
+        let Some(broker) = broker else {
             return Vec::new();
         };
-        let (ledger, now) = (context.ledger, context.now);
         if !ledger.is_draw_due(team, &context.terms, now)
             || !self.with_allowance(|allowance| allowance.take_refill(now))
         {
@@ -124,7 +132,8 @@
             || TeamDesk::new(now),
             |desk| {
                 desk.record_draw(draw.wanted, now);
-                let is_short = context.surplus(&team) < half_of(draw.wanted);
+                let is_short = context.surplus(&team)
+                    < half_of(draw.wanted).max(TokenAmount::ONE.min(draw.wanted));
                 let mut letters = Vec::new();
                 if is_short {
                     desk.wait(draw, now);
@@ -132,7 +141,7 @@
                     letters.extend(context.answer(&draw));
                 }
                 letters.extend(self.collect(desk, &team, purpose, is_short, context));
-                if desk.is_complete() {
+                if desk.is_complete(context.now) {
                     letters.extend(Self::answer_all(desk, context));
                 }
                 letters
@@ -149,10 +158,10 @@
         is_urgent: bool,
         context: &BrokerContext<'_>,
     ) -> Vec<TokenLetter> {
-        let (ledger, now) = (context.ledger, context.now);
+        let (ledger, now, life) = (context.ledger, context.now, context.terms.life());
         let surplus = context.surplus(team);
-        let need = desk.need(surplus, context.terms.life(), now);
-        if !desk.may_collect(is_urgent, now) || (!is_urgent && need < surplus) {
+        let need = desk.need(surplus, life, now);
+        if !desk.may_collect(is_urgent, life, now) || (!is_urgent && need < surplus) {
             return Vec::new();
         }
         let mut givers = self.givers(team, purpose, context);
@@ -160,20 +169,33 @@
         let allowed = self.with_allowance(|allowance| allowance.take_collection(count, now));
         givers.rotate_left(desk.cursor % count.max(1));
         desk.cursor = (desk.cursor + allowed) % count.max(1);
-        // Some givers have less than others; asking each for twice its part makes up for them.
-        let part = divided(need, count).saturating_add(divided(need, count));
-        let wanted = part.max(TokenAmount::ONE);
         let of = (team, &context.terms);
         let draws: Vec<_> = givers
             .into_iter()
             .take(allowed)
-            .filter_map(|(to, purpose)| Some((to, ledger.draw_surplus(of, wanted, purpose, now)?)))
+            .filter_map(|(to, purpose)| {
+                let wanted = self.part_of(purpose, context);
+                Some((to, ledger.draw_surplus(of, wanted, purpose, now)?))
+            })
             .collect();
         desk.begin_collection(draws.iter().map(|(_, draw)| draw.id.sequence), now);
         let letter = |(to, draw)| TokenLetter::with_draw(to, draw);
         draws.into_iter().map(letter).collect()
     }
 
+    /// Returns the most that one giver can have minted. A smaller part would need a second visit.
+    fn part_of(&self, purpose: DrawPurpose, context: &BrokerContext<'_>) -> TokenAmount {
+        let terms = &context.terms;
+        let minters = usize::try_from(terms.minters).unwrap_or(usize::MAX);
+        let burst = TokenAmount::from_micros(terms.burst.as_micros());
+        let hosts = match purpose {
+            DrawPurpose::ZoneSurplus => context.roster.hosts_in(&self.zone).len(),
+            _ => 1,
+        };
+        let part = divided(burst, minters).as_micros();
+        TokenAmount::from_micros(part.saturating_mul(u64::try_from(hosts).unwrap_or(u64::MAX)))
+    }
+
     /// Lists whom to ask: the brokers of other zones only for hosts of this zone, so that a
     /// collection never goes on from zone to zone.
     fn givers(
@@ -205,7 +227,7 @@
         };
         let serve = |desk: &mut TeamDesk| {
             desk.record_grant(grant.draw.sequence, amount);
-            if desk.is_complete() {
+            if desk.is_complete(context.now) {
                 return Self::answer_all(desk, context);
             }
             Self::answer_some(desk, context)
@@ -232,7 +254,7 @@
             let count = desk.waiting.len();
             let mut draw = desk.waiting.remove(0).draw;
             let part = divided(context.surplus(&draw.team), count);
-            draw.wanted = draw.wanted.min(part);
+            draw.wanted = draw.wanted.min(part.max(draw.least));
             letters.extend(context.answer(&draw));
         }
         letters
--- a/crates/limits/src/demand.rs
+++ b/crates/limits/src/demand.rs
@@ -4,11 +4,14 @@
 
 use chicorycroft_core::prelude::*;
 
-/// Time over which demand is remembered. A host draws this far ahead of need, so that a steady
-/// team needs about four draws a second on a host.
-const DEMAND_MEMORY: Duration = Duration::from_millis(500);
+/// Time over which demand is remembered, so that a host with a request a second keeps a token.
+const DEMAND_MEMORY: Duration = Duration::from_secs(1);
 
-/// Requests of the last half second, older ones counting less.
+/// Longest time that a host draws ahead of need. Refills of two thirds of it make about three
+/// draws a second for a steady team.
+const DRAW_AHEAD: Duration = Duration::from_millis(500);
+
+/// Requests of the last second, older ones counting less.
 #[derive(Debug, Default)]
 pub struct DemandMeter {
     level: TokenAmount,
@@ -16,7 +19,7 @@
 }
 
 impl DemandMeter {
-    /// Returns the tokens that the demand of half a second needs.
+    /// Returns the tokens that the demand of a second needs.
     pub fn level_at(&self, now: MonoTime) -> TokenAmount {
         let memory = DEMAND_MEMORY.as_micros();
         let left = memory.saturating_sub(now.since(self.measured_at).as_micros());
@@ -32,7 +35,7 @@
 
     /// Returns the number of tokens to hold: the demand ahead, within half of a token's life.
     pub fn target(&self, life: Duration, now: MonoTime) -> TokenAmount {
-        let ahead = (life / 2).min(DEMAND_MEMORY).as_micros();
+        let ahead = (life / 2).min(DRAW_AHEAD).as_micros();
         let level = u128::from(self.level_at(now).as_micros());
         let micros = level * ahead / DEMAND_MEMORY.as_micros();
         TokenAmount::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
--- a/crates/limits/src/desk.rs
+++ b/crates/limits/src/desk.rs
@@ -13,11 +13,13 @@
     },
 };
 
-/// Least time between two collections while a draw waits for them: two message delays.
-const COLLECT_URGENT: Duration = Duration::from_millis(10);
+/// Collections in the life of a token while a draw waits, and otherwise. A giver that was just
+/// visited has nothing new, so that more collections cost messages and bring no tokens.
+const COLLECTIONS_URGENT: u32 = 4;
+const COLLECTIONS_AHEAD: u32 = 2;
 
-/// Least time between two collections ahead of need.
-const COLLECT_AHEAD: Duration = Duration::from_millis(250);
+/// Least time between two collections, whatever the life of a token.
+const COLLECT_LEAST: Duration = Duration::from_millis(25);
 
 /// Longest time between two collections that brought nothing, for teams above their rate.
 const COLLECT_PAUSE_MAX: Duration = Duration::from_secs(1);
@@ -63,7 +65,7 @@
             demand: DemandMeter::default(),
             collected: TokenAmount::ZERO,
             sent_at: None,
-            pause: COLLECT_URGENT,
+            pause: COLLECT_LEAST,
             drawn_at: now,
             cursor: 0,
         }
@@ -97,22 +99,22 @@
     }
 
     /// Tells whether a collection may be sent.
-    pub(crate) fn may_collect(&self, is_urgent: bool, now: MonoTime) -> bool {
-        let least = if is_urgent {
-            COLLECT_URGENT
-        } else {
-            COLLECT_AHEAD
+    pub(crate) fn may_collect(&self, is_urgent: bool, life: Duration, now: MonoTime) -> bool {
+        let least = match is_urgent {
+            true => life / COLLECTIONS_URGENT,
+            false => life / COLLECTIONS_AHEAD,
         };
+        let least = least.min(COLLECT_PAUSE_MAX);
         self.sent_at
             .is_none_or(|sent_at| now.since(sent_at) >= self.pause.max(least))
     }
 
     /// Notes that a collection starts. One that brought nothing doubles the pause after it.
     pub(crate) fn begin_collection(&mut self, sequences: impl Iterator<Item = u64>, now: MonoTime) {
-        let is_fruitless = self.sent_at.is_some() && self.collected.is_zero();
+        let is_fruitless = self.sent_at.is_some() && self.collected < TokenAmount::ONE;
         self.pause = match is_fruitless {
             true => (self.pause * 2).min(COLLECT_PAUSE_MAX),
-            false => COLLECT_URGENT,
+            false => COLLECT_LEAST,
         };
         self.collected = TokenAmount::ZERO;
         self.sent_at = Some(now);
@@ -125,9 +127,11 @@
         self.collected = self.collected.saturating_add(amount);
     }
 
-    /// Tells whether all draws of the last collection have been answered.
-    pub(crate) fn is_complete(&self) -> bool {
-        self.open.is_empty()
+    /// Tells whether nothing more is expected of the last collection.
+    pub(crate) fn is_complete(&self, now: MonoTime) -> bool {
+        let patience = patience_of(DrawPurpose::Refill);
+        let is_over = |sent_at: MonoTime| now.since(sent_at) >= patience;
+        self.open.is_empty() || self.sent_at.is_none_or(is_over)
     }
 
     /// Tells whether no host has been short for a while.
--- a/crates/limits/src/draws.rs
+++ b/crates/limits/src/draws.rs
@@ -31,7 +31,7 @@
 /// What a draw is for, which decides how far it reaches.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub enum DrawPurpose {
-    /// A short host asks the broker of its zone, which may ask the whole fleet.
+    /// A short host asks a broker, which may ask the whole fleet.
     Refill,
     /// A broker asks the broker of another zone, which may ask its own zone.
     ZoneSurplus,
@@ -48,6 +48,8 @@
     pub team: TeamId,
     /// Tokens that the drawer can use.
     pub wanted: TokenAmount,
+    /// Tokens below which a grant is of no use, as they would not complete one token.
+    pub least: TokenAmount,
     /// Time of sending, by the drawer's clock.
     pub sent_at: MonoTime,
     /// How far the draw reaches.
--- a/crates/limits/src/ledger.rs
+++ b/crates/limits/src/ledger.rs
@@ -126,6 +126,12 @@
         self.with_account(team, terms, now, is_due).unwrap_or(false)
     }
 
+    /// Tells whether a broker seems to be away: two refills of the last second got no answer.
+    pub fn is_broker_silent(&self, team: &TeamId, now: MonoTime) -> bool {
+        let count = |account: &mut TeamAccount| account.unanswered_refills(now);
+        self.accounts.with(team, count).unwrap_or(0) >= 2
+    }
+
     /// Returns the draw to send to the team's broker, if the host is short and none is open.
     pub fn draw_wish(&self, team: &TeamId, terms: &LimitTerms, now: MonoTime) -> Option<TokenDraw> {
         let make = |account: &mut TeamAccount| {
@@ -156,7 +162,7 @@
         now: MonoTime,
     ) -> TokenDraw {
         let sequence = self.last_sequence.fetch_add(1, Ordering::SeqCst) + 1;
-        account.open_draw(sequence, purpose, now);
+        account.open_draw(sequence, wanted, purpose, now);
         TokenDraw {
             id: DrawId {
                 host: self.host.clone(),
@@ -165,6 +171,10 @@
             },
             team: team.clone(),
             wanted,
+            least: match purpose {
+                DrawPurpose::Refill => account.missing_to_one(),
+                _ => TokenAmount::ZERO,
+            },
             sent_at: now,
             purpose,
         }
--- a/crates/limits/src/roster.rs
+++ b/crates/limits/src/roster.rs
@@ -32,6 +32,14 @@
         rendezvous::first_of(team.as_str(), self.hosts_in(zone), HostId::as_str)
     }
 
+    /// Returns the first broker of a team in the fleet, where what moves across zones comes together.
+    ///
+    /// It is the first of all hosts, and hence the broker of its own zone.
+    pub fn home_of(&self, team: &TeamId) -> Option<&HostId> {
+        let hosts = self.zones.values().flatten();
+        rendezvous::first_of(team.as_str(), hosts, HostId::as_str)
+    }
+
     /// Returns the brokers of a team in the other zones.
     pub fn brokers_outside<'a>(
         &'a self,
