Split the rates experiment and test grants of a former process

Change: the fleet in virtual time is a module of its own. The test gives a restarted host an open draw with the same sequence as that of the former process.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,6 +3,7 @@
 //! - [`fairness`]: the share of the worst-served team while another one sends too much.
 //! - [`owners`]: how evenly rendezvous hashing spreads targets over hosts.
 //! - [`rates`]: refusals within the rate, overshoot and cost of moving tokens between hosts.
+//! - [`rates_driver`]: the fleet in virtual time on which `rates` runs.
 
 use std::process::ExitCode;
 
@@ -12,6 +13,7 @@
 mod fairness;
 mod owners;
 mod rates;
+mod rates_driver;
 
 /// Exit status for a command line that is not valid, as `sysexits` has it.
 const EXIT_USAGE: u8 = 64;
--- /dev/null
+++ b/crates/bench/src/rates_driver.rs
@@ -0,0 +1,385 @@
+//! A fleet of ledgers and brokers in virtual time, with delays and losses of its messages.
+
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap, //
+};
+
+use chicorycroft_core::prelude::*;
+use chicorycroft_limits::{
+    allowance::SMALL_FLEET,
+    prelude::*, //
+};
+use eyre::Result;
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
+use rand_chacha::ChaCha8Rng;
+
+pub(crate) const HOSTS: usize = 48;
+pub(crate) const ZONES: usize = 3;
+pub(crate) const TEAM_RATES: [u32; 8] = [10, 20, 50, 100, 100, 200, 400, 100];
+/// Tokens that each team may spend at once, as seconds of its rate.
+pub(crate) const BURST_SECONDS: u32 = 1;
+pub(crate) const RUN_SECONDS: u64 = 30;
+const DRAW_WAIT: u64 = 25_000;
+const TICK: u64 = 1_000;
+/// Bytes of a draw, of a grant without lots, and of each lot in bincode and an h2 data frame.
+const DRAW_BYTES: u64 = 60;
+const GRANT_BYTES: u64 = 70;
+const LOT_BYTES: u64 = 20;
+/// Pause of a host, and the time after which the roster no longer lists it.
+const PAUSE: (u64, u64, u64) = (10_000_000, 12_000_000, 16_000_000);
+
+/// What happens in one row of the table.
+#[derive(Clone, Copy)]
+pub(crate) struct RateCase {
+    pub(crate) name: &'static str,
+    /// Picks the host that a request of a team arrives at.
+    pub(crate) host_at: fn(team: usize, second: u64, random: u64) -> usize,
+    pub(crate) loss_mille: u32,
+    pub(crate) is_host_paused: bool,
+    /// Factor on the load of the last team.
+    pub(crate) excess: f64,
+    pub(crate) has_transfers: bool,
+}
+
+impl RateCase {
+    fn is_within_rate(&self, team: usize) -> bool {
+        team + 1 < TEAM_RATES.len() || self.excess <= 1.0
+    }
+}
+
+enum RateEvent {
+    Request { team: usize },
+    Letter { to: usize, message: TokenMessage },
+    Tick,
+}
+
+/// A request that waits for a grant.
+struct WaitingRequest {
+    team: usize,
+    since: u64,
+    is_ideal: bool,
+}
+
+/// One host of the fleet with its own clock.
+pub(crate) struct BenchHost {
+    ledger: TokenLedger,
+    broker: TokenBroker,
+    waiting: Vec<WaitingRequest>,
+    offset: u64,
+    pub(crate) bytes: u64,
+    is_asleep: bool,
+}
+
+/// One bucket for the whole fleet, as an ideal to compare with.
+struct IdealBucket {
+    level: f64,
+    filled_at: u64,
+}
+
+/// What was counted in one row.
+#[derive(Default)]
+pub(crate) struct RateCounts {
+    pub(crate) requests: u64,
+    pub(crate) false_refusals: u64,
+    pub(crate) waits: Vec<u64>,
+    pub(crate) spent_at: Vec<Vec<u64>>,
+}
+
+impl RateCounts {
+    fn refuse(&mut self, team: usize, is_ideal: bool, case: &RateCase) {
+        self.false_refusals += u64::from(is_ideal && case.is_within_rate(team));
+    }
+}
+
+pub(crate) struct RateBench {
+    pub(crate) case: RateCase,
+    /// Separate streams, so that both kinds see the same requests.
+    arrivals: ChaCha8Rng,
+    network: ChaCha8Rng,
+    pub(crate) hosts: Vec<BenchHost>,
+    teams: Vec<(TeamId, LimitTerms)>,
+    ideal: Vec<IdealBucket>,
+    roster: ZoneRoster,
+    events: BinaryHeap<Reverse<(u64, u64)>>,
+    pending: Vec<Option<RateEvent>>,
+    pub(crate) counts: RateCounts,
+    now: u64,
+}
+
+fn host_id(host: usize) -> Result<HostId> {
+    Ok(HostId::new(&format!("entry-{host}"))?)
+}
+
+fn zone_id(host: usize) -> Result<ZoneId> {
+    Ok(ZoneId::new(&format!("zone-{}", host % ZONES))?)
+}
+
+fn roster_without(absent: Option<usize>) -> Result<ZoneRoster> {
+    let live = (0..HOSTS).filter(|&host| Some(host) != absent);
+    let hosts: Result<Vec<_>> = live
+        .map(|host| Ok((host_id(host)?, zone_id(host)?)))
+        .collect();
+    Ok(ZoneRoster::new(hosts?))
+}
+
+fn make_host(host: usize, random: &mut ChaCha8Rng) -> Result<BenchHost> {
+    let offset = random.random_range(0..1_000_000_000);
+    let start = MonoTime::from_micros(offset);
+    Ok(BenchHost {
+        ledger: TokenLedger::new(host_id(host)?, HostIncarnation::new(1), start),
+        broker: TokenBroker::new(zone_id(host)?, SMALL_FLEET, start),
+        waiting: Vec::new(),
+        offset,
+        bytes: 0,
+        is_asleep: false,
+    })
+}
+
+fn make_team(number: usize) -> Result<(TeamId, LimitTerms)> {
+    let rate = TEAM_RATES[number];
+    let burst = BurstSize::from_whole(rate * BURST_SECONDS);
+    let terms = LimitTerms::new(RequestRate::from_whole(rate), burst, HOSTS as u32, 1);
+    Ok((TeamId::new(&format!("team-{number}"))?, terms))
+}
+
+impl RateBench {
+    pub(crate) fn new(case: RateCase, seed: u64) -> Result<Self> {
+        let mut random = ChaCha8Rng::seed_from_u64(!seed);
+        let hosts: Result<Vec<_>> = (0..HOSTS).map(|at| make_host(at, &mut random)).collect();
+        let teams: Result<Vec<_>> = (0..TEAM_RATES.len()).map(make_team).collect();
+        let full = |&rate: &u32| IdealBucket {
+            level: f64::from(rate * BURST_SECONDS),
+            filled_at: 0,
+        };
+        let counts = RateCounts {
+            spent_at: vec![Vec::new(); TEAM_RATES.len()],
+            ..RateCounts::default()
+        };
+        Ok(Self {
+            case,
+            arrivals: ChaCha8Rng::seed_from_u64(seed),
+            network: random,
+            hosts: hosts?,
+            teams: teams?,
+            ideal: TEAM_RATES.iter().map(full).collect(),
+            roster: roster_without(None)?,
+            events: BinaryHeap::new(),
+            pending: Vec::new(),
+            counts,
+            now: 0,
+        })
+    }
+
+    fn schedule(&mut self, at: u64, event: RateEvent) {
+        self.events.push(Reverse((at, self.pending.len() as u64)));
+        self.pending.push(Some(event));
+    }
+
+    fn schedule_request(&mut self, team: usize) {
+        let is_last = team + 1 == TEAM_RATES.len();
+        let load = if is_last { self.case.excess } else { 0.8 };
+        let rate = f64::from(TEAM_RATES[team]) * load;
+        let part: f64 = self.arrivals.random_range(f64::EPSILON..1.0);
+        let gap = -part.ln() / rate * 1e6;
+        self.schedule(self.now + gap as u64, RateEvent::Request { team });
+    }
+
+    fn clock(&self, host: usize) -> MonoTime {
+        MonoTime::from_micros(self.hosts[host].offset + self.now)
+    }
+
+    fn context(&self, host: usize, team: usize) -> BrokerContext<'_> {
+        BrokerContext {
+            ledger: &self.hosts[host].ledger,
+            roster: &self.roster,
+            terms: self.teams[team].1,
+            now: self.clock(host),
+        }
+    }
+
+    fn number_of(&self, team: &TeamId) -> usize {
+        let is_team = |(other, _): &(TeamId, LimitTerms)| other == team;
+        self.teams.iter().position(is_team).unwrap_or(0)
+    }
+
+    fn send(&mut self, from: usize, letters: Vec<TokenLetter>) {
+        for letter in letters {
+            let name = letter.to.as_str().trim_start_matches("entry-");
+            let to: usize = name.parse().unwrap_or(0);
+            let bytes = match &letter.message {
+                TokenMessage::Draw(_) => DRAW_BYTES,
+                TokenMessage::Grant(grant) => GRANT_BYTES + LOT_BYTES * grant.lots.len() as u64,
+            };
+            self.hosts[from].bytes += bytes;
+            self.hosts[to].bytes += bytes;
+            let is_far = from % ZONES != to % ZONES;
+            let delay = self.network.random_range(300..600) + if is_far { 1_200 } else { 0 };
+            if self.network.random_range(0..1000) >= self.case.loss_mille {
+                let message = letter.message;
+                self.schedule(self.now + delay, RateEvent::Letter { to, message });
+            }
+        }
+    }
+
+    fn admit_by_ideal(&mut self, team: usize) -> bool {
+        let (rate, now) = (f64::from(TEAM_RATES[team]), self.now);
+        let bucket = &mut self.ideal[team];
+        let accrued = (now - bucket.filled_at) as f64 * rate / 1e6;
+        bucket.level = (bucket.level + accrued).min(rate * f64::from(BURST_SECONDS));
+        bucket.filled_at = now;
+        let is_admitted = bucket.level >= 1.0;
+        bucket.level -= f64::from(u8::from(is_admitted));
+        is_admitted
+    }
+
+    fn on_request(&mut self, team: usize) {
+        self.schedule_request(team);
+        let random = self.arrivals.random();
+        let host = (self.case.host_at)(team, self.now / 1_000_000, random);
+        let is_ideal = self.admit_by_ideal(team);
+        if self.hosts[host].is_asleep {
+            return;
+        }
+        self.counts.requests += u64::from(self.case.is_within_rate(team));
+        let (id, terms) = self.teams[team].clone();
+        let taken = self.hosts[host]
+            .ledger
+            .try_take(&id, &terms, self.clock(host));
+        let request = WaitingRequest {
+            team,
+            since: self.now,
+            is_ideal,
+        };
+        match taken {
+            Ok(()) => self.record_spent(&request),
+            Err(shortage) if shortage.is_draw_open && self.case.has_transfers => {
+                self.hosts[host].waiting.push(request);
+            }
+            Err(_) => self.counts.refuse(team, is_ideal, &self.case),
+        }
+        if self.case.has_transfers {
+            let letters = self.hosts[host]
+                .broker
+                .refill(&id, &self.context(host, team));
+            self.send(host, letters);
+        }
+    }
+
+    fn record_spent(&mut self, request: &WaitingRequest) {
+        self.counts.waits.push(self.now - request.since);
+        self.counts.spent_at[request.team].push(self.now);
+    }
+
+    fn retry_waiting(&mut self, host: usize) {
+        for request in std::mem::take(&mut self.hosts[host].waiting) {
+            let (id, terms) = &self.teams[request.team];
+            let now = self.clock(host);
+            if self.hosts[host].ledger.take_after_wait(id, terms, now) {
+                self.record_spent(&request);
+            } else if self.now - request.since >= DRAW_WAIT {
+                self.counts
+                    .refuse(request.team, request.is_ideal, &self.case);
+            } else {
+                let (id, team) = (id.clone(), request.team);
+                self.hosts[host].waiting.push(request);
+                let letters = self.hosts[host]
+                    .broker
+                    .refill(&id, &self.context(host, team));
+                self.send(host, letters);
+            }
+        }
+    }
+
+    fn on_letter(&mut self, to: usize, message: TokenMessage) {
+        if self.hosts[to].is_asleep {
+            return;
+        }
+        let broker = &self.hosts[to].broker;
+        let letters = match message {
+            TokenMessage::Draw(draw) => {
+                let team = self.number_of(&draw.team);
+                broker.on_draw(draw, &self.context(to, team))
+            }
+            TokenMessage::Grant(grant) => {
+                let team = self.number_of(&grant.team);
+                broker.on_grant(&grant, &self.context(to, team))
+            }
+        };
+        self.send(to, letters);
+        self.retry_waiting(to);
+    }
+
+    /// The broker of the largest team pauses, because its absence does the most harm.
+    fn paused_host(&self) -> Option<usize> {
+        (0..HOSTS).find(|&host| {
+            let zone = zone_id(host).ok();
+            let broker = zone.and_then(|zone| self.roster.broker_of(&zone, &self.teams[6].0));
+            host != 0 && broker == Some(self.hosts[host].ledger.host())
+        })
+    }
+
+    fn on_tick(&mut self) {
+        for host in 0..HOSTS {
+            if self.hosts[host].is_asleep {
+                continue;
+            }
+            let now = self.clock(host);
+            self.hosts[host].ledger.gate().tick(now);
+            let context_of = |team: &TeamId| Some(self.context(host, self.number_of(team)));
+            let letters = self.hosts[host].broker.poll(context_of, now);
+            self.send(host, letters);
+            self.retry_waiting(host);
+        }
+        self.schedule(self.now + TICK, RateEvent::Tick);
+    }
+
+    pub(crate) fn run(&mut self) -> Result<()> {
+        (0..TEAM_RATES.len()).for_each(|team| self.schedule_request(team));
+        self.schedule(0, RateEvent::Tick);
+        let paused = self.paused_host().filter(|_| self.case.is_host_paused);
+        while let Some(Reverse((at, number))) = self.events.pop() {
+            if at > RUN_SECONDS * 1_000_000 {
+                break;
+            }
+            if let Some(host) = paused {
+                self.change_pause(host, at)?;
+            }
+            self.now = at;
+            match self.pending[number as usize].take() {
+                Some(RateEvent::Request { team }) => self.on_request(team),
+                Some(RateEvent::Letter { to, message }) => self.on_letter(to, message),
+                Some(RateEvent::Tick) => self.on_tick(),
+                None => {}
+            }
+        }
+        Ok(())
+    }
+
+    fn change_pause(&mut self, host: usize, at: u64) -> Result<()> {
+        let has_passed = |point: u64| self.now < point && at >= point;
+        let (start, unlisted, end) = (
+            has_passed(PAUSE.0),
+            has_passed(PAUSE.1),
+            has_passed(PAUSE.2),
+        );
+        if start {
+            self.hosts[host].is_asleep = true;
+        }
+        if unlisted {
+            self.roster = roster_without(Some(host))?;
+        }
+        if end {
+            self.roster = roster_without(None)?;
+            self.hosts[host].is_asleep = false;
+            self.hosts[host]
+                .ledger
+                .gate()
+                .resume(MonoTime::from_micros(self.hosts[host].offset + at));
+        }
+        Ok(())
+    }
+}
--- a/crates/limits/tests/ledger.rs
+++ b/crates/limits/tests/ledger.rs
@@ -142,6 +142,8 @@
         "a doubled draw was answered"
     );
     let restarted = TokenLedger::new(drawer.host().clone(), HostIncarnation::new(2), now);
+    let same_sequence = restarted.draw_surplus((&team, &terms), wanted, purpose, now);
+    assert_eq!(same_sequence.unwrap().id.sequence, draw.id.sequence);
     assert_eq!(restarted.accept_grant(&grant, &terms, now), None);
     assert_eq!(drawer.accept_grant(&grant, &terms, now), Some(wanted));
     assert_eq!(drawer.accept_grant(&grant, &terms, now), None);
