--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -6,6 +6,7 @@
 //! - [`detection`]: time until a failing target is out of use, and false ejections.
 //! - [`owners`]: how evenly rendezvous hashing spreads targets over hosts.
 //! - [`rates`]: refusals within the rate, overshoot and cost of moving tokens between hosts.
+//! - [`rates_driver`]: the fleet in virtual time on which `rates` runs.
 
 use std::process::ExitCode;
 
@@ -18,6 +19,7 @@
 mod latency;
 mod owners;
 mod rates;
+mod rates_driver;
 
 /// Exit status for a command line that is not valid, as `sysexits` has it.
 const EXIT_USAGE: u8 = 64;
