Test what a kept connection could do to the next request

Cause: with the closing of cut, timed-out and silent idle connections removed, and with trailers left as they came, no test failed: the library closes HTTP/1.1 connections itself and drops trailers that Trailer does not list.

Change: tests over HTTP/2, where neither holds, and of two idle connections after a timeout.

With each of the four mechanisms removed in turn, one or two of the tests fail.

Conclusion: the four mechanisms are guarded.

--- a/crates/proxy/tests/edge/common.rs
+++ b/crates/proxy/tests/edge/common.rs
@@ -57,11 +57,14 @@
 
 impl TestEdge {
     pub(crate) async fn new(limits: ServerLimits, target: SocketAddr) -> Self {
+        Self::with_client(limits, Arc::new(TargetClient::new(target, 64))).await
+    }
+
+    pub(crate) async fn with_client(limits: ServerLimits, client: Arc<TargetClient>) -> Self {
         let server = CallerServer::new(([127, 0, 0, 1], 0).into(), limits)
             .await
             .unwrap();
         let address = server.address().unwrap();
-        let client = Arc::new(TargetClient::new(target, 64));
         let requests = Arc::new(AtomicUsize::new(0));
         let count = requests.clone();
         let handler = move |request| {
--- a/crates/proxy/tests/edge/targets.rs
+++ b/crates/proxy/tests/edge/targets.rs
@@ -182,17 +182,30 @@
 async fn timeout_closes_idle_connections() {
     let (listener, address) = listen().await;
     let client = Arc::new(TargetClient::new(address, 2));
-    let (first, (_, mut first_stream)) =
-        tokio::join!(send(&client, "/1"), answer_raw(&listener, OK));
-    let (second, (_, second_stream)) = tokio::join!(send(&client, "/2"), answer_raw(&listener, ""));
-    assert!(matches!(second, Err(AttemptError::TimedOut)));
+    let (first, (_, mut one)) = tokio::join!(send(&client, "/1"), answer_raw(&listener, OK));
+    let (second, (_, mut other)) = tokio::join!(send(&client, "/2"), answer_raw(&listener, OK));
     read(first.unwrap()).await;
-    let (third, _) = tokio::join!(
-        send(&client, "/3"),
-        read_until(&mut first_stream, "\r\n\r\n")
-    );
+    read(second.unwrap()).await;
+    let deadline = Instant::now() + Duration::from_secs(1);
+    let third = client.send(request("/3", empty_body()), deadline).await;
     assert!(matches!(third, Err(AttemptError::TimedOut)));
-    drop(second_stream);
+    let seen = read_all(&mut one).await + &read_all(&mut other).await;
+    assert!(seen.starts_with("POST /3 "), "{seen}");
+}
+
+/// Guards against a target that reads nothing and so holds a connection of an abandoned request.
+#[tokio::test(start_paused = true)]
+async fn blocked_write_does_not_hold_the_connection() {
+    let (listener, address) = listen().await;
+    let client = client(address);
+    let large = request("/", full_body(vec![0; 32 << 20]));
+    let sent = client.send(large, Instant::now() + WAIT_MAX);
+    let abandoned = tokio::time::timeout(Duration::from_secs(5), sent).await;
+    assert!(abandoned.is_err());
+    let blocked = accept(&listener).await;
+    let (second, _) = tokio::join!(send(&client, "/2"), answer_raw(&listener, OK));
+    assert_eq!(read(second.unwrap()).await.0, BodyEnd::Whole);
+    drop(blocked);
 }
 
 /// Guards against a target that goes on with work that nobody waits for.
--- a/crates/proxy/tests/edge/targets_http2.rs
+++ b/crates/proxy/tests/edge/targets_http2.rs
@@ -2,7 +2,8 @@
 
 use std::{
     net::SocketAddr,
-    sync::Arc, //
+    sync::Arc,
+    time::Duration, //
 };
 
 use chicorycroft_proxy::prelude::*;
@@ -22,12 +23,16 @@
         TcpStream, //
     },
     sync::watch,
-    time::Instant,
+    time::{
+        Instant,
+        timeout, //
+    },
 };
 
 use crate::{
     common::{
         LIMITS,
+        TestEdge,
         WAIT_MAX,
         accept,
         listen, //
@@ -99,20 +104,33 @@
     }
 }
 
-/// Guards against a connection that stays open after its request was abandoned or timed out.
+/// Reads until the client closes, which must be long before it closes idle connections.
+async fn assert_closed(mut stream: TcpStream) {
+    let mut rest = Vec::new();
+    let read = timeout(Duration::from_secs(5), stream.read_to_end(&mut rest)).await;
+    assert!(read.is_ok(), "the connection stayed open");
+}
+
+/// Guards against a connection that is kept after its request timed out or was abandoned.
 #[tokio::test(start_paused = true)]
-async fn unanswered_request_closes_its_connection() {
+async fn unfinished_request_closes_its_connection() {
     let (listener, address) = listen().await;
     let client = client(address);
-    let mut stream = tokio::select! {
+    let stream = tokio::select! {
         _ = send(&client, "/") => panic!("an answer came"),
         stream = answer_frames(&listener, &[]) => stream,
     };
-    let mut rest = Vec::new();
-    let _ = stream.read_to_end(&mut rest).await;
-    let (sent, mut stream) = tokio::join!(send(&client, "/"), answer_frames(&listener, &[]));
+    assert_closed(stream).await;
+
+    let (sent, stream) = tokio::join!(send(&client, "/"), answer_frames(&listener, &[]));
     assert!(matches!(sent, Err(AttemptError::TimedOut)));
-    let _ = stream.read_to_end(&mut rest).await;
+    assert_closed(stream).await;
+
+    // A head with status 200 that leaves the stream open.
+    let head = [0, 0, 1, HEADERS, 4, 0, 0, 0, 1, 0x88];
+    let (sent, stream) = tokio::join!(send(&client, "/"), answer_frames(&listener, &head));
+    drop(sent.unwrap().into_response(WAIT_MAX, |_| {}));
+    assert_closed(stream).await;
 }
 
 async fn echo(request: Request<Incoming>) -> Response<ProxyBody> {
@@ -142,3 +160,28 @@
     stop.send_replace(true);
     assert!(server.await.unwrap());
 }
+
+/// Answers with the names of the trailers.
+async fn echo_trailers(request: Request<Incoming>) -> Response<ProxyBody> {
+    let body = request.into_body().collect().await.unwrap();
+    let names = body
+        .trailers()
+        .map(|trailers| format!("{:?}", trailers.keys().collect::<Vec<_>>()));
+    Response::new(full_body(names.unwrap_or_default()))
+}
+
+/// Guards against a key in trailers, which HTTP/2 forwards without looking at `Trailer`.
+#[tokio::test]
+async fn trailers_reach_target_without_key() {
+    let server = CallerServer::new(([127, 0, 0, 1], 0).into(), LIMITS)
+        .await
+        .unwrap();
+    let client = client(server.address().unwrap());
+    let stop = watch::Sender::new(false);
+    tokio::spawn(server.serve(echo_trailers, stop.subscribe()));
+    let edge = TestEdge::with_client(LIMITS, client).await;
+    let head = "POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n";
+    let body = "3\r\nabc\r\n0\r\nX-Digest: 1\r\nX-Api-Key: k\r\nAuthorization: k\r\n\r\n";
+    let answer = edge.exchange(format!("{head}\r\n{body}")).await;
+    assert!(answer.ends_with("[\"x-digest\"]"), "{answer}");
+}
