End answers that a caller leaves unread

Cause: an HTTP/2 caller that opens no window held its request's slot at the target without bound.

Change: WatchedBody::with_unread_max ends such an answer as abandoned and closes the target's connection. Tests for it, for uploads of lost callers and for Expect: 100-continue.

Without the watch, unread_answer_is_abandoned fails.

Conclusion: an unread answer holds a slot for the idle time at most.

--- a/crates/proxy/src/body.rs
+++ b/crates/proxy/src/body.rs
@@ -3,6 +3,12 @@
 use std::{
     future::Future,
     pin::Pin,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
     task::{
         Context,
         Poll, //
@@ -24,9 +30,12 @@
 };
 use hyper::body::Incoming;
 use thiserror::Error;
-use tokio::time::{
-    Instant,
-    Sleep, //
+use tokio::{
+    task::AbortHandle,
+    time::{
+        Instant,
+        Sleep, //
+    },
 };
 
 use crate::head::clean_trailers;
@@ -70,6 +79,12 @@
 
 type EndCall = Box<dyn FnOnce(BodyEnd) + Send>;
 
+/// What a body shares with the task that watches its reader.
+struct ReaderWatch {
+    on_end: Option<EndCall>,
+    unread_since: Option<Instant>,
+}
+
 /// A body that reports its end and fails when it makes no progress for too long.
 ///
 /// Trailers that must not be forwarded are taken out.
@@ -80,7 +95,31 @@
     is_waiting: bool,
     progress_min: usize,
     progress: usize,
-    on_end: Option<EndCall>,
+    watch: Arc<Mutex<ReaderWatch>>,
+    watcher: Option<AbortHandle>,
+}
+
+fn lock(watch: &Mutex<ReaderWatch>) -> MutexGuard<'_, ReaderWatch> {
+    watch.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Ends a body as abandoned when its reader leaves data unread for too long.
+async fn watch_reader(watch: Arc<Mutex<ReaderWatch>>, unread_max: Duration) {
+    loop {
+        let since = lock(&watch).unread_since.unwrap_or_else(Instant::now);
+        tokio::time::sleep_until(since + unread_max).await;
+        let mut state = lock(&watch);
+        if state.unread_since != Some(since) {
+            continue;
+        }
+        let on_end = state.on_end.take();
+        drop(state);
+        if let Some(on_end) = on_end {
+            log::info!("event=answer_abandoned reason=unread");
+            on_end(BodyEnd::Abandoned);
+        }
+        return;
+    }
 }
 
 impl WatchedBody {
@@ -97,7 +136,11 @@
             is_waiting: false,
             progress_min: 1,
             progress: 0,
-            on_end: Some(Box::new(on_end)),
+            watch: Arc::new(Mutex::new(ReaderWatch {
+                on_end: Some(Box::new(on_end)),
+                unread_since: None,
+            })),
+            watcher: None,
         };
         // A body without content is whole at once; hyper may never poll it.
         if body.inner.is_end_stream() {
@@ -112,6 +155,16 @@
         self
     }
 
+    /// Ends the body as abandoned when its reader leaves data unread for this time. An HTTP/2 caller
+    /// that opens no window would otherwise hold a slot of the target for ever.
+    pub fn with_unread_max(mut self, unread_max: Duration) -> Self {
+        if lock(&self.watch).on_end.is_some() {
+            let task = tokio::spawn(watch_reader(self.watch.clone(), unread_max));
+            self.watcher = Some(task.abort_handle());
+        }
+        self
+    }
+
     /// Restarts the idle time after enough bytes. The wait of a reader that is slow itself does not
     /// count.
     fn note_progress(&mut self, count: usize) {
@@ -132,7 +185,11 @@
     }
 
     fn finish(&mut self, end: BodyEnd) {
-        if let Some(on_end) = self.on_end.take() {
+        if let Some(watcher) = self.watcher.take() {
+            watcher.abort();
+        }
+        let on_end = lock(&self.watch).on_end.take();
+        if let Some(on_end) = on_end {
             on_end(end);
         }
     }
@@ -146,7 +203,9 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        match Pin::new(&mut self.inner).poll_frame(context) {
+        let polled = Pin::new(&mut self.inner).poll_frame(context);
+        lock(&self.watch).unread_since = polled.is_ready().then(Instant::now);
+        match polled {
             Poll::Ready(Some(Ok(mut frame))) => {
                 self.note_progress(frame.data_ref().map_or(0, Bytes::len));
                 if let Some(trailers) = frame.trailers_mut() {
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -190,7 +190,8 @@
 
     /// Returns the answer for the caller, with a cleaned head.
     ///
-    /// The body fails when it makes no progress for `idle_max`. The connection is kept when it ends
+    /// The body fails when it makes no progress for `idle_max`, and ends as abandoned when it is not
+    /// read for that time. The connection is kept when it ends
     /// whole and closed otherwise; `on_end` runs after that.
     pub fn into_response(
         self,
@@ -211,7 +212,8 @@
                 drop(connection);
             }
             on_end(end);
-        });
+        })
+        .with_unread_max(idle_max);
         Response::from_parts(parts, body.boxed_unsync())
     }
 }
--- a/crates/proxy/tests/edge/streams.rs
+++ b/crates/proxy/tests/edge/streams.rs
@@ -24,12 +24,14 @@
 };
 use tokio::{
     io::AsyncWriteExt,
-    net::TcpStream, //
+    net::TcpStream,
+    time::timeout, //
 };
 
 use crate::common::{
     LIMITS,
     TestEdge,
+    WAIT_MAX,
     accept,
     answer_raw,
     listen,
@@ -139,3 +141,63 @@
     };
     assert!(read_all(&mut stream).await.is_empty());
 }
+
+/// Guards against a caller that reads nothing and so holds a slot of the target.
+#[tokio::test(start_paused = true)]
+async fn unread_answer_is_abandoned() {
+    let (listener, target) = listen().await;
+    let edge = TestEdge::new(LIMITS, target).await;
+    let large = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", 64 << 20);
+    let serve = async || {
+        let (_, mut stream) = answer_raw(&listener, &large).await;
+        let written = timeout(WAIT_MAX, stream.write_all(&vec![0; 64 << 20])).await;
+        assert!(written.unwrap().is_err(), "the answer was taken in");
+    };
+    let mut caller = TcpStream::connect(edge.address).await.unwrap();
+    caller
+        .write_all(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+        .await
+        .unwrap();
+    serve().await;
+
+    let mut caller = http2_caller(&edge).await;
+    let request = http2_request(UnsyncBoxBody::new(Empty::new()));
+    let (answer, ()) = tokio::join!(caller.send_request(request), serve());
+    assert!(answer.is_ok());
+}
+
+/// Guards against half an upload that a target takes for a whole one.
+#[tokio::test]
+async fn lost_caller_cuts_its_upload() {
+    let (listener, target) = listen().await;
+    let edge = TestEdge::new(LIMITS, target).await;
+    for framing in ["Content-Length: 9", "Transfer-Encoding: chunked"] {
+        let mut caller = TcpStream::connect(edge.address).await.unwrap();
+        let head = format!("POST /x HTTP/1.1\r\nHost: a\r\n{framing}\r\n\r\n3\r\nabc\r\n");
+        caller.write_all(head.as_bytes()).await.unwrap();
+        let mut stream = accept(&listener).await;
+        read_until(&mut stream, "abc").await;
+        drop(caller);
+        let rest = read_all(&mut stream).await;
+        assert!(!rest.contains('0'), "{rest}");
+    }
+}
+
+/// Guards against an upload that waits for a word to go on which never comes.
+#[tokio::test]
+async fn expectation_is_answered_by_the_edge() {
+    let (listener, target) = listen().await;
+    let edge = TestEdge::new(LIMITS, target).await;
+    let mut caller = TcpStream::connect(edge.address).await.unwrap();
+    let head = "POST /x HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n";
+    caller.write_all(head.as_bytes()).await.unwrap();
+    let serve = async {
+        let mut stream = accept(&listener).await;
+        read_until(&mut stream, "abc").await
+    };
+    let (seen, ()) = tokio::join!(serve, async {
+        read_until(&mut caller, "100 Continue\r\n\r\n").await;
+        caller.write_all(b"abc").await.unwrap();
+    });
+    assert!(!seen.contains("expect"), "{seen}");
+}
