Draw tokens ahead of need in the daemon

Cause: the merge of the token broker left the daemon on its older interface, so that main did not build.

Change: the daemon gives the broker its draw allowance, carries the least useful amount of a draw on the wire, and asks for tokens after each request, before the host is empty.

Measured: cargo test -p chicorycroft-node -p chicorycroft-peer -p chicorycroft-limits: all passed.

Conclusion: main builds again.

--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -83,7 +83,7 @@
 }
 
 async fn admit(
-    state: &HostState,
+    state: &Arc<HostState>,
     parts: &Parts,
     key: Option<&CallerKey>,
 ) -> Result<(Arc<FleetView>, AdmittedRequest), AdmissionRefusal> {
@@ -99,6 +99,8 @@
             Ok(()) => Ok(()),
             Err(shortage) => wait_for_token(state, team, shortage, take).await,
         };
+        // A host draws before it is empty, so that few requests wait.
+        token_loop::refill(state, team);
         state.metrics.on_token(team, taken.is_ok());
         taken?;
     }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -12,7 +12,10 @@
 use chicorycroft_border::prelude::*;
 use chicorycroft_core::prelude::*;
 use chicorycroft_inventory::prelude::*;
-use chicorycroft_limits::prelude::*;
+use chicorycroft_limits::{
+    allowance::SMALL_FLEET,
+    prelude::*, //
+};
 use chicorycroft_membership::prelude::*;
 use chicorycroft_peer::prelude::*;
 use chicorycroft_placement::prelude::*;
@@ -107,7 +110,7 @@
             incarnation,
             owners: OwnerTable::new(host.clone(), zone.clone(), OwnerTimes::default(), now),
             ledger: TokenLedger::new(host, incarnation, now),
-            broker: TokenBroker::new(zone, now),
+            broker: TokenBroker::new(zone, SMALL_FLEET, now),
             draws: DrawBell::new(),
             slots: SlotPool::new(),
             desk: SlotDesk::new(),
--- a/crates/node/src/token_loop.rs
+++ b/crates/node/src/token_loop.rs
@@ -172,6 +172,7 @@
         TokenMessage::Draw(draw) => PeerMessage::TokenDraw(peer::TokenDraw {
             team: draw.team,
             wanted: draw.wanted,
+            least: draw.least,
             id: encode_id(draw.id),
             reach: match draw.purpose {
                 DrawPurpose::Refill => peer::DrawReach::Fleet,
@@ -220,6 +221,7 @@
         id: decode_id(draw.id),
         team: draw.team,
         wanted: draw.wanted,
+        least: draw.least,
         // Only the drawer's own clock gives this a meaning, and it remembers the time itself.
         sent_at: MonoTime::START,
         purpose: match draw.reach {
--- a/crates/peer/src/messages.rs
+++ b/crates/peer/src/messages.rs
@@ -47,6 +47,8 @@
     pub team: TeamId,
     /// How many tokens are wanted.
     pub wanted: TokenAmount,
+    /// Fewest tokens that are worth an answer before a collection.
+    pub least: TokenAmount,
     /// Identity of the draw.
     pub id: DrawId,
     /// How far the draw reaches.
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -99,6 +99,7 @@
             PeerMessage::TokenDraw(TokenDraw {
                 team: TeamId::new("harbour").unwrap(),
                 wanted: TokenAmount::from_whole(20),
+                least: TokenAmount::ONE,
                 id: draw_id(),
                 reach: DrawReach::Fleet,
             }),
