Test planned stops and unsafe heads over HTTP/2

Cause: the tests of stops and heads used HTTP/1.1 callers only.

Change: a stop during an HTTP/2 upload; heads over HTTP/2 with two hosts, too many fields and too many bytes.

--- a/crates/proxy/tests/edge/streams.rs
+++ b/crates/proxy/tests/edge/streams.rs
@@ -11,6 +11,7 @@
 use http_body::Frame;
 use http_body_util::{
     BodyExt,
+    Channel,
     Empty,
     combinators::UnsyncBoxBody, //
 };
@@ -201,3 +202,53 @@
     });
     assert!(!seen.contains("expect"), "{seen}");
 }
+
+/// Guards against a planned stop that cuts requests on an HTTP/2 connection.
+#[tokio::test]
+async fn stop_lets_http2_upload_finish() {
+    let (listener, target) = listen().await;
+    let edge = TestEdge::new(LIMITS, target).await;
+    let mut caller = http2_caller(&edge).await;
+    let (mut feed, body) = Channel::<Bytes, Infallible>::new(1);
+    feed.send_data(Bytes::from_static(b"abc")).await.unwrap();
+    let request = http2_request(UnsyncBoxBody::new(body));
+    let serve = async {
+        let mut stream = accept(&listener).await;
+        read_until(&mut stream, "abc").await;
+        edge.stop.send_replace(true);
+        // A refused connection shows that the stop has begun.
+        while TcpStream::connect(edge.address).await.is_ok() {
+            tokio::task::yield_now().await;
+        }
+        feed.send_data(Bytes::from_static(b"def")).await.unwrap();
+        drop(feed);
+        read_until(&mut stream, "def").await;
+        let ok = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        stream.write_all(ok).await.unwrap();
+    };
+    let (answer, ()) = tokio::join!(caller.send_request(request), serve);
+    let body = answer.unwrap().into_body().collect().await.unwrap();
+    assert_eq!(body.to_bytes(), "ok");
+    assert!(edge.server.await.unwrap());
+    let request = http2_request(UnsyncBoxBody::new(Empty::new()));
+    assert!(caller.send_request(request).await.is_err());
+}
+
+/// Guards against heads over HTTP/2 that take memory or that HTTP/1 would refuse.
+#[tokio::test]
+async fn unsafe_http2_head_is_refused() {
+    let (_listener, target) = listen().await;
+    let edge = TestEdge::new(LIMITS, target).await;
+    let host = vec![("host", "b".to_owned())];
+    let many = vec![("a", "b".to_owned()); 101];
+    let long = vec![("a", "b".repeat(17 << 10))];
+    for (fields, status) in [(host, 400), (many, 431), (long, 431)] {
+        let mut caller = http2_caller(&edge).await;
+        let mut request = http2_request(UnsyncBoxBody::new(Empty::new()));
+        for (name, value) in fields {
+            request.headers_mut().append(name, value.parse().unwrap());
+        }
+        assert_eq!(caller.send_request(request).await.unwrap().status(), status);
+    }
+    assert_eq!(edge.request_count(), 0);
+}
