Split the accept loop

Change: the run of a connection and the refusal over the limit are functions of their own.

Conclusion: the behaviour is unchanged.

--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -5,6 +5,7 @@
 
 use std::{
     convert::Infallible,
+    fmt,
     future::Future,
     io,
     net::SocketAddr,
@@ -45,6 +46,7 @@
         TcpStream, //
     },
     sync::{
+        OwnedSemaphorePermit,
         Semaphore, //
         watch,
     },
@@ -165,13 +167,7 @@
                 }
             };
             let Ok(permit) = permits.clone().try_acquire_owned() else {
-                log::warn!("event=connection_refused reason=connections_max");
-                if let Ok(refusal) = refusals.clone().try_acquire_owned() {
-                    tokio::spawn(async move {
-                        refuse_connection(stream).await;
-                        drop(refusal);
-                    });
-                }
+                spawn_refusal(&refusals, stream);
                 continue;
             };
             let handler = handler.clone();
@@ -179,21 +175,18 @@
                 let answer = answer(handler.clone(), address, request);
                 async move { Ok::<_, Infallible>(answer.await) }
             });
-            let limits = self.limits;
-            let stream = ConnectionGuard::new(stream, limits.head_bytes_max, limits.head_timeout);
+            let stream = self.guard(stream);
             let connection = builder.serve_connection(TokioIo::new(stream), service);
-            let connection = graceful.watch(connection.into_owned());
-            tasks.spawn(async move {
-                if let Err(error) = connection.await {
-                    log::debug!("event=caller_connection_ended error=\"{error}\"");
-                }
-                drop(permit);
-            });
+            tasks.spawn(run(graceful.watch(connection.into_owned()), permit));
         }
         drop(self.listener);
         drain(graceful, tasks, self.limits.drain_limit).await
     }
 
+    fn guard(&self, stream: TcpStream) -> ConnectionGuard<TcpStream> {
+        ConnectionGuard::new(stream, self.limits.head_bytes_max, self.limits.head_timeout)
+    }
+
     fn builder(&self) -> Builder<TokioExecutor> {
         let mut builder = Builder::new(TokioExecutor::new());
         let head_bytes_max = self.limits.head_bytes_max;
@@ -219,6 +212,28 @@
     }
 }
 
+/// Runs a connection to its end and then frees its permit.
+async fn run<E: fmt::Display>(
+    connection: impl Future<Output = Result<(), E>>,
+    permit: OwnedSemaphorePermit,
+) {
+    if let Err(error) = connection.await {
+        log::debug!("event=caller_connection_ended error=\"{error}\"");
+    }
+    drop(permit);
+}
+
+/// Refuses a connection over the limit, unless too many are being refused already.
+fn spawn_refusal(refusals: &Arc<Semaphore>, stream: TcpStream) {
+    log::warn!("event=connection_refused reason=connections_max");
+    if let Ok(refusal) = refusals.clone().try_acquire_owned() {
+        tokio::spawn(async move {
+            refuse_connection(stream).await;
+            drop(refusal);
+        });
+    }
+}
+
 /// Checks the head of a request and hands it to the handler.
 async fn answer<H, F>(
     handler: H,
