--- a/crates/bench/src/detection.rs
+++ b/crates/bench/src/detection.rs
@@ -23,12 +23,17 @@
 };
 use rand_chacha::ChaCha8Rng;
 
+use crate::faults::{
+    DEADLINE,
+    FAULT_AT,
+    FaultKind,
+    gap, //
+};
+
 const TARGETS: usize = 10;
 const HOSTS: usize = 48;
 const RUNS: u64 = 200;
-const FAULT_AT: u64 = 10_000_000;
 const END_AT: u64 = 60_000_000;
-const DEADLINE: u64 = 1_000_000;
 const FAILURES_IN_ROW: u32 = 5;
 /// Microseconds between two requests to one target, on average.
 const ARRIVAL_GAP: f64 = 25_000.0;
@@ -38,67 +43,6 @@
 const PROBE_GAP: u64 = 100_000;
 const HEARTBEAT_GAP: u64 = 500_000;
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum FaultKind {
-    Dead,
-    Wrong30,
-    Slow10,
-    OwnerCut,
-    Flapping,
-    ServiceSlow,
-    Healthy,
-}
-
-impl FaultKind {
-    const ALL: [Self; 7] = [
-        Self::Dead,
-        Self::Wrong30,
-        Self::Slow10,
-        Self::OwnerCut,
-        Self::Flapping,
-        Self::ServiceSlow,
-        Self::Healthy,
-    ];
-
-    /// Whether the target is down: three seconds of six when it flaps.
-    fn is_down(self, at: u64) -> bool {
-        let since = at.saturating_sub(FAULT_AT);
-        self == Self::Dead || self == Self::Flapping && since % 6_000_000 < 3_000_000
-    }
-
-    /// Draws how an attempt ends and after how many microseconds. Two in a hundred fail anyhow.
-    fn draw(
-        self,
-        target: usize,
-        sees_cut: bool,
-        at: u64,
-        rng: &mut ChaCha8Rng,
-    ) -> (AttemptOutcome, u64) {
-        let usual = rng.random_range(15_000..35_000);
-        let is_active = at >= FAULT_AT && (target == 0 || self == Self::ServiceSlow);
-        let wrong_part = match self {
-            Self::Wrong30 if is_active => 0.3,
-            _ => 0.02,
-        };
-        let outcome = match rng.random_bool(wrong_part) {
-            true => AttemptOutcome::Wrong,
-            false => AttemptOutcome::Good,
-        };
-        match self {
-            _ if !is_active => (outcome, usual),
-            _ if self.is_down(at) => (AttemptOutcome::Refused, 1_000),
-            Self::OwnerCut if sees_cut => (AttemptOutcome::TimedOut, DEADLINE),
-            Self::Slow10 | Self::ServiceSlow => (outcome, 10 * usual),
-            _ => (outcome, usual),
-        }
-    }
-}
-
-fn gap(rng: &mut ChaCha8Rng, mean: f64) -> u64 {
-    let part: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
-    (-part.ln() * mean) as u64 + 1
-}
-
 /// What a run showed: when the failing target was suspected and out, and false ejections.
 #[derive(Debug, Default)]
 struct RunResult {
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`cold`]: requests at cold targets while a zone returns.
 //! - [`detection`]: time until a failing target is out of use, and false ejections.
+//! - [`faults`]: the faults that [`detection`] draws.
 //! - [`owners`]: how evenly rendezvous hashing spreads targets over hosts.
 
 use std::process::ExitCode;
@@ -11,6 +12,7 @@
 
 mod cold;
 mod detection;
+mod faults;
 mod owners;
 
 /// Exit status for a command line that is not valid, as `sysexits` has it.
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`chooser`]: which target gets a request.
 
 pub mod chooser;
+mod contact;
 pub mod owner_rules;
 pub mod owners;
 pub mod slots;
--- a/crates/placement/src/owners.rs
+++ b/crates/placement/src/owners.rs
@@ -30,13 +30,16 @@
 };
 use indexmap::IndexMap;
 
-use crate::owner_rules::{
-    KeyHome,
-    ListedHost,
-    OwnedKey,
-    OwnerHandover,
-    OwnerTimes,
-    OwnershipError, //
+use crate::{
+    contact::ContactState,
+    owner_rules::{
+        KeyHome,
+        ListedHost,
+        OwnedKey,
+        OwnerHandover,
+        OwnerTimes,
+        OwnershipError, //
+    },
 };
 
 /// A host of a zone.
@@ -78,14 +81,6 @@
     given: Option<GivenKey>,
 }
 
-/// This host's contact with its zone.
-#[derive(Debug)]
-struct ContactState {
-    basis: Option<MonoTime>,
-    since: MonoTime,
-    must_refresh: Option<MonoTime>,
-}
-
 /// Which host owns each key, and whether this host may serve it.
 #[derive(Debug)]
 pub struct OwnerTable {
@@ -104,11 +99,7 @@
             times,
             zones: ShardMap::new(),
             keys: ShardMap::new(),
-            contact: Mutex::new(ContactState {
-                basis: None,
-                since: now,
-                must_refresh: None,
-            }),
+            contact: Mutex::new(ContactState::new(now)),
         }
     }
 
@@ -155,36 +146,18 @@
     }
 
     /// Notes the time of [`contact_basis`](crate::owner_rules::contact_basis).
-    ///
-    /// After a gap in contact another host may have taken over. The first moment at which that is
-    /// possible is the takeover time after the old basis, and news of the return reaches a rival up
-    /// to the fence time late. A longer gap than the difference starts the wait anew.
     pub fn on_contact(&self, basis: MonoTime, now: MonoTime) {
-        let mut contact = self.contact();
-        if now.since(basis) > self.times.fence_after || contact.basis >= Some(basis) {
-            return;
-        }
-        let gap_max = self
-            .times
-            .takeover_after
-            .saturating_sub(self.times.fence_after);
-        if contact.basis.is_none_or(|old| now.since(old) > gap_max) {
-            contact.since = now;
-        }
-        contact.basis = Some(basis);
+        self.contact().on_contact(basis, &self.times, now);
     }
 
     /// Notes that the process resumed from a pause.
     pub fn on_wake(&self, now: MonoTime) {
-        self.contact().must_refresh = Some(now);
+        self.contact().on_wake(now);
     }
 
     /// Notes that a round of heartbeats, which began at `begun`, is complete and the roster read.
     pub fn on_fresh_round(&self, begun: MonoTime) {
-        let mut contact = self.contact();
-        if contact.must_refresh.is_some_and(|woken| begun >= woken) {
-            contact.must_refresh = None;
-        }
+        self.contact().on_fresh_round(begun);
     }
 
     /// Takes the previous owner's word that it has stopped.
@@ -362,7 +335,7 @@
             Some(owner) => return Err(OwnershipError::NotOwner { owner }),
             None => return Err(OwnershipError::NoOwner),
         }
-        let since = self.contact().since;
+        let since = self.contact().since();
         let was_given = record.received.is_some_and(|received| {
             now.since(received.echoed) < takeover && received.accepted_at >= Some(since)
         });
@@ -391,15 +364,7 @@
         if !is_listed {
             return Err(OwnershipError::NotListed);
         }
-        let contact = self.contact();
-        if contact.must_refresh.is_some() {
-            return Err(OwnershipError::NotFresh);
-        }
-        let fence = self.times.fence_after;
-        let in_contact = contact.basis.is_some_and(|at| now.since(at) <= fence);
-        if !is_alone && !in_contact {
-            return Err(OwnershipError::OutOfContact);
-        }
+        self.contact().check(is_alone, &self.times, now)?;
         Ok(is_alone)
     }
 }
--- /dev/null
+++ b/crates/placement/tests/common/mod.rs
@@ -0,0 +1,27 @@
+//! Names for tests of ownership.
+
+use chicorycroft_core::prelude::*;
+use chicorycroft_placement::prelude::*;
+
+pub(crate) fn host(n: usize) -> HostId {
+    HostId::new(&format!("h{n}")).unwrap()
+}
+
+pub(crate) fn listed(id: HostId, zone: &str) -> ListedHost {
+    ListedHost {
+        id,
+        zone: ZoneId::new(zone).unwrap(),
+        region: RegionId::new("r").unwrap(),
+    }
+}
+
+pub(crate) fn home(zone: &str) -> KeyHome {
+    KeyHome {
+        region: RegionId::new("r").unwrap(),
+        zone: Some(ZoneId::new(zone).unwrap()),
+    }
+}
+
+pub(crate) fn key(name: &str) -> OwnedKey {
+    format!("target/{name}").parse().unwrap()
+}
