--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,6 +4,7 @@
 //! - [`fairness`]: the share of the worst-served team while another one sends too much.
 //! - [`cold`]: requests at cold targets while a zone returns.
 //! - [`detection`]: time until a failing target is out of use, and false ejections.
+//! - [`faults`]: the faults that [`detection`] draws.
 //! - [`owners`]: how evenly rendezvous hashing spreads targets over hosts.
 //! - [`rates`]: refusals within the rate, overshoot and cost of moving tokens between hosts.
 //! - [`rates_driver`]: the fleet in virtual time on which `rates` runs.
@@ -16,6 +17,7 @@
 mod cold;
 mod detection;
 mod fairness;
+mod faults;
 mod latency;
 mod owners;
 mod rates;
