Eject failing targets by permits and place requests past moving owners

Cause: evidence against a target decided nothing in the daemon, and a request whose target was just changing hands was refused at once: in a planned stop under load 1 of 50 lookups got 503, because its host had not yet read the list of hosts, or the owner had stopped.

Change: attempts and probes feed the sequential test at the owner. An unreachable target is probed by the second candidate first; ejection needs a permit of the arbiter and is a lease. Heartbeats carry the counters of services. A host that does not serve a target says so and names its heir; the ingress host then asks there, or waits up to the queue time of the service for an owner. A host that is not on the list of hosts reads it again after 0.5 s instead of 5 s.

Conclusion: a gray target goes out through its owner in the running fleet, and never below the floor.

--- a/crates/health/src/lease.rs
+++ b/crates/health/src/lease.rs
@@ -144,6 +144,11 @@
         );
     }
 
+    /// Tells whether the lease was released or refused for good.
+    pub fn is_spent(&self) -> bool {
+        self.has_ended
+    }
+
     /// Tells whether the target may be kept out now.
     pub fn is_valid(&self, now: MonoTime) -> bool {
         !self.has_ended && self.until.is_some_and(|until| now < until)
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -1,6 +1,9 @@
 //! One attempt at a target, by its owner.
 
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use chicorycroft_placement::prelude::*;
 use chicorycroft_proxy::{
@@ -18,6 +21,7 @@
 
 use crate::{
     delivery_error::DeliveryError,
+    health_loop,
     slot_desk::SlotLease,
     state::HostState, //
 };
@@ -29,7 +33,7 @@
 ///
 /// Fails with what is known about whether the request ran.
 pub async fn attempt(
-    state: &HostState,
+    state: &Arc<HostState>,
     mut lease: SlotLease,
     request: Request<ProxyBody>,
     deadline: Instant,
@@ -43,7 +47,7 @@
         Err(error) => {
             let (outcome, failure) = judge_error(&error);
             lease.set_outcome(outcome);
-            state.observe(&target, outcome, started_at.elapsed());
+            health_loop::observe(state, &target, outcome, started_at.elapsed());
             log::info!(
                 "event=attempt_failed target={} run={} error=\"{error}\"",
                 target.id,
@@ -57,7 +61,7 @@
         .on_notice(&target.id, &notice_of(&answer.signal));
     let latency = started_at.elapsed();
     let outcome = judge_answer(&answer);
-    state.observe(&target, outcome, latency);
+    health_loop::observe(state, &target, outcome, latency);
     lease.set_outcome(outcome);
     if answer.signal.is_not_run {
         return Err(DeliveryError::not_run(RefusalKind::NoCapacity));
@@ -107,9 +111,8 @@
         false => RunProof::Unknown,
     };
     let failure = DeliveryError {
-        kind,
         proof,
-        retry_after: None,
+        ..DeliveryError::not_run(kind)
     };
     (outcome, failure)
 }
--- a/crates/node/src/delivery.rs
+++ b/crates/node/src/delivery.rs
@@ -5,6 +5,7 @@
 use chicorycroft_core::prelude::*;
 use chicorycroft_inventory::prelude::*;
 use chicorycroft_peer::prelude::*;
+use chicorycroft_placement::prelude::*;
 use chicorycroft_proxy::prelude::*;
 use http::{
     Request,
@@ -33,11 +34,11 @@
         return owner::serve(state, &head, request).await;
     }
     let address = state.members.address_of(owner);
-    let address = address.ok_or(DeliveryError::not_run(RefusalKind::NoCapacity))?;
+    let address = address.ok_or(DeliveryError::misplaced(None))?;
     let deadline = Instant::now() + head.time_left();
     let answer = state.peers.forward(address, head, request, deadline).await;
     let response = answer.map_err(|error| match error.is_not_sent() {
-        true => DeliveryError::not_run(RefusalKind::BadGateway),
+        true => DeliveryError::misplaced(None),
         false if Instant::now() >= deadline => DeliveryError::unknown(RefusalKind::TimedOut),
         false => DeliveryError::unknown(RefusalKind::BadGateway),
     })?;
@@ -53,10 +54,25 @@
     ))
 }
 
+/// Returns the hosts that may own a target, the most likely one first.
+pub fn owners_of(state: &HostState, target: &TargetRecord) -> Vec<HostId> {
+    let Some(view) = state.view() else {
+        return Vec::new();
+    };
+    let Some(home) = state.home_of(&view, target) else {
+        return Vec::new();
+    };
+    let now = state.clock.mono();
+    let key = OwnedKey::Target(target.id.clone());
+    let mut owners = state.owners.candidates(&key, &home, now);
+    if let Some(hint) = state.owner_hint(&target.id, now) {
+        owners.retain(|owner| owner != &hint);
+        owners.insert(0, hint);
+    }
+    owners
+}
+
 /// Returns the owner of a target, as far as this host knows.
 pub fn owner_of(state: &HostState, target: &TargetRecord) -> Option<HostId> {
-    let view = state.view()?;
-    let home = state.home_of(&view, target)?;
-    let key = chicorycroft_placement::prelude::OwnedKey::Target(target.id.clone());
-    state.owners.owner_of(&key, &home, state.clock.mono())
+    owners_of(state, target).into_iter().next()
 }
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -21,6 +21,13 @@
     state::HostState, //
 };
 
+/// Time that a target stays with another host because this one does not reach it.
+const MOVE_TIME: Duration = Duration::from_secs(60);
+
+/// Time between two notices that leave a target with its new owner; it must be below the takeover
+/// time by more than one lost notice.
+const RENEW_PERIOD: Duration = Duration::from_millis(1200);
+
 /// Longest time for one notice.
 const NOTICE_WAIT: Duration = Duration::from_millis(500);
 
@@ -88,6 +95,26 @@
     }
 }
 
+/// Gives a target to another host that reaches it, and leaves it there for a while.
+pub async fn move_away(state: &Arc<HostState>, target: &TargetRecord) {
+    hand_over(state, target).await;
+    owned::refresh(state);
+    let until = Instant::now() + MOVE_TIME;
+    while Instant::now() < until {
+        tokio::time::sleep(RENEW_PERIOD).await;
+        let home = state.view().and_then(|view| state.home_of(&view, target));
+        let Some(home) = home else {
+            return;
+        };
+        let key = OwnedKey::Target(target.id.clone());
+        let heir = state.owners.renew_handover(&key, &home, state.clock.mono());
+        let Some(heir) = heir else {
+            return;
+        };
+        send_notice(state, target, heir, true).await;
+    }
+}
+
 async fn hand_over(state: &Arc<HostState>, target: &TargetRecord) {
     let line = DecisionLine::new("handover").with("target", &target.id);
     let now = state.clock.mono();
@@ -103,26 +130,35 @@
             return;
         }
     };
+    let is_taken = send_notice(state, target, heir.clone(), false).await;
+    line.with("heir", &heir).with("taken", is_taken).info();
+}
+
+/// Tells the next owner that this host has stopped serving a target.
+async fn send_notice(
+    state: &HostState,
+    target: &TargetRecord,
+    heir: HostId,
+    is_renewal: bool,
+) -> bool {
     let echo = state.members.mark_of(&heir);
     let address = state.members.address_of(&heir);
     let (Some(echo), Some(address)) = (echo, address) else {
-        return;
+        return false;
     };
     let notice = peer::OwnerHandover {
         host: state.settings.host.clone(),
         incarnation: state.incarnation,
-        heir: heir.clone(),
+        heir,
         echo: peer::SequenceEcho {
             incarnation: echo.incarnation,
             sequence: echo.sequence,
         },
-        is_renewal: false,
+        is_renewal,
         targets: vec![target.id.clone()],
     };
     let deadline = Instant::now() + NOTICE_WAIT;
     let message = PeerMessage::OwnerHandover(notice);
     let outcome = state.peers.call(address, message, deadline).await;
-    line.with("heir", &heir)
-        .with("taken", matches!(outcome, Ok(PeerMessage::Accepted)))
-        .info();
+    matches!(outcome, Ok(PeerMessage::Accepted))
 }
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -28,6 +28,7 @@
     config_loop,
     decision_log::DecisionLine,
     handover,
+    health_loop,
     ingress,
     member_loop,
     metrics::HostMetrics,
@@ -202,6 +203,7 @@
     loops.spawn(member_loop::read_roster(state.clone(), platform));
     loops.spawn(member_loop::heartbeat(state.clone()));
     loops.spawn(member_loop::tick(state.clone()));
+    loops.spawn(health_loop::tick(state.clone()));
     loops.spawn(token_loop::draw(state.clone()));
     loops.spawn(token_loop::poll(state.clone()));
     let admin_state = state.clone();
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -1,6 +1,9 @@
 //! Answers callers: admission, choice of a target, delivery and retries.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use chicorycroft_core::prelude::*;
 use chicorycroft_inventory::prelude::*;
@@ -21,6 +24,7 @@
 };
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use indexmap::IndexSet;
 use tokio::time::Instant;
 
 use crate::{
@@ -32,7 +36,7 @@
     decision_log::DecisionLine,
     delivery::{
         deliver,
-        owner_of, //
+        owners_of, //
     },
     delivery_error::DeliveryError,
     replay::ReplayBody,
@@ -94,10 +98,16 @@
     let admitted = authorize(&view, parts.method.as_str(), parts.uri.path(), key)?;
     if let Some(team) = &admitted.team {
         let terms = state.terms_of(&view, team).ok_or(RefusalKind::BadKey)?;
-        let take = || state.ledger.try_take(team, &terms, state.clock.mono());
-        let taken = match take() {
+        let taken = match state.ledger.try_take(team, &terms, state.clock.mono()) {
             Ok(()) => Ok(()),
-            Err(shortage) => wait_for_token(state, team, shortage, take).await,
+            Err(shortage) => {
+                let take_again = || {
+                    state
+                        .ledger
+                        .take_after_wait(team, &terms, state.clock.mono())
+                };
+                wait_for_token(state, team, shortage, take_again).await
+            }
         };
         // A host draws before it is empty, so that few requests wait.
         token_loop::refill(state, team);
@@ -112,7 +122,7 @@
     state: &HostState,
     team: &TeamId,
     shortage: TokenShortage,
-    take: impl Fn() -> Result<(), TokenShortage>,
+    take_again: impl Fn() -> bool,
 ) -> Result<(), AdmissionRefusal> {
     if !shortage.is_draw_open {
         return Err(shortage.into());
@@ -120,14 +130,14 @@
     let deadline = Instant::now() + token_loop::DRAW_WAIT;
     state.draws.ask(team);
     loop {
+        // A grant for any team wakes all waiters; few wait at once.
         let granted = state.draws.granted();
-        match take() {
-            Ok(()) => return Ok(()),
-            Err(shortage) if Instant::now() >= deadline => return Err(shortage.into()),
-            Err(_) => {}
+        if take_again() {
+            return Ok(());
+        }
+        if tokio::time::timeout_at(deadline, granted).await.is_err() {
+            return Err(shortage.into());
         }
-        // A grant for any team wakes all waiters; few wait at once.
-        let _ = tokio::time::timeout_at(deadline, granted).await;
     }
 }
 
@@ -136,7 +146,7 @@
     line: DecisionLine,
     kind: RefusalKind,
     run: RunStatement,
-    retry_after: Option<std::time::Duration>,
+    retry_after: Option<Duration>,
 ) -> Response<ProxyBody> {
     state.metrics.on_request(None, "refuse", kind.status());
     state.metrics.on_refusal(kind);
@@ -155,6 +165,9 @@
     id: RequestId,
     deadline: DeadlineClock,
     history: AttemptHistory,
+    /// Owners that said that they do not serve a target, or could not be reached.
+    misplaced: IndexSet<(TargetId, HostId)>,
+    place_until: Instant,
 }
 
 impl CallerExchange {
@@ -167,6 +180,10 @@
     ) -> Self {
         let now = state.clock.mono();
         let left = admitted.deadline.saturating_sub(arrival.elapsed());
+        let service = view.snapshot().service(&admitted.route.service);
+        let queue_wait = service
+            .map(|service| service.queue_wait)
+            .unwrap_or_default();
         state.retries.record_request(&admitted.route.service, now);
         Self {
             state,
@@ -175,6 +192,8 @@
             id,
             deadline: DeadlineClock::new(left, now),
             history: AttemptHistory::new(),
+            misplaced: IndexSet::new(),
+            place_until: arrival + queue_wait.min(left),
         }
     }
 
@@ -196,30 +215,34 @@
         let body = ReplayBody::new(body.boxed_unsync());
         loop {
             let Some((target, owner, choice)) = self.choose() else {
+                if self.wait_for_owner().await {
+                    continue;
+                }
                 let run = statement_of(self.history.proof());
                 let line = line.with("attempts", self.history.len());
                 return refuse(&self.state, line, RefusalKind::NoCapacity, run, None);
             };
-            let now = self.state.clock.mono();
-            let number = self.history.begin(target.id.clone(), now);
             let line = line
                 .clone()
                 .with("target", &target.id)
                 .with("owner", &owner)
-                .with("attempt", self.history.len())
+                .with("attempt", self.history.len() + 1)
                 .with("passed", passed_text(&choice));
+            let begun = self.state.clock.mono();
             let request = self.build_request(&parts, body.next_attempt());
             self.state.chooser.on_sent(&target.id);
             let delivered = deliver(&self.state, &owner, self.head(&target), request).await;
             self.state.chooser.on_ended(&target.id);
-            let is_fault = |status: http::StatusCode| status.is_server_error();
-            let proof = match &delivered {
-                Ok(response) if is_fault(response.status()) && self.admitted.is_idempotent => {
-                    RunProof::Unknown
-                }
-                Ok(_) => RunProof::Ran,
-                Err(failure) => failure.proof,
-            };
+            if let Err(failure) = &delivered
+                && failure.is_misplaced
+                && body.can_replay()
+            {
+                line.with("decision", "ask-another-owner").info();
+                self.note_misplaced(&target, owner, failure.owner.clone());
+                continue;
+            }
+            let proof = self.proof_of(&delivered);
+            let number = self.history.begin(target.id.clone(), begun);
             self.history.end(number, proof);
             match self.decide(&body) {
                 RetryDecision::RetryElsewhere => {
@@ -234,6 +257,41 @@
         }
     }
 
+    /// Returns what an attempt says about whether the request ran. A server error of an idempotent
+    /// request counts as unknown, so that another target may be tried.
+    fn proof_of(&self, delivered: &Result<Response<ProxyBody>, DeliveryError>) -> RunProof {
+        match delivered {
+            Ok(response) if response.status().is_server_error() && self.admitted.is_idempotent => {
+                RunProof::Unknown
+            }
+            Ok(_) => RunProof::Ran,
+            Err(failure) => failure.proof,
+        }
+    }
+
+    fn note_misplaced(&mut self, target: &TargetRecord, asked: HostId, owner: Option<HostId>) {
+        if let Some(owner) = owner {
+            let now = self.state.clock.mono();
+            self.state.set_owner_hint(&target.id, owner, now);
+        }
+        self.misplaced.insert((target.id.clone(), asked));
+    }
+
+    /// Waits a moment for targets to get an owner. Tells whether to try again.
+    async fn wait_for_owner(&mut self) -> bool {
+        /// Pause before all owners are asked again, as while a target changes hands.
+        const PLACE_PAUSE: Duration = Duration::from_millis(50);
+        let until = Instant::now() + PLACE_PAUSE;
+        // Once a target has had the request, only the others that are left may get it.
+        let may_change = !self.misplaced.is_empty() || self.history.is_empty();
+        if !may_change || until > self.place_until {
+            return false;
+        }
+        tokio::time::sleep_until(until).await;
+        self.misplaced.clear();
+        true
+    }
+
     fn decide(&self, body: &ReplayBody) -> RetryDecision {
         if !body.can_replay() {
             return RetryDecision::GiveUp {
@@ -273,6 +331,18 @@
         }
     }
 
+    /// Returns the first owner of a target that has not refused the request as misplaced.
+    fn next_owner(&self, target: &TargetRecord) -> Option<HostId> {
+        /// Owners that are asked: the present one and its successor.
+        const OWNERS_ASKED: usize = 2;
+        let owners = owners_of(&self.state, target)
+            .into_iter()
+            .take(OWNERS_ASKED);
+        let mut owners = owners.map(|owner| (target.id.clone(), owner));
+        let (_, owner) = owners.find(|pair| !self.misplaced.contains(pair))?;
+        Some(owner)
+    }
+
     /// Chooses a target that was not tried, and its owner.
     fn choose(&self) -> Option<(Arc<TargetRecord>, HostId, TargetChoice)> {
         let (state, view) = (&self.state, &self.view);
@@ -283,7 +353,7 @@
                 zone: target.zone.clone(),
                 is_suspect: state.is_suspect(&target.id),
                 is_excluded: self.history.targets().any(|tried| tried == &target.id)
-                    || owner_of(state, target).is_none(),
+                    || self.next_owner(target).is_none(),
             })
             .collect();
         let now = state.clock.mono();
@@ -291,7 +361,7 @@
             .chooser
             .choose(&candidates, &state.settings.zone, state.random(), now);
         let target = view.snapshot().target(choice.chosen.as_ref()?)?.clone();
-        let owner = owner_of(state, &target)?;
+        let owner = self.next_owner(&target)?;
         Some((target, owner, choice))
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,9 @@
 //! - [`delivery_error`]: why a request got no answer from a target.
 //! - [`owned`]: the targets that this host owns.
 //! - [`handover`]: hands owned targets over at a planned stop.
+//! - [`health_desk`]: evidence, life cycle and ejection leases of owned targets.
+//! - [`health_loop`]: acts on the evidence.
+//! - [`probe`]: probes a target.
 //! - [`member_loop`]: heartbeats, list of hosts, pauses.
 //! - [`token_loop`]: moves tokens between hosts.
 //! - [`peer_service`]: answers other hosts.
@@ -32,6 +35,8 @@
 pub mod delivery;
 pub mod delivery_error;
 pub mod handover;
+pub mod health_desk;
+pub mod health_loop;
 pub mod host;
 pub mod ingress;
 pub mod member_loop;
@@ -39,6 +44,7 @@
 pub mod owned;
 pub mod owner;
 pub mod peer_service;
+pub mod probe;
 pub mod replay;
 pub mod slot_desk;
 pub mod state;
--- a/crates/node/src/member_loop.rs
+++ b/crates/node/src/member_loop.rs
@@ -34,7 +34,7 @@
 /// Time between two reads of the list of hosts: 1,700 hosts make 340 reads a second of it.
 const ROSTER_PERIOD: Duration = Duration::from_secs(5);
 
-/// Time between two tries while no list has been read.
+/// Time between two tries while no list has been read, or this host is not on it.
 const ROSTER_RETRY: Duration = Duration::from_millis(500);
 
 /// Time between two checks for the first configuration.
@@ -104,11 +104,28 @@
         is_platform_recent: false,
         is_leaving: state.is_stopping(),
         targets: state.target_loads(),
-        baselines: Vec::new(),
+        baselines: baselines(state),
         heard: heard.collect(),
     })
 }
 
+fn baselines(state: &HostState) -> Vec<ServiceBaseline> {
+    let narrow = |count: u64| u32::try_from(count).unwrap_or(u32::MAX);
+    let counters = state.health.counters(state.clock.mono()).into_iter();
+    let baselines = counters.map(|(service, counters)| ServiceBaseline {
+        service,
+        attempts: narrow(counters.attempts),
+        failures: narrow(counters.failures),
+        sheds: narrow(counters.sheds),
+        latencies: counters
+            .latencies
+            .filled()
+            .map(|(bucket, count)| BucketCount { bucket, count })
+            .collect(),
+    });
+    baselines.collect()
+}
+
 async fn send_heartbeat(state: Arc<HostState>, peer: HostId) {
     let Some(address) = state.members.address_of(&peer) else {
         return;
@@ -153,10 +170,10 @@
         }
         let begun = state.clock.mono();
         let pause = match platform.list_hosts().await {
-            Ok(hosts) => {
-                take_roster(&state, hosts, begun);
-                ROSTER_PERIOD
-            }
+            Ok(hosts) => match take_roster(&state, hosts, begun) {
+                true => ROSTER_PERIOD,
+                false => ROSTER_RETRY,
+            },
             Err(error) => {
                 DecisionLine::new("roster_unread")
                     .with("error", error)
@@ -170,7 +187,8 @@
     }
 }
 
-fn take_roster(state: &Arc<HostState>, hosts: Vec<HostListing>, begun: MonoTime) {
+/// Takes over a list of hosts. Tells whether this host is on it.
+fn take_roster(state: &Arc<HostState>, hosts: Vec<HostListing>, begun: MonoTime) -> bool {
     let now = state.clock.mono();
     let region_of = |zone: &ZoneId| {
         let view = state.view()?;
@@ -197,4 +215,5 @@
         state.owners.on_fresh_round(begun);
         state.ledger.gate().resume(now);
     }
+    is_listed
 }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -5,6 +5,7 @@
 use chicorycroft_fairness::prelude::*;
 use chicorycroft_inventory::prelude::*;
 use chicorycroft_peer::prelude::*;
+use chicorycroft_placement::prelude::*;
 use chicorycroft_proxy::prelude::*;
 use http::{
     Request,
@@ -74,21 +75,31 @@
 
 /// Checks that this host may serve a request for its target now.
 fn check(state: &HostState, head: &ForwardHead) -> Result<(), (String, DeliveryError)> {
-    let refuse = |reason: &dyn std::fmt::Display, kind| {
-        Err((reason.to_string(), DeliveryError::not_run(kind)))
+    let misplaced = |reason: &dyn std::fmt::Display, owner| {
+        Err((reason.to_string(), DeliveryError::misplaced(owner)))
     };
     let Some(view) = state.view() else {
-        return refuse(&"no-configuration", RefusalKind::NotReady);
+        return misplaced(&"no-configuration", None);
     };
     match view.standing_of(&head.target) {
         TargetStanding::In => {}
-        standing => return refuse(&format!("target-{standing:?}"), RefusalKind::NoCapacity),
+        standing => return misplaced(&format!("target-{standing:?}"), None),
     }
     let Some(target) = view.snapshot().target(&head.target) else {
-        return refuse(&"target-unlisted", RefusalKind::NoCapacity);
+        return misplaced(&"target-unlisted", None);
     };
     match state.may_serve(target, state.clock.mono()) {
-        Ok(()) => Ok(()),
-        Err(error) => refuse(&error, RefusalKind::NoCapacity),
+        Ok(()) => {}
+        Err(OwnershipError::HandedOver { heir, .. }) => {
+            return misplaced(&"handed-over", Some(heir));
+        }
+        Err(error) => return misplaced(&error, None),
+    }
+    if state.is_stopping() {
+        return misplaced(&"stopping", None);
+    }
+    if !state.has_usable_target(&head.service) {
+        return misplaced(&"no-target-takes-work", None);
     }
+    Ok(())
 }
--- a/crates/node/src/peer_service.rs
+++ b/crates/node/src/peer_service.rs
@@ -5,6 +5,7 @@
     time::Duration, //
 };
 
+use chicorycroft_health::prelude::ServiceCounters;
 use chicorycroft_membership::prelude::*;
 use chicorycroft_peer::prelude::*;
 use chicorycroft_proxy::prelude::*;
@@ -17,6 +18,7 @@
 
 use crate::{
     handover,
+    health_loop,
     owner,
     state::HostState,
     token_loop, //
@@ -34,6 +36,8 @@
             token_loop::on_grant(&state, grant);
             PeerMessage::Accepted
         }
+        PeerMessage::ProbeRequest(request) => health_loop::on_probe_request(&state, request).await,
+        PeerMessage::EjectionRequest(request) => health_loop::on_request(&state, request),
         PeerMessage::OwnerHandover(notice) => handover::on_notice(&state, &notice),
         _ => PeerMessage::Refused(RefusalReason::NotARequest),
     }
@@ -79,6 +83,22 @@
         Some(Duration::from_millis(u64::from(heard.age_tenths) * 100))
     };
     state.members.on_reports(age_of, now);
+    for baseline in &heartbeat.baselines {
+        let mut counters = ServiceCounters {
+            attempts: baseline.attempts.into(),
+            failures: baseline.failures.into(),
+            sheds: baseline.sheds.into(),
+            ..ServiceCounters::default()
+        };
+        for filled in &baseline.latencies {
+            counters.latencies.add_filled(filled.bucket, filled.count);
+        }
+        let (service, host) = (&baseline.service, &heartbeat.host);
+        state
+            .health
+            .baseline
+            .on_counters(service, host, counters, now);
+    }
     for load in &heartbeat.targets {
         state
             .chooser
--- /dev/null
+++ b/crates/node/src/probe.rs
@@ -0,0 +1,48 @@
+//! Probes a target with a small request of the host's own.
+
+use std::time::Duration;
+
+use chicorycroft_inventory::prelude::*;
+use chicorycroft_placement::prelude::*;
+use chicorycroft_proxy::prelude::*;
+use http::{
+    Request,
+    header::HOST, //
+};
+use http_body_util::BodyExt;
+use tokio::time::Instant;
+
+use crate::state::HostState;
+
+/// Path of probes. Any whole answer below status 500 counts as good, because only the time and the
+/// way matter: what a health endpoint says may mislead.
+const PROBE_PATH: &str = "/healthz";
+
+/// Sends one probe on a connection of its own or an idle one, beside the slots.
+pub async fn probe(state: &HostState, target: &TargetRecord, limit: Duration) -> AttemptOutcome {
+    let deadline = Instant::now() + limit;
+    let request = Request::get(PROBE_PATH)
+        .header(HOST, target.address.to_string())
+        .body(empty_body());
+    let Ok(request) = request else {
+        return AttemptOutcome::Cancelled;
+    };
+    let answer = match state.client_of(target).send(request, deadline).await {
+        Ok(answer) => answer,
+        Err(AttemptError::Connect(_) | AttemptError::NotWritten) => return AttemptOutcome::Refused,
+        Err(AttemptError::TimedOut) => return AttemptOutcome::TimedOut,
+        Err(AttemptError::NoConnection) => return AttemptOutcome::Cancelled,
+        Err(_) => return AttemptOutcome::Cut,
+    };
+    let outcome = match answer.status() {
+        _ if answer.signal.is_not_run => AttemptOutcome::Shed,
+        status if status.is_server_error() => AttemptOutcome::Wrong,
+        _ => AttemptOutcome::Good,
+    };
+    let body = answer.into_response(limit, |_| {}).into_body();
+    match tokio::time::timeout_at(deadline, body.collect()).await {
+        Ok(Ok(_)) => outcome,
+        Ok(Err(_)) => AttemptOutcome::Cut,
+        Err(_) => AttemptOutcome::TimedOut,
+    }
+}
--- a/crates/node/src/slot_desk.rs
+++ b/crates/node/src/slot_desk.rs
@@ -126,10 +126,17 @@
 ) -> Option<SlotLease> {
     let now = state.clock.mono();
     let owned = state.owned_targets(service);
-    let is_preferred = |target: &&Arc<TargetRecord>| Some(&target.id) == preferred;
-    let first = owned.iter().filter(is_preferred);
-    let others = owned.iter().filter(|target| !is_preferred(target));
-    first.chain(others).find_map(|target| {
+    // The preferred target first, suspects last.
+    let rank = |target: &&Arc<TargetRecord>| {
+        let is_preferred = Some(&target.id) == preferred;
+        (state.is_suspect(&target.id), !is_preferred)
+    };
+    let mut targets: Vec<&Arc<TargetRecord>> = owned.iter().collect();
+    targets.sort_by_key(rank);
+    targets.into_iter().find_map(|target| {
+        if !state.health.takes_work(&target.id) {
+            return None;
+        }
         state.may_serve(target, now).ok()?;
         let until = now.after(PERMIT_LIFE_MAX);
         let permit = state.slots.try_acquire(&target.id, until, now).ok()?;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -26,6 +26,7 @@
 
 use crate::{
     clock::HostClock,
+    health_desk::HealthDesk,
     metrics::HostMetrics,
     owned::OwnedTargets,
     slot_desk::SlotDesk,
@@ -61,6 +62,8 @@
     pub desk: SlotDesk,
     /// Load of targets as their owners report it.
     pub chooser: TargetChooser,
+    /// Health of owned targets.
+    pub health: HealthDesk,
     /// Retries of services.
     pub retries: RetryBudget,
     /// Other hosts.
@@ -72,6 +75,7 @@
     owned: RwLock<Arc<OwnedTargets>>,
     roster: RwLock<Arc<ZoneRoster>>,
     suspects: ShardMap<TargetId, bool>,
+    owner_hints: ShardMap<TargetId, (HostId, MonoTime)>,
     clients: ShardMap<TargetId, Arc<TargetClient>>,
     view: RwLock<Option<Arc<FleetView>>>,
     refused_version: RwLock<Option<SmolStr>>,
@@ -115,6 +119,7 @@
             slots: SlotPool::new(),
             desk: SlotDesk::new(),
             chooser: TargetChooser::new(),
+            health: HealthDesk::new(),
             retries: RetryBudget::new(),
             members: PeerTable::new(member, incarnation, rules),
             peers: PeerClient::new(),
@@ -122,6 +127,7 @@
             owned: RwLock::default(),
             roster: RwLock::default(),
             suspects: ShardMap::new(),
+            owner_hints: ShardMap::new(),
             clients: ShardMap::new(),
             view: RwLock::new(None),
             refused_version: RwLock::new(None),
@@ -224,8 +230,12 @@
 
     /// Returns why a target gets no work although operators let it have some.
     pub fn out_reason(&self, target: &TargetRecord) -> Option<SmolStr> {
-        let _ = target;
-        None
+        let usage = self.slots.usage(&target.id, self.clock.mono());
+        if usage.is_some_and(|usage| usage.is_stopping) {
+            return Some("the target says that it drains".into());
+        }
+        let phase = self.health.phase_of(&target.id)?;
+        (!phase.takes_work()).then(|| phase.to_string().into())
     }
 
     /// Tells whether a planned stop has begun.
@@ -238,6 +248,31 @@
         self.is_stopping.store(true, Ordering::Relaxed);
     }
 
+    /// Returns the owner of a target that another host named a short time ago.
+    pub fn owner_hint(&self, target: &TargetId, now: MonoTime) -> Option<HostId> {
+        let hint = self.owner_hints.with(target, |(owner, until)| {
+            (*until > now).then(|| owner.clone())
+        });
+        hint.flatten()
+    }
+
+    /// Notes which host another one named as the owner of a target.
+    pub fn set_owner_hint(&self, target: &TargetId, owner: HostId, now: MonoTime) {
+        // By then the previous owner's silence or return is known to this host itself.
+        let until = now.after(OwnerTimes::default().takeover_after);
+        self.owner_hints.insert(target.clone(), (owner, until));
+    }
+
+    /// Tells whether some owned target of a service gets work.
+    pub fn has_usable_target(&self, service: &ServiceId) -> bool {
+        let now = self.clock.mono();
+        let is_usable = |target: &Arc<TargetRecord>| {
+            let usage = self.slots.usage(&target.id, now);
+            usage.is_some_and(|usage| !usage.is_stopping) && self.health.takes_work(&target.id)
+        };
+        self.owned_targets(service).iter().any(is_usable)
+    }
+
     /// Tells whether a target is under suspicion, by its owner's report.
     pub fn is_suspect(&self, target: &TargetId) -> bool {
         self.suspects
@@ -253,16 +288,6 @@
         }
     }
 
-    /// Notes how an attempt at an owned target went.
-    pub fn observe(
-        &self,
-        target: &TargetRecord,
-        outcome: AttemptOutcome,
-        latency: std::time::Duration,
-    ) {
-        let _ = (target, outcome, latency);
-    }
-
     /// Returns the connections to a target.
     pub fn client_of(&self, target: &TargetRecord) -> Arc<TargetClient> {
         let make = || Arc::new(TargetClient::new(target.address, TARGET_CONNECTIONS_MAX));
@@ -292,11 +317,13 @@
         let owned = self.owned();
         let loads = owned.iter().filter_map(|target| {
             let usage = self.slots.usage(&target.id, now)?;
+            let is_out = usage.is_stopping || !self.health.takes_work(&target.id);
             Some(TargetLoad {
                 target: target.id.clone(),
-                in_flight: usage.in_flight,
+                // A target that gets no work reports itself as full many times over.
+                in_flight: if is_out { u16::MAX } else { usage.in_flight },
                 limit: usage.limit,
-                is_suspect: self.is_suspect(&target.id),
+                is_suspect: is_out || self.is_suspect(&target.id),
             })
         });
         loads.collect()
--- a/crates/peer/examples/exchange_bytes.rs
+++ b/crates/peer/examples/exchange_bytes.rs
@@ -74,9 +74,12 @@
     for number in 0..services {
         message.baselines.push(ServiceBaseline {
             service: ServiceId::new(&format!("service-{number}"))?,
-            good: 300,
-            failed: 3,
-            latency: [0, 1, 20, 200, 70, 9, 0, 0],
+            attempts: 303,
+            failures: 3,
+            sheds: 0,
+            latencies: [(11, 1), (12, 20), (13, 200), (14, 70), (15, 9)]
+                .map(|(bucket, count)| BucketCount { bucket, count })
+                .to_vec(),
         });
     }
     for number in 0..heard {
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -216,7 +216,6 @@
             PeerMessage::ProbeAnswer(message) => put(&mut bytes, message)?,
             PeerMessage::EjectionRequest(message) => put(&mut bytes, message)?,
             PeerMessage::EjectionGrant(message) => put(&mut bytes, message)?,
-            PeerMessage::EjectionRelease(message) => put(&mut bytes, message)?,
             PeerMessage::OwnerHandover(message) => put(&mut bytes, message)?,
             PeerMessage::Accepted => {}
             PeerMessage::Refused(reason) => put(&mut bytes, reason)?,
@@ -252,7 +251,6 @@
             8 => PeerMessage::ProbeAnswer(take(body)?),
             9 => PeerMessage::EjectionRequest(take(body)?),
             10 => PeerMessage::EjectionGrant(take(body)?),
-            11 => PeerMessage::EjectionRelease(take(body)?),
             12 => PeerMessage::OwnerHandover(take(body)?),
             13 => take::<()>(body).map(|()| PeerMessage::Accepted)?,
             14 => PeerMessage::Refused(take(body)?),
@@ -274,7 +272,6 @@
         PeerMessage::ProbeAnswer(_) => 8,
         PeerMessage::EjectionRequest(_) => 9,
         PeerMessage::EjectionGrant(_) => 10,
-        PeerMessage::EjectionRelease(_) => 11,
         PeerMessage::OwnerHandover(_) => 12,
         PeerMessage::Accepted => 13,
         PeerMessage::Refused(_) => 14,
--- a/crates/peer/src/heartbeat.rs
+++ b/crates/peer/src/heartbeat.rs
@@ -11,9 +11,6 @@
     Serialize, //
 };
 
-/// Number of latency buckets of a baseline; each is twice as wide as the one before.
-pub const LATENCY_BUCKETS: usize = 8;
-
 /// The last heartbeat of the receiver that the sender has heard.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SequenceEcho {
@@ -46,17 +43,28 @@
     pub is_suspect: bool,
 }
 
-/// Outcomes of a service's requests at the sender since its last heartbeat.
+/// Counts of a filled latency bucket.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct BucketCount {
+    /// Number of the bucket, the shortest latency first.
+    pub bucket: u8,
+    /// Answers in the bucket.
+    pub count: u32,
+}
+
+/// Outcomes of a service's attempts at the sender during its last window.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ServiceBaseline {
     /// The service.
     pub service: ServiceId,
-    /// Requests that ended well.
-    pub good: u32,
-    /// Requests that failed.
-    pub failed: u32,
-    /// Requests per latency bucket, the shortest latency first.
-    pub latency: [u16; LATENCY_BUCKETS],
+    /// Attempts that ended.
+    pub attempts: u32,
+    /// Attempts that were refused, cut, timed out or answered wrong.
+    pub failures: u32,
+    /// Attempts that the target refused under load.
+    pub sheds: u32,
+    /// The filled latency buckets of whole answers.
+    pub latencies: Vec<BucketCount>,
 }
 
 /// Four bytes that stand for the name of a host.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -38,6 +38,7 @@
             RequestId, //
         },
         heartbeat::{
+            BucketCount,
             ConfigSummary,
             HeardHost,
             Heartbeat,
@@ -51,10 +52,11 @@
             DrawId,
             DrawReach,
             EjectionGrant,
-            EjectionRelease,
+            EjectionPurpose,
             EjectionRequest,
             OwnerHandover,
             PeerMessage,
+            PermitId,
             ProbeAnswer,
             ProbeOutcome,
             ProbeRequest,
--- a/crates/peer/src/messages.rs
+++ b/crates/peer/src/messages.rs
@@ -1,9 +1,6 @@
 //! The control messages between hosts.
 
-use std::{
-    fmt,
-    time::Duration, //
-};
+use std::fmt;
 
 use chicorycroft_core::prelude::*;
 use serde::{
@@ -125,44 +122,52 @@
     pub outcome: ProbeOutcome,
 }
 
-macro_rules! define_lease {
-    ($(#[$doc:meta])* $name:ident) => {
-        $(#[$doc])*
-        #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-        pub struct $name {
-            /// The service whose floor applies.
-            pub service: ServiceId,
-            /// The target.
-            pub target: TargetId,
-            /// Term of the lease, in milliseconds.
-            pub lease_millis: u32,
-        }
-
-        impl $name {
-            /// Returns the term of the lease.
-            pub fn lease(&self) -> Duration {
-                Duration::from_millis(self.lease_millis.into())
-            }
-        }
-    };
+/// Identity of an ejection permit, chosen by the host that ejects.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct PermitId {
+    /// Host that ejects.
+    pub holder: HostId,
+    /// Its incarnation.
+    pub incarnation: HostIncarnation,
+    /// Number within the incarnation.
+    pub number: u64,
 }
 
-define_lease!(
-    /// A request to the arbiter for an ejection permit, or for a longer one.
-    EjectionRequest
-);
-define_lease!(
-    /// An ejection permit.
-    EjectionGrant
-);
+/// What the holder of a permit wants.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum EjectionPurpose {
+    /// To eject a target.
+    Eject,
+    /// To keep a target out.
+    Renew,
+    /// To give the permit back.
+    Release,
+}
 
-/// Notice to the arbiter that a permit is no longer needed.
+/// A request to the arbiter about an ejection permit.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct EjectionRelease {
+pub struct EjectionRequest {
     /// The service whose floor applies.
     pub service: ServiceId,
     /// The target.
     pub target: TargetId,
+    /// The permit.
+    pub permit: PermitId,
+    /// Number of the request for this permit.
+    pub attempt: u32,
+    /// What is wanted.
+    pub purpose: EjectionPurpose,
+}
+
+/// An ejection permit as a lease.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EjectionGrant {
+    /// The permit.
+    pub permit: PermitId,
+    /// Number of the request that this answers.
+    pub attempt: u32,
+    /// Term of the lease from the sending of the request, in milliseconds.
+    pub term_millis: u32,
 }
 
 /// Notice of a leaving owner that it serves these targets no more.
@@ -247,8 +252,6 @@
     EjectionRequest(EjectionRequest),
     /// Ejection permit.
     EjectionGrant(EjectionGrant),
-    /// Return of an ejection permit.
-    EjectionRelease(EjectionRelease),
     /// Handover of a planned stop.
     OwnerHandover(OwnerHandover),
     /// Answer to a notice: it was taken.
--- a/crates/placement/src/slots.rs
+++ b/crates/placement/src/slots.rs
@@ -90,6 +90,8 @@
     pub limit: u16,
     /// Whether the target has not yet reached its slots since its last cold start.
     pub is_cold: bool,
+    /// Whether the target gets no further request.
+    pub is_stopping: bool,
 }
 
 /// Slots of one target.
@@ -204,6 +206,7 @@
                 in_flight: u16::try_from(slots.in_flight.len()).unwrap_or(u16::MAX),
                 limit: slots.limit,
                 is_cold: slots.is_cold,
+                is_stopping: slots.is_stopping,
             }
         })
     }
