Follow the configuration through readers and peers in the running host

Cause: every host watched the platform by itself, heartbeats carried no version, and readiness did not depend on what a host knows after its start or a pause. Change: readers of a zone watch the index, the others learn versions from heartbeats and answers and fetch documents from peers in pieces. Readiness follows ConfigFollower and refuses as not run after a pause until fresh. Bookings go by BookingClock, and a host_stop booking asks for the planned stop. A new view revises limits and ownership at once. Idle connections between hosts are swept.

--- a/crates/node/src/config_loop.rs
+++ b/crates/node/src/config_loop.rs
@@ -1,126 +1,236 @@
-//! Follows the published configuration.
+//! Adopts published versions and applies bookings.
 
 use std::{
     sync::Arc,
     time::Duration, //
 };
 
-use chicorycroft_border::{
-    document::BorderError,
-    prelude::*, //
-};
-use chicorycroft_core::prelude::*;
+use chicorycroft_border::prelude::*;
 use chicorycroft_inventory::prelude::*;
 use chicorycroft_platform::prelude::*;
-use smol_str::SmolStr;
-use thiserror::Error;
+use smol_str::format_smolstr;
+use tokio::{
+    sync::watch,
+    time::Instant, //
+};
 
 use crate::{
+    config_fetch::{
+        ConfigError,
+        FetchSources,
+        text_of, //
+    },
+    config_watch,
     decision_log::DecisionLine,
+    owned,
+    roster_loop,
     state::HostState, //
 };
 
-/// Pause after a failure of the platform.
-const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Least pause after a fetch that came to nothing, above the time for which the follower ignores the
+/// same version.
+const RETRY_PAUSE: Duration = Duration::from_millis(600);
 
-/// Why a published version is not taken.
-#[derive(Debug, Error)]
-pub enum ConfigError {
-    /// The platform failed.
-    #[error(transparent)]
-    Platform(#[from] PlatformError),
-    /// A document is not valid.
-    #[error(transparent)]
-    Border(#[from] BorderError),
-    /// A part is not the one that the index lists.
-    #[error("part {name} does not have the digest that the index lists")]
-    WrongDigest {
-        /// Name of the part.
-        name: SmolStr,
-    },
-    /// A value is not text.
-    #[error("value {name} is not UTF-8")]
-    NotText {
-        /// Name of the value.
-        name: SmolStr,
-    },
-}
-
-fn text_of(name: &str, value: &PlatformValue) -> Result<String, ConfigError> {
-    String::from_utf8(value.content.to_vec())
-        .map_err(|_| ConfigError::NotText { name: name.into() })
+/// Takes notice of an index that the platform or another host told of.
+pub fn take_index(state: &HostState, source: IndexSource, summary: IndexSummary) -> IndexVerdict {
+    let now = state.clock.mono();
+    let verdict = state
+        .config
+        .with_follower(|follower| follower.on_index(source.clone(), summary, now));
+    match verdict {
+        IndexVerdict::Fetch => state.config.tell_news(),
+        IndexVerdict::Conflict {
+            known,
+            is_first: true,
+        } => {
+            let reason = format_smolstr!(
+                "version {} was published twice, with the digests {known} and {}; publish the \
+                 right content under a higher version",
+                summary.version,
+                summary.digest
+            );
+            let from = match &source {
+                IndexSource::Platform => "platform",
+                IndexSource::Peer { host, .. } => host.as_str(),
+            };
+            DecisionLine::new("config_conflict")
+                .with("version", summary.version)
+                .with("known", known)
+                .with("digest", summary.digest)
+                .with("from", from)
+                .warn();
+            state.set_refused_version(Some(reason));
+        }
+        _ => {}
+    }
+    verdict
 }
 
-async fn read_snapshot(
-    platform: &PlatformClient,
-    index: &ConfigIndex,
-) -> Result<FleetSnapshot, ConfigError> {
-    let mut documents = Vec::new();
-    for part in index.parts() {
-        let value = platform.read(&part.name).await?;
-        if DocumentDigest::of_document(&value.content) != part.digest {
-            return Err(ConfigError::WrongDigest {
-                name: part.name.clone(),
-            });
+/// Adopts the versions that the host is told of, until the task is dropped.
+pub async fn adopt(state: Arc<HostState>, platform: Arc<PlatformClient>) {
+    let mut backoff = RetryBackoff::new();
+    let due = || state.config.with_follower(|follower| follower.due());
+    loop {
+        let Some(summary) = due() else {
+            state.config.news().await;
+            continue;
+        };
+        let sources: Vec<IndexSource> = state
+            .config
+            .with_follower(|follower| follower.sources().cloned().collect());
+        let Err(error) = adopt_one(&state, &platform, summary, &sources).await else {
+            backoff.on_success();
+            continue;
+        };
+        if error.is_refusal() {
+            refuse(&state, summary, &error);
+            continue;
+        }
+        DecisionLine::new("config_not_fetched")
+            .with("version", summary.version)
+            .with("error", error)
+            .warn();
+        let now = state.clock.mono();
+        state
+            .config
+            .with_follower(|follower| follower.on_fetch_failed(summary, now));
+        let pause = backoff.on_failure(jitter(&state)).max(RETRY_PAUSE);
+        let retry_at = Instant::now() + pause;
+        while due().is_none() && Instant::now() < retry_at {
+            // Either news came or it is time to try again; the conditions of the loop tell which.
+            let _ = tokio::time::timeout_at(retry_at, state.config.news()).await;
+        }
+        if due().is_none() {
+            // The platform tells of a version only once.
+            for source in sources {
+                take_index(&state, source, summary);
+            }
         }
-        let text = text_of(&part.name, &value)?;
-        documents.push(read_document(&part.name, &text)?);
     }
-    Ok(build_snapshot(index.version(), &documents)?)
 }
 
-/// Adopts a published index if it is newer than the version in force.
-async fn adopt(
-    state: &HostState,
-    platform: &PlatformClient,
-    value: &PlatformValue,
+/// Returns a random part of a pause.
+pub fn jitter(state: &HostState) -> u16 {
+    u16::try_from(state.random() & u64::from(u16::MAX)).unwrap_or(0)
+}
+
+fn refuse(state: &HostState, summary: IndexSummary, error: &ConfigError) {
+    state
+        .config
+        .with_follower(|follower| follower.refuse_index(summary));
+    DecisionLine::new("config_refused")
+        .with("version", summary.version)
+        .with("error", error)
+        .warn();
+    let reason = format_smolstr!("version {}: {error}", summary.version);
+    state.set_refused_version(Some(reason));
+}
+
+async fn adopt_one(
+    state: &Arc<HostState>,
+    platform: &Arc<PlatformClient>,
+    summary: IndexSummary,
+    told_by: &[IndexSource],
 ) -> Result<(), ConfigError> {
-    let index = ConfigIndex::new(&text_of("index", value)?)?;
-    let in_force = state.view().map(|view| view.snapshot().version());
-    if in_force.is_some_and(|version| version >= index.version()) {
-        return Ok(());
+    let may_read = told_by.contains(&IndexSource::Platform) || config_watch::may_read(state);
+    let sources = FetchSources::new(state, told_by, may_read.then_some(platform));
+    let index_part = PartSummary {
+        name: "index".into(),
+        digest: summary.digest,
+    };
+    sources.fetch(state, &[index_part]).await?;
+    let content = state.config.document(&summary.digest).unwrap_or_default();
+    let index = ConfigIndex::new(&text_of("index", &content)?)?;
+    if index.version() != summary.version {
+        return Err(ConfigError::WrongVersion {
+            found: index.version(),
+            told: summary.version,
+        });
     }
-    let snapshot = read_snapshot(platform, &index).await?;
-    state.set_view(FleetView::new(Arc::new(snapshot), state.clock.unix()));
+    let parts: Vec<PartSummary> = index.parts().iter().map(summary_of).collect();
+    let plan = state
+        .config
+        .with_follower(|follower| follower.on_parts(summary, &parts))
+        .ok_or(ConfigError::Superseded)?;
+    sources.fetch(state, &plan.missing).await?;
+    let snapshot = check(state, &index).await?;
+    state
+        .config
+        .with_follower(|follower| follower.accept(summary))
+        .map_err(|_| ConfigError::Superseded)?;
+    put_in_force(state, Some(Arc::new(snapshot)));
+    state.config.drop_documents();
+    state.set_refused_version(None);
+    state.config.announce();
     DecisionLine::new("config_accepted")
-        .with("version", index.version())
+        .with("version", summary.version)
+        .with("fetched", plan.missing.len())
+        .with("reused", plan.reused)
         .info();
     Ok(())
 }
 
-/// Follows the index on the platform until the task is dropped.
-pub async fn follow(state: Arc<HostState>, platform: Arc<PlatformClient>) {
-    let mut seen = ConfigVersion::default();
-    loop {
-        let outcome = match platform.wait_newer("index", seen).await {
-            Ok(None) => continue,
-            Ok(Some(value)) => {
-                seen = value.version;
-                adopt(&state, &platform, &value).await
-            }
-            Err(error) => Err(error.into()),
-        };
-        if let Err(error) = outcome {
-            DecisionLine::new("config_refused")
-                .with("error", error)
-                .warn();
-            tokio::time::sleep(RETRY_PAUSE).await;
-        }
+fn summary_of(part: &IndexPart) -> PartSummary {
+    PartSummary {
+        name: part.name.clone(),
+        digest: part.digest,
     }
 }
 
-/// Puts booked changes in force at their time until the task is dropped.
-pub async fn apply_bookings(state: Arc<HostState>) {
+/// Parses and checks a whole version on a thread that may take its time.
+async fn check(state: &HostState, index: &ConfigIndex) -> Result<FleetSnapshot, ConfigError> {
+    let mut contents = Vec::new();
+    for part in index.parts() {
+        let content = state.config.document(&part.digest);
+        let name = part.name.clone();
+        contents.push((name.clone(), content.ok_or(ConfigError::NotFound { name })?));
+    }
+    let version = index.version();
+    let build = move || {
+        let mut documents = Vec::new();
+        for (name, content) in contents {
+            documents.push(read_document(&name, &text_of(&name, &content)?)?);
+        }
+        Ok(build_snapshot(version, &documents)?)
+    };
+    let checked = tokio::task::spawn_blocking(build).await;
+    checked.map_err(|_| ConfigError::CheckBroken)?
+}
+
+/// Puts a snapshot in force, or the one in force anew with the bookings of this moment.
+pub fn put_in_force(state: &Arc<HostState>, snapshot: Option<Arc<FleetSnapshot>>) {
+    let booked = state.booked_time();
+    let make = |view: Option<&FleetView>| {
+        let snapshot = snapshot.or_else(|| view.map(|view| view.snapshot().clone()))?;
+        let is_lower = view.is_some_and(|view| view.snapshot().version() > snapshot.version());
+        (!is_lower).then(|| FleetView::new(snapshot, booked))
+    };
+    let Some(view) = state.replace_view(make) else {
+        return;
+    };
+    roster_loop::take_regions(state);
+    let now = state.clock.mono();
+    state.ledger.revise(|team| state.terms_of(&view, team), now);
+    owned::refresh(state);
+}
+
+/// Puts booked changes in force at their time until the task is dropped. A booking that stops this
+/// host asks for its planned stop.
+pub async fn apply_bookings(state: Arc<HostState>, drain: watch::Sender<bool>) {
     /// Longest time from the start of a booking to its effect.
     const CHECK_PERIOD: Duration = Duration::from_millis(250);
     loop {
         tokio::time::sleep(CHECK_PERIOD).await;
-        let now = state.clock.unix();
-        if let Some(view) = state.view()
-            && view.next_edge().is_some_and(|edge| edge <= now)
-        {
-            state.set_view(FleetView::new(view.snapshot().clone(), now));
+        let now = state.booked_time();
+        let Some(view) = state.view() else {
+            continue;
+        };
+        if view.next_edge().is_some_and(|edge| edge <= now) {
+            put_in_force(&state, None);
             DecisionLine::new("bookings_applied").with("at", now).info();
         }
+        if state.is_booked_to_stop() && !drain.send_replace(true) {
+            DecisionLine::new("stop_booked").with("at", now).info();
+        }
     }
 }
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -26,12 +26,14 @@
     },
     clock::HostClock,
     config_loop,
+    config_watch,
     decision_log::DecisionLine,
     handover,
     ingress,
     member_loop,
     metrics::HostMetrics,
     peer_service,
+    roster_loop,
     state::HostState,
     status_facts::collect_status,
     token_loop, //
@@ -195,11 +197,14 @@
     admin_listener: TcpListener,
     drain: &watch::Sender<bool>,
 ) -> JoinSet<()> {
-    let platform = Arc::new(platform);
+    let platform = Arc::new(platform.with_budget(state.config.call_budget()));
     let mut loops = JoinSet::new();
-    loops.spawn(config_loop::follow(state.clone(), platform.clone()));
-    loops.spawn(config_loop::apply_bookings(state.clone()));
-    loops.spawn(member_loop::read_roster(state.clone(), platform));
+    loops.spawn(config_watch::watch(state.clone(), platform.clone()));
+    loops.spawn(config_watch::ask_peers(state.clone()));
+    loops.spawn(config_loop::adopt(state.clone(), platform.clone()));
+    loops.spawn(config_loop::apply_bookings(state.clone(), drain.clone()));
+    loops.spawn(roster_loop::read_roster(state.clone(), platform));
+    loops.spawn(member_loop::sweep(state.clone()));
     loops.spawn(member_loop::heartbeat(state.clone()));
     loops.spawn(member_loop::tick(state.clone()));
     loops.spawn(token_loop::draw(state.clone()));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,10 +13,14 @@
 //! - [`delivery_error`]: why a request got no answer from a target.
 //! - [`owned`]: the targets that this host owns.
 //! - [`handover`]: hands owned targets over at a planned stop.
-//! - [`member_loop`]: heartbeats, list of hosts, pauses.
+//! - [`member_loop`]: heartbeats, pauses.
+//! - [`roster_loop`]: the platform's list of hosts.
 //! - [`token_loop`]: moves tokens between hosts.
 //! - [`peer_service`]: answers other hosts.
-//! - [`config_loop`]: follows the published configuration.
+//! - [`config_desk`]: what the host knows of the published configuration.
+//! - [`config_watch`]: learns of published versions.
+//! - [`config_fetch`]: fetches documents from other hosts or the platform.
+//! - [`config_loop`]: adopts versions and applies bookings.
 //! - [`status`]: what operators see of the host.
 //! - [`status_facts`]: collects the facts for it.
 //! - [`metrics`]: counters, gauges and histograms.
@@ -27,7 +31,10 @@
 pub mod admission;
 pub mod attempt;
 pub mod clock;
+pub mod config_desk;
+pub mod config_fetch;
 pub mod config_loop;
+pub mod config_watch;
 pub mod decision_log;
 pub mod delivery;
 pub mod delivery_error;
@@ -40,6 +47,7 @@
 pub mod owner;
 pub mod peer_service;
 pub mod replay;
+pub mod roster_loop;
 pub mod slot_desk;
 pub mod state;
 pub mod status;
--- a/crates/node/src/member_loop.rs
+++ b/crates/node/src/member_loop.rs
@@ -1,4 +1,4 @@
-//! Sends heartbeats, reads the platform's list of hosts and notices pauses of the process.
+//! Sends heartbeats and notices pauses of the process.
 
 use std::{
     sync::Arc,
@@ -9,11 +9,7 @@
 use chicorycroft_limits::prelude::*;
 use chicorycroft_membership::prelude::*;
 use chicorycroft_peer::prelude::*;
-use chicorycroft_placement::{
-    owner_rules::contact_basis,
-    prelude::*, //
-};
-use chicorycroft_platform::prelude::*;
+use chicorycroft_placement::owner_rules::contact_basis;
 use tokio::time::Instant;
 
 use crate::{
@@ -23,7 +19,7 @@
 };
 
 /// Time between two checks of contact, ownership and pauses.
-const TICK: Duration = Duration::from_millis(100);
+pub const TICK: Duration = Duration::from_millis(100);
 
 /// Time between two heartbeats to a peer of the own zone.
 const HEARTBEAT_PERIOD: Duration = Duration::from_millis(500);
@@ -31,17 +27,8 @@
 /// Longest time that a heartbeat may take; later it tells nothing about contact.
 const HEARTBEAT_WAIT: Duration = Duration::from_millis(1000);
 
-/// Time between two reads of the list of hosts: 1,700 hosts make 340 reads a second of it.
-const ROSTER_PERIOD: Duration = Duration::from_secs(5);
-
-/// Time between two tries while no list has been read.
-const ROSTER_RETRY: Duration = Duration::from_millis(500);
-
-/// Time between two checks for the first configuration.
-const VIEW_WAIT: Duration = Duration::from_millis(20);
-
 /// A gap between two ticks beyond this means that the process was paused.
-const WAKE_GAP: Duration = Duration::from_secs(1);
+pub const WAKE_GAP: Duration = Duration::from_secs(1);
 
 /// Checks contact, ownership and pauses until the task is dropped.
 pub async fn tick(state: Arc<HostState>) {
@@ -57,7 +44,9 @@
             state.members.on_wake(now);
             state.owners.on_wake(now);
             state.ledger.gate().suspend();
+            state.config.on_wake();
         }
+        state.on_tick(now);
         update(&state, now);
     }
 }
@@ -100,9 +89,9 @@
         address: state.peer_address,
         sequence: ticket.sequence,
         echo,
-        config: None,
-        is_platform_recent: false,
-        is_leaving: state.is_stopping(),
+        config: state.config.summary(),
+        is_platform_recent: state.config.is_platform_recent(now),
+        is_leaving: state.is_leaving(),
         targets: state.target_loads(),
         baselines: Vec::new(),
         heard: heard.collect(),
@@ -132,69 +121,31 @@
     }
 }
 
-/// Sends heartbeats until the task is dropped.
+/// Sends heartbeats until the task is dropped. A version that has just come into force and the end of
+/// a pause are told to all partners at once.
 pub async fn heartbeat(state: Arc<HostState>) {
+    let send = |peer: &HostId| drop(tokio::spawn(send_heartbeat(state.clone(), peer.clone())));
     for round in 0.. {
-        let plan = state.members.plan();
-        for peer in plan.due(round) {
-            tokio::spawn(send_heartbeat(state.clone(), peer.clone()));
+        state.members.plan().due(round).for_each(send);
+        let next = Instant::now() + HEARTBEAT_PERIOD;
+        let is_asked = async || tokio::time::timeout_at(next, state.config.announcement()).await;
+        while is_asked().await.is_ok() {
+            let plan = state.members.plan();
+            plan.own_zone()
+                .iter()
+                .chain(plan.other_zones())
+                .for_each(send);
         }
-        tokio::time::sleep(HEARTBEAT_PERIOD).await;
     }
 }
 
-/// Reads the platform's list of hosts until the task is dropped.
-pub async fn read_roster(state: Arc<HostState>, platform: Arc<PlatformClient>) {
-    loop {
-        if state.view().is_none() {
-            // The regions of zones are in the configuration.
-            tokio::time::sleep(VIEW_WAIT).await;
-            continue;
-        }
-        let begun = state.clock.mono();
-        let pause = match platform.list_hosts().await {
-            Ok(hosts) => {
-                take_roster(&state, hosts, begun);
-                ROSTER_PERIOD
-            }
-            Err(error) => {
-                DecisionLine::new("roster_unread")
-                    .with("error", error)
-                    .warn();
-                ROSTER_RETRY
-            }
-        };
-        // Hosts that start together would read together; up to a tenth of the pause spreads them.
-        let jitter = pause.mul_f64((state.random() % 100) as f64 / 1000.0);
-        tokio::time::sleep(pause + jitter).await;
-    }
-}
+/// Time between two looks for idle connections to other hosts.
+const SWEEP_PERIOD: Duration = Duration::from_secs(10);
 
-fn take_roster(state: &Arc<HostState>, hosts: Vec<HostListing>, begun: MonoTime) {
-    let now = state.clock.mono();
-    let region_of = |zone: &ZoneId| {
-        let view = state.view()?;
-        view.snapshot().zone(zone).map(|zone| zone.region.clone())
-    };
-    let listed = hosts.iter().filter_map(|host| {
-        Some(ListedHost {
-            id: host.id.clone(),
-            zone: host.zone.clone(),
-            region: region_of(&host.zone)?,
-        })
-    });
-    state.owners.on_roster(listed.collect::<Vec<_>>(), now);
-    let is_listed = hosts.iter().any(|host| host.id == state.settings.host);
-    let entries = hosts.into_iter().map(|host| HostEntry {
-        id: host.id,
-        zone: host.zone,
-        address: host.address,
-        is_leaving: host.is_leaving,
-    });
-    state.members.on_roster(HostRoster::new(entries), now);
-    if is_listed {
-        // The list was asked for after the pause, so that it shows that this host still counts.
-        state.owners.on_fresh_round(begun);
-        state.ledger.gate().resume(now);
+/// Closes idle connections to other hosts until the task is dropped.
+pub async fn sweep(state: Arc<HostState>) {
+    loop {
+        tokio::time::sleep(SWEEP_PERIOD).await;
+        state.peers.sweep_idle();
     }
 }
--- a/crates/node/src/peer_service.rs
+++ b/crates/node/src/peer_service.rs
@@ -5,6 +5,7 @@
     time::Duration, //
 };
 
+use chicorycroft_inventory::prelude::*;
 use chicorycroft_membership::prelude::*;
 use chicorycroft_peer::prelude::*;
 use chicorycroft_proxy::prelude::*;
@@ -16,6 +17,7 @@
 use hyper::body::Incoming;
 
 use crate::{
+    config_loop,
     handover,
     owner,
     state::HostState,
@@ -34,6 +36,7 @@
             token_loop::on_grant(&state, grant);
             PeerMessage::Accepted
         }
+        PeerMessage::PartsRequest(request) => state.config.answer(&request),
         PeerMessage::OwnerHandover(notice) => handover::on_notice(&state, &notice),
         _ => PeerMessage::Refused(RefusalReason::NotARequest),
     }
@@ -70,8 +73,36 @@
     })
 }
 
+/// Takes the version in force at another host. Before this host is ready, only heartbeats count that
+/// answer one of its own: others may have waited here for the whole of a pause.
+fn take_config(state: &HostState, heartbeat: &Heartbeat) {
+    state
+        .config
+        .on_reader(&heartbeat.host, heartbeat.is_platform_recent);
+    let Some(summary) = heartbeat.config else {
+        return;
+    };
+    let is_answer = heartbeat.echo.is_some_and(|echo| {
+        let sent_at = state.members.sent_at(&heartbeat.host, echo.sequence);
+        echo.incarnation == state.incarnation && sent_at.is_some()
+    });
+    if !is_answer && state.readiness() != HostReadiness::Ready {
+        return;
+    }
+    let source = IndexSource::Peer {
+        host: heartbeat.host.clone(),
+        zone: heartbeat.zone.clone(),
+    };
+    let summary = IndexSummary {
+        version: summary.version,
+        digest: summary.digest,
+    };
+    config_loop::take_index(state, source, summary);
+}
+
 fn take_reports(state: &HostState, heartbeat: &Heartbeat) {
     let now = state.clock.mono();
+    take_config(state, heartbeat);
     state.owners.on_heard(&heartbeat.zone, &heartbeat.host, now);
     let age_of = |host: &_| {
         let hash = HostHash::of_host(host);
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -22,12 +22,21 @@
 use chicorycroft_proxy::prelude::*;
 use chicorycroft_retry::prelude::*;
 use indexmap::IndexMap;
-use smol_str::SmolStr;
+use smol_str::{
+    SmolStr, //
+    format_smolstr,
+};
 
 use crate::{
     clock::HostClock,
+    config_desk::ConfigDesk,
+    member_loop::{
+        TICK,
+        WAKE_GAP, //
+    },
     metrics::HostMetrics,
     owned::OwnedTargets,
+    roster_loop::HostList,
     slot_desk::SlotDesk,
     token_loop::DrawBell, //
 };
@@ -63,6 +72,8 @@
     pub chooser: TargetChooser,
     /// Retries of services.
     pub retries: RetryBudget,
+    /// Published configuration.
+    pub config: ConfigDesk,
     /// Other hosts.
     pub members: PeerTable,
     /// Connections to other hosts.
@@ -71,10 +82,13 @@
     pub metrics: Arc<HostMetrics>,
     owned: RwLock<Arc<OwnedTargets>>,
     roster: RwLock<Arc<ZoneRoster>>,
+    host_list: RwLock<Option<Arc<HostList>>>,
     suspects: ShardMap<TargetId, bool>,
     clients: ShardMap<TargetId, Arc<TargetClient>>,
     view: RwLock<Option<Arc<FleetView>>>,
     refused_version: RwLock<Option<SmolStr>>,
+    /// Microseconds at the last tick.
+    ticked_at: AtomicU64,
     last_request: AtomicU64,
     random: AtomicU64,
     is_stopping: AtomicBool,
@@ -116,15 +130,18 @@
             desk: SlotDesk::new(),
             chooser: TargetChooser::new(),
             retries: RetryBudget::new(),
+            config: ConfigDesk::new(now, clock.wall()),
             members: PeerTable::new(member, incarnation, rules),
             peers: PeerClient::new(),
             metrics: Arc::new(metrics),
             owned: RwLock::default(),
             roster: RwLock::default(),
+            host_list: RwLock::default(),
             suspects: ShardMap::new(),
             clients: ShardMap::new(),
             view: RwLock::new(None),
             refused_version: RwLock::new(None),
+            ticked_at: AtomicU64::new(now.as_micros()),
             last_request: AtomicU64::new(0),
             random: AtomicU64::new(incarnation.get()),
             is_stopping: AtomicBool::new(false),
@@ -136,9 +153,51 @@
         read(&self.view)
     }
 
-    /// Puts a view in force.
-    pub fn set_view(&self, view: FleetView) {
-        write(&self.view, Some(Arc::new(view)));
+    /// Replaces the view in force by the one that `make` returns, and returns it. No other change
+    /// comes in between, so that a booking cannot put an older snapshot back.
+    pub fn replace_view(
+        &self,
+        make: impl FnOnce(Option<&FleetView>) -> Option<FleetView>,
+    ) -> Option<Arc<FleetView>> {
+        let mut slot = self.view.write().unwrap_or_else(PoisonError::into_inner);
+        let view = Arc::new(make(slot.as_deref())?);
+        *slot = Some(view.clone());
+        Some(view)
+    }
+
+    /// Returns the platform's last list of hosts.
+    pub fn host_list(&self) -> Option<Arc<HostList>> {
+        read(&self.host_list)
+    }
+
+    /// Replaces the platform's list of hosts.
+    pub fn set_host_list(&self, list: HostList) {
+        write(&self.host_list, Some(Arc::new(list)));
+    }
+
+    /// Notes that the platform has answered.
+    pub fn on_platform(&self) {
+        let now = self.clock.mono();
+        self.members.on_platform(now);
+        self.config.on_platform(now);
+    }
+
+    /// Returns the time by which bookings come into force.
+    pub fn booked_time(&self) -> UnixTime {
+        self.config
+            .booked_time(self.clock.mono(), self.clock.wall())
+    }
+
+    /// Notes that the tick has run.
+    pub fn on_tick(&self, now: MonoTime) {
+        self.ticked_at.store(now.as_micros(), Ordering::Relaxed);
+    }
+
+    /// Tells whether the tick is so late that the process may have been paused. Requests that
+    /// arrive before the tick notices the pause are refused by this.
+    fn is_tick_late(&self, now: MonoTime) -> bool {
+        let ticked_at = MonoTime::from_micros(self.ticked_at.load(Ordering::Relaxed));
+        now.since(ticked_at) > TICK + WAKE_GAP
     }
 
     /// Returns the live hosts by zone.
@@ -195,21 +254,56 @@
         Some(LimitTerms::new(limit.rate, limit.burst, bound, live))
     }
 
-    /// Tells whether callers may be served: there is a configuration, it cannot be out of date
-    /// without this host knowing, and no planned stop has begun.
+    /// Tells what this host knows of the configuration in force.
+    pub fn readiness(&self) -> HostReadiness {
+        let is_isolated = self.members.is_isolated(self.clock.mono());
+        self.config
+            .with_follower(|follower| follower.readiness(is_isolated))
+    }
+
+    /// Tells whether callers may be served: there is a configuration, and it cannot be out of date
+    /// without this host knowing.
     pub fn is_serving(&self) -> bool {
-        !self.members.is_isolated(self.clock.mono()) && self.view().is_some()
+        self.unready_reason().is_none() && self.view().is_some()
+    }
+
+    /// Tells whether a booking stops this host now.
+    pub fn is_booked_to_stop(&self) -> bool {
+        self.view()
+            .is_some_and(|view| view.is_host_stopping(&self.settings.host))
+    }
+
+    /// Tells whether this host is about to leave: by a planned stop, or by a booking.
+    pub fn is_leaving(&self) -> bool {
+        self.is_stopping() || self.is_booked_to_stop()
     }
 
     /// Tells whether the balancer may send callers here.
     pub fn is_ready(&self) -> bool {
-        self.is_serving() && !self.is_stopping()
+        self.is_serving() && !self.is_leaving()
     }
 
-    /// Returns why this host takes no requests although it has a configuration.
+    /// Returns why this host takes no requests.
     pub fn unready_reason(&self) -> Option<SmolStr> {
-        let is_isolated = self.members.is_isolated(self.clock.mono());
-        is_isolated.then(|| "neither the platform nor most of the fleet answers".into())
+        if self.is_tick_late(self.clock.mono()) {
+            return Some("the process was paused".into());
+        }
+        let reason = match self.readiness() {
+            HostReadiness::Ready => return None,
+            HostReadiness::NoConfig => "no configuration yet".into(),
+            HostReadiness::NoIndex => {
+                "neither the platform nor another host has told of its version yet".into()
+            }
+            HostReadiness::FewPeers { heard } => format_smolstr!(
+                "only {heard} other hosts have told of their versions; 2 in different zones are \
+                 needed where there are that many"
+            ),
+            HostReadiness::Behind { highest } => {
+                format_smolstr!("version {highest} is known and not in force here yet")
+            }
+            HostReadiness::Isolated => "neither the platform nor most of the fleet answers".into(),
+        };
+        Some(reason)
     }
 
     /// Returns why the last published version was refused.
--- a/crates/node/src/status_facts.rs
+++ b/crates/node/src/status_facts.rs
@@ -40,10 +40,7 @@
     if state.is_stopping() {
         return Some("a planned stop has begun".into());
     }
-    let Some(view) = state.view() else {
-        return Some("no configuration yet".into());
-    };
-    if view.is_host_stopping(&state.settings.host) {
+    if state.is_booked_to_stop() {
         return Some("a booking stops this host".into());
     }
     state.unready_reason()
