--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,10 +16,14 @@
 //! - [`health_desk`]: evidence, life cycle and ejection leases of owned targets.
 //! - [`health_loop`]: acts on the evidence.
 //! - [`probe`]: probes a target.
-//! - [`member_loop`]: heartbeats, list of hosts, pauses.
+//! - [`member_loop`]: heartbeats, pauses.
+//! - [`roster_loop`]: the platform's list of hosts.
 //! - [`token_loop`]: moves tokens between hosts.
 //! - [`peer_service`]: answers other hosts.
-//! - [`config_loop`]: follows the published configuration.
+//! - [`config_desk`]: what the host knows of the published configuration.
+//! - [`config_watch`]: learns of published versions.
+//! - [`config_fetch`]: fetches documents from other hosts or the platform.
+//! - [`config_loop`]: adopts versions and applies bookings.
 //! - [`status`]: what operators see of the host.
 //! - [`status_facts`]: collects the facts for it.
 //! - [`metrics`]: counters, gauges and histograms.
@@ -30,7 +34,10 @@
 pub mod admission;
 pub mod attempt;
 pub mod clock;
+pub mod config_desk;
+pub mod config_fetch;
 pub mod config_loop;
+pub mod config_watch;
 pub mod decision_log;
 pub mod delivery;
 pub mod delivery_error;
@@ -46,6 +53,7 @@
 pub mod peer_service;
 pub mod probe;
 pub mod replay;
+pub mod roster_loop;
 pub mod slot_desk;
 pub mod state;
 pub mod status;
