--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,7 @@
         platform::StandinPlatform,
         target::{
             StandinTarget,
+            TargetArrival,
             TargetFault, //
         },
     };
