Add the demo of a whole fleet

Cause: nothing showed the fleet under load and faults from one command. Change: chicorycroft demo starts the platform, 15 targets in three zones and 6 hosts on free loopback ports, sends an open loop of requests by 6 teams, causes the faults, and prints the measures, all computed from records of callers and targets. It ends with 1 when an invariant was broken.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`parts`]: writes parts and their index for publishing.
 //! - [`admin_client`]: asks the admin address of a host.
 //! - [`report`]: tables of status and explanations.
+//! - [`demo`]: a whole fleet in one process, with faults and a table.
 //! - [`files`]: reads files with bounds.
 //!
 //! Every command is a function from arguments to a [`CommandOutcome`]; only [`finish`] writes. The
@@ -25,6 +26,7 @@
 
 pub mod admin_client;
 pub mod check;
+pub mod demo;
 pub mod diff;
 pub mod files;
 pub mod parts;
@@ -147,6 +149,21 @@
         },
         run: admin_client::drain,
     },
+    CommandEntry {
+        name: "demo",
+        arguments: "[--seconds N] [--seed N] [--hold]",
+        summary: "Runs a whole fleet with load and faults, and prints what happened.",
+        options: |options| {
+            options.optopt("", "seconds", "length of the load; 38 by default", "N");
+            options.optopt("", "seed", "seed of the load; 1 by default", "N");
+            options.optflag(
+                "",
+                "hold",
+                "keep the fleet up without load until Ctrl-C, and print curl lines",
+            );
+        },
+        run: demo::run,
+    },
 ];
 
 /// Makes an outcome for a command line that is not valid.
