--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -8,6 +8,7 @@
 //! - [`owners`]: how evenly rendezvous hashing spreads targets over hosts.
 //! - [`rates`]: refusals within the rate, overshoot and cost of moving tokens between hosts.
 //! - [`rates_driver`]: the fleet in virtual time on which `rates` runs.
+//! - [`slopes`]: memory of the inventory, and messages as the fleet grows.
 
 use std::process::ExitCode;
 
@@ -22,6 +23,7 @@
 mod owners;
 mod rates;
 mod rates_driver;
+mod slopes;
 
 /// Exit status for a command line that is not valid, as `sysexits` has it.
 const EXIT_USAGE: u8 = 64;
@@ -64,6 +66,11 @@
         brief: "refusals within the rate and overshoot over the whole fleet",
         run: rates::run,
     },
+    ExperimentEntry {
+        name: "slopes",
+        brief: "memory of the inventory, and messages as the fleet grows",
+        run: slopes::run,
+    },
 ];
 
 fn print_help(options: &Options) {
