Test published changes, bookings and readiness on running hosts

Cause: nothing tested that a change reaches running hosts, and a host that was cut off counted as isolated only after 10 s, because a second isolation time began when the first one ended. Change: tests with several hosts cause each failure. Isolation begins 5 s after most of the fleet was last heard. The list of hosts is read every 4 s, below the isolation time, so that a host that sees only the platform does not become isolated between two reads. Conclusion: changes, bookings, refusals and isolation work on running hosts.

--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -75,7 +75,6 @@
     roster: HostRoster,
     roster_at: Option<MonoTime>,
     platform_at: Option<MonoTime>,
-    fleet_at: Option<MonoTime>,
     woken_at: MonoTime,
     plan: HeartbeatPlan,
 }
@@ -233,7 +232,6 @@
         });
         let mut sight = self.sight();
         sight.platform_at = None;
-        sight.fleet_at = None;
         sight.woken_at = now;
     }
 
@@ -243,11 +241,7 @@
         self.peers
             .for_each(|_, peer| peer.machine.handle(&ContactEvent::Passed { now }));
         let may_drop = self.zone_contact(now).is_majority();
-        let has_fleet = self.has_fleet(now);
-        let mut sight = self.sight();
-        if has_fleet {
-            sight.fleet_at = Some(now);
-        }
+        let sight = self.sight();
         let (roster, roster_at) = (&sight.roster, sight.roster_at);
         self.peers.retain(|host, peer| {
             let is_listed = roster.get(host).is_some();
@@ -316,10 +310,10 @@
     /// Tells whether this host has seen neither the platform nor more than half of the last roster
     /// for the isolation time. It then cannot know about withdrawn keys.
     pub fn is_isolated(&self, now: MonoTime) -> bool {
+        // A host counts as seen for the isolation time after it was heard, so that no second such time
+        // is added here.
         let has_fleet = self.has_fleet(now);
-        let sight = self.sight();
-        let is_recent = |at| is_within(at, self.rules.isolation_after, now);
-        !has_fleet && !is_recent(sight.platform_at) && !is_recent(sight.fleet_at)
+        !has_fleet && !is_within(self.sight().platform_at, self.rules.isolation_after, now)
     }
 
     /// Returns, for each other host of the own zone that counts, when the newest heartbeat was sent
--- a/crates/node/src/config_desk.rs
+++ b/crates/node/src/config_desk.rs
@@ -22,7 +22,7 @@
 };
 
 /// A host that has read the platform within this time counts as one that reads it. Each host reads
-/// the list of hosts every 5 s.
+/// the list of hosts every 4 s.
 const PLATFORM_RECENT: Duration = Duration::from_secs(10);
 
 /// The follower with the documents of the version in force and of the one under way.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,6 +25,7 @@
 //! - [`status_facts`]: collects the facts for it.
 //! - [`metrics`]: counters, gauges and histograms.
 //! - [`admin`]: serves both, with health, readiness and planned stops.
+//! - [`host_readiness`]: whether callers may be served.
 //! - [`host`]: starts and stops all of it.
 
 pub mod admin;
@@ -40,6 +41,7 @@
 pub mod delivery_error;
 pub mod handover;
 pub mod host;
+pub mod host_readiness;
 pub mod ingress;
 pub mod member_loop;
 pub mod metrics;
--- a/crates/node/src/roster_loop.rs
+++ b/crates/node/src/roster_loop.rs
@@ -18,8 +18,10 @@
     state::HostState, //
 };
 
-/// Time between two reads of the list of hosts: 1,700 hosts make 340 reads a second of it.
-const ROSTER_PERIOD: Duration = Duration::from_secs(5);
+/// Time between two reads of the list of hosts: 1,700 hosts make 425 reads a second of it. With the
+/// spread and the time of a read it stays below the isolation time of 5 s, so that a host that sees
+/// the platform and no other host does not count as isolated between two reads.
+const ROSTER_PERIOD: Duration = Duration::from_secs(4);
 
 /// Hosts that start at once spread their first read over this time; 1,700 hosts then stay below the
 /// 2,000 reads a second of the platform.
--- /dev/null
+++ b/crates/node/tests/config.rs
@@ -0,0 +1,323 @@
+//! Published changes, bookings and readiness on several running hosts.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "a test fails on what it does not expect"
+)]
+
+mod support;
+
+use std::time::Duration;
+
+use chicorycroft_core::prelude::*;
+use chicorycroft_node::prelude::*;
+use support::{
+    KEY,
+    TestFleet, //
+};
+use tokio::{
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::TcpStream,
+    time::Instant, //
+};
+
+const LIMIT: &str = "rate: 3000, burst: 3000";
+
+/// Stated time in which a published change is in force everywhere.
+const SECONDS: Duration = Duration::from_secs(3);
+
+/// Waits for a condition, and tells whether it came about in time.
+async fn holds_within(limit: Duration, condition: impl Fn() -> bool) -> bool {
+    let deadline = Instant::now() + limit;
+    while !condition() {
+        if Instant::now() > deadline {
+            return false;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    true
+}
+
+fn version_of(host: &EntryHost) -> u64 {
+    let view = host.state().view();
+    view.map_or(0, |view| view.snapshot().version().get())
+}
+
+fn all_have(fleet: &TestFleet, version: u64) -> bool {
+    fleet.hosts.iter().all(|host| version_of(host) == version)
+}
+
+async fn start(hosts: usize, targets: usize) -> TestFleet {
+    let fleet = TestFleet::start(hosts, targets, LIMIT).await;
+    let is_ready = || fleet.hosts.iter().all(|host| host.state().is_ready());
+    assert!(holds_within(Duration::from_secs(20), is_ready).await);
+    fleet
+}
+
+/// A caller's connection that stays open.
+struct OpenCaller(TcpStream);
+
+impl OpenCaller {
+    async fn new(host: &EntryHost) -> Self {
+        Self(TcpStream::connect(host.caller_address()).await.unwrap())
+    }
+
+    /// Sends a request and returns the whole answer.
+    async fn get(&mut self) -> String {
+        let request = format!("GET /rates HTTP/1.1\r\nHost: gateway\r\nX-Api-Key: {KEY}\r\n\r\n");
+        self.0.write_all(request.as_bytes()).await.unwrap();
+        let mut answer = Vec::new();
+        loop {
+            let mut buffer = [0; 4096];
+            let length = self.0.read(&mut buffer).await.unwrap();
+            assert!(length > 0, "the connection was closed");
+            answer.extend_from_slice(&buffer[..length]);
+            let text = String::from_utf8_lossy(&answer).into_owned();
+            let Some((head, body)) = text.split_once("\r\n\r\n") else {
+                continue;
+            };
+            let head = head.to_ascii_lowercase();
+            let length = head.split_once("content-length: ").unwrap().1;
+            let length = length.lines().next().unwrap().parse::<usize>().unwrap();
+            if body.len() >= length {
+                return text;
+            }
+        }
+    }
+}
+
+/// Guards I4: a withdrawn key that goes on working for callers who are connected already.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn withdrawn_key_stops_on_open_connections_of_every_host() {
+    let fleet = start(3, 1).await;
+    let mut callers = Vec::new();
+    for host in &fleet.hosts {
+        let mut caller = OpenCaller::new(host).await;
+        let answer = caller.get().await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        callers.push(caller);
+    }
+    let (old, new) = (KeyDigest::of_key(KEY.as_bytes()), KeyDigest::of_key(b"k-2"));
+    fleet.publish(2, |text| text.replace(&old.to_string(), &new.to_string()));
+    tokio::time::sleep(SECONDS).await;
+    for caller in &mut callers {
+        let answer = caller.get().await;
+        assert!(answer.starts_with("HTTP/1.1 401"), "{answer}");
+    }
+    fleet.stop().await;
+}
+
+/// Takes out the second of two targets, which is in a zone of its own, and checks that it gets no
+/// request from 3 s after `delay` on, also when the platform is down from the publication on.
+async fn no_new_work_after(action: &str, delay: Duration) {
+    let fleet = start(2, 2).await;
+    // Both targets are outside the zone of the hosts, which prefer their own zone.
+    let two_zones = |text: &str| {
+        let zones = "zones: [{id: muscat-2, region: muscat}, {id: muscat-3, region: muscat}, ";
+        text.replace("zones: [", zones)
+            .replace(
+                "rate-1, service: rate, zone: muscat-1",
+                "rate-1, service: rate, zone: muscat-2",
+            )
+            .replace(
+                "rate-0, service: rate, zone: muscat-1",
+                "rate-0, service: rate, zone: muscat-3",
+            )
+    };
+    fleet.publish(2, two_zones);
+    assert!(holds_within(SECONDS, || all_have(&fleet, 2)).await);
+    let call_all = async || {
+        let before = fleet.targets[1].request_count();
+        for call in 0..60 {
+            fleet.get(call % 2, "/rates").await;
+        }
+        fleet.targets[1].request_count() - before
+    };
+    // The region's hosts wait out the takeover time before they own a target of a zone without hosts.
+    let deadline = Instant::now() + Duration::from_secs(15);
+    while call_all().await == 0 {
+        assert!(Instant::now() < deadline, "the target has no owner");
+    }
+    let start = fleet.hosts[0].state().clock.unix().after(delay);
+    fleet.publish(3, |text| {
+        let rules = format!(", bookings: [{{id: out, start: {start}, action: {{{action}}}}}]}}");
+        two_zones(text).trim_end().trim_end_matches('}').to_owned() + &rules
+    });
+    assert!(holds_within(SECONDS, || all_have(&fleet, 3)).await);
+    fleet.platform.set_down(true);
+    if !delay.is_zero() {
+        assert!(call_all().await > 0, "the booking came into force early");
+    }
+    tokio::time::sleep(delay + SECONDS).await;
+    assert_eq!(call_all().await, 0);
+    let answer = fleet.get(0, "/rates").await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    fleet.stop().await;
+}
+
+/// Guards I7: a zone that a published change takes out and that goes on getting requests.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn zone_that_is_taken_out_gets_no_new_work() {
+    no_new_work_after("zone_out: muscat-2", Duration::ZERO).await;
+}
+
+/// Guards I7: a booking that comes into force while the platform is down and is not applied.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn zone_booked_out_gets_no_new_work() {
+    no_new_work_after("zone_out: muscat-2", Duration::from_secs(2)).await;
+}
+
+/// Guards I11: a stopping target that goes on getting requests.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stopping_target_gets_no_new_work() {
+    no_new_work_after("target_stop: rate-1", Duration::ZERO).await;
+}
+
+/// Guards I13: hosts that go back when the platform serves an older index, and a new host that
+/// takes the stale version from the platform and serves with it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn version_never_goes_back() {
+    let mut fleet = start(2, 1).await;
+    fleet.publish(5, str::to_owned);
+    assert!(holds_within(SECONDS, || all_have(&fleet, 5)).await);
+    fleet.publish(4, str::to_owned);
+    fleet.add_host().await;
+    let new = &fleet.hosts[2];
+    let deadline = Instant::now() + Duration::from_secs(10);
+    while !new.state().is_ready() {
+        assert!(
+            Instant::now() < deadline,
+            "{:?}",
+            new.state().unready_reason()
+        );
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(version_of(new), 5);
+    tokio::time::sleep(SECONDS).await;
+    assert!(all_have(&fleet, 5));
+    fleet.stop().await;
+}
+
+/// Guards against a fleet that stops when the platform is down for longer than the isolation time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn fleet_serves_while_platform_is_down() {
+    let fleet = start(3, 1).await;
+    fleet.platform.set_down(true);
+    let end = Instant::now() + Duration::from_secs(8);
+    let mut call = 0;
+    while Instant::now() < end {
+        let answer = fleet.get(call % 3, "/rates").await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        call += 1;
+    }
+    fleet.stop().await;
+}
+
+/// Guards against a host that serves on although it sees neither the platform nor the fleet, and
+/// cannot know of withdrawn keys.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn host_that_is_cut_off_refuses_as_not_run() {
+    let mut fleet = start(3, 1).await;
+    let mut caller = OpenCaller::new(&fleet.hosts[0]).await;
+    assert!(caller.get().await.starts_with("HTTP/1.1 200"));
+    fleet.platform.set_down(true);
+    for host in fleet.hosts.split_off(1) {
+        host.crash().await;
+    }
+    // 5 s of isolation, counted from the last heartbeat, and a tick.
+    tokio::time::sleep(Duration::from_secs(7)).await;
+    assert!(!fleet.hosts[0].state().is_ready());
+    let answer = caller.get().await;
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("\"run\":\"not-run\""), "{answer}");
+    fleet.stop().await;
+}
+
+/// Guards against a bad version that harms the one in force, or that operators do not see.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refused_version_leaves_the_last_in_force() {
+    let fleet = start(2, 1).await;
+    fleet.publish(2, |text| {
+        text.replace("prefix: /rates, service: rate", "prefix: /, service: x")
+    });
+    let has_refused = || {
+        let reasons = fleet
+            .hosts
+            .iter()
+            .map(|host| host.state().refused_version());
+        reasons
+            .flatten()
+            .filter(|reason| reason.contains("version 2: all:6:"))
+            .count()
+            == 2
+    };
+    assert!(holds_within(SECONDS, has_refused).await);
+    assert!(all_have(&fleet, 1));
+    let answer = fleet.get(0, "/rates").await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    fleet.publish(3, str::to_owned);
+    assert!(holds_within(SECONDS, || all_have(&fleet, 3)).await);
+    assert_eq!(fleet.hosts[0].state().refused_version(), None);
+    fleet.stop().await;
+}
+
+/// Guards against reads of the platform that grow with the fleet: the readers of a zone read, and
+/// the other hosts get the parts from them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn only_readers_read_changes() {
+    let fleet = start(6, 1).await;
+    let before = fleet.platform.call_count();
+    for version in 2..8 {
+        fleet.publish(version, |text| format!("# {version}\n{text}"));
+        assert!(holds_within(SECONDS, || all_have(&fleet, version)).await);
+    }
+    // 2 readers read the part and renew the watch for each of 6 versions, and each host may read the
+    // list of hosts twice meanwhile. All 6 hosts would make 72 calls.
+    let calls = fleet.platform.call_count() - before;
+    assert!(calls <= 36, "{calls} calls");
+    fleet.stop().await;
+}
+
+/// Guards against a booked stop of a host that does not begin, or of which other hosts learn only
+/// when it is gone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn booked_stop_of_host_begins_its_planned_stop() {
+    let fleet = start(2, 1).await;
+    fleet.publish(2, |text| {
+        let rules =
+            ", bookings: [{id: s, start: 2026-01-01T00:00:00Z, action: {host_stop: entry-1}}]}";
+        text.trim_end().trim_end_matches('}').to_owned() + rules
+    });
+    let begun = tokio::time::timeout(SECONDS, fleet.hosts[1].drain_requested()).await;
+    assert!(begun.is_ok());
+    assert!(!fleet.hosts[1].state().is_ready());
+    assert!(fleet.hosts[0].state().is_ready());
+    let members = &fleet.hosts[0].state().members;
+    assert!(holds_within(SECONDS, || members.live_hosts().len() == 1).await);
+    fleet.stop().await;
+}
+
+/// Guards against a process that was paused and serves with what it knew before. The test blocks the
+/// only thread, so that the host stands still like a stopped process.
+#[tokio::test]
+async fn woken_host_refuses_until_it_is_fresh() {
+    let fleet = start(1, 1).await;
+    let mut caller = OpenCaller::new(&fleet.hosts[0]).await;
+    assert!(caller.get().await.starts_with("HTTP/1.1 200"));
+    fleet.platform.set_down(true);
+    std::thread::sleep(Duration::from_millis(1500));
+    for _ in 0..10 {
+        let answer = caller.get().await;
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+        assert!(answer.contains("\"run\":\"not-run\""), "{answer}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    fleet.platform.set_down(false);
+    let is_ready = || fleet.hosts[0].state().is_ready();
+    assert!(holds_within(Duration::from_secs(10), is_ready).await);
+    fleet.stop().await;
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -26,6 +26,8 @@
 pub(crate) struct TestFleet {
     pub(crate) hosts: Vec<EntryHost>,
     pub(crate) targets: Vec<StandinTarget>,
+    pub(crate) platform: StandinPlatform,
+    document: String,
 }
 
 fn document(targets: &[SocketAddr], hosts: usize, limit: &str) -> String {
@@ -70,22 +72,38 @@
             addresses.push(target.spawn().await.unwrap());
             targets.push(target);
         }
-        let platform = StandinPlatform::new();
-        platform.publish(1, &[("all", document(&addresses, host_count, limit))]);
-        let mut hosts = Vec::new();
-        for at in 0..host_count {
-            hosts.push(start_host(&platform, at).await);
+        let mut fleet = Self {
+            hosts: Vec::new(),
+            targets,
+            platform: StandinPlatform::new(),
+            document: document(&addresses, host_count, limit),
+        };
+        fleet.publish(1, str::to_owned);
+        for _ in 0..host_count {
+            fleet.add_host().await;
         }
+        fleet.wait_for_owners().await;
+        fleet
+    }
+
+    /// Publishes the first document with a change.
+    pub(crate) fn publish(&self, version: u64, change: impl Fn(&str) -> String) {
+        self.platform
+            .publish(version, &[("all", change(&self.document))]);
+    }
+
+    /// Starts and lists one more host.
+    pub(crate) async fn add_host(&mut self) {
+        let host = start_host(&self.platform, self.hosts.len()).await;
+        self.hosts.push(host);
         let listing = |host: &EntryHost| HostListing {
             id: host.state().settings.host.clone(),
             zone: host.state().settings.zone.clone(),
             address: host.peer_address(),
             is_leaving: false,
         };
-        platform.set_hosts(hosts.iter().map(listing).collect());
-        let fleet = Self { hosts, targets };
-        fleet.wait_for_owners().await;
-        fleet
+        self.platform
+            .set_hosts(self.hosts.iter().map(listing).collect());
     }
 
     async fn wait_for_owners(&self) {
