--- a/crates/membership/src/plan.rs
+++ b/crates/membership/src/plan.rs
@@ -2,18 +2,24 @@
 //!
 //! Both are computed by rendezvous hashing, so that a change of one host moves few choices.
 //!
-//! What a node sends, at a heartbeat period of 0.5 s: its heartbeats, and answers to as many. The
-//! sizes were measured with the example `exchange_bytes` of the crate `peer`; 104 bytes are added to
-//! each message for the headers of two TCP segments.
+//! In a zone where all hosts exchange heartbeats, one host of each pair sends them and the other one
+//! answers with its own, which acknowledges both ways. Hosts of other zones, and those of a sample,
+//! answer with a short acknowledgement.
 //!
-//! | fleet | heartbeats/s | bytes each | bytes/s |
+//! What a node sends, at a heartbeat period of 0.5 s. The sizes were measured with the example
+//! `exchange_bytes` of the crate `peer`; 208 bytes are added to each exchange for the headers of four
+//! TCP segments. A node sends half of the bytes of an exchange with each host of its zone.
+//!
+//! | fleet | exchanges/s | bytes each | bytes/s |
 //! |---|---|---|---|
-//! | 3 hosts in 3 zones | 2 x 2 = 4 | 267 + 61 + 208 | 2,144 |
-//! | 48 hosts in 3 zones | 15 x 2 + 4 x 0.5 = 32 | 278 + 61 + 208 | 17,504 |
-//! | 1,700 hosts in 10 zones | 6 x 2 + 9 x 0.5 = 16.5 | 177 + 62 + 208 | 7,376 |
+//! | 3 hosts in 3 zones | 2 x 2 = 4 | 233 + 60 + 208 | 2,004 |
+//! | 48 hosts in 3 zones, own zone | 15 x 2 / 2 = 15 | 199 + 186 + 208 | 8,895 |
+//! | 48 hosts in 3 zones, other zones | 4 x 0.5 = 2 | 235 + 60 + 208 | 1,006 |
+//! | 1,700 hosts in 10 zones | 6 x 2 + 9 x 0.5 = 16.5 | 177 + 60 + 208 | 7,343 |
 //!
-//! The last row is without load reports. Each fourth heartbeat with the load of 10 targets and 5
-//! services (398 bytes) adds 912 bytes/s.
+//! The rows for 48 hosts hold the load of 2 targets and no counters of services. Counters of 2
+//! services in each heartbeat add 1,406 bytes/s. The last row is without load reports; each fourth
+//! heartbeat with the load of 10 targets and 5 services (398 bytes) adds 912 bytes/s.
 
 use chicorycroft_core::{
     prelude::*, //
--- a/crates/membership/tests/membership.rs
+++ b/crates/membership/tests/membership.rs
@@ -5,7 +5,10 @@
 use std::time::Duration;
 
 use chicorycroft_core::prelude::*;
-use chicorycroft_membership::prelude::*;
+use chicorycroft_membership::{
+    plan::asks_first,
+    prelude::*, //
+};
 
 fn host(number: usize) -> HostId {
     HostId::new(&format!("entry-{number:04}")).unwrap()
@@ -320,3 +323,62 @@
     assert!(ReaderChoice::new(&zone(0), rest).contains(&choice.readers()[1]));
     assert_eq!(ReaderChoice::new(&zone(0), &hosts[..1]).readers().len(), 1);
 }
+
+/// Guards against pairs in which both hosts send heartbeats or neither does, and against a host that
+/// sends those of most of its pairs.
+#[test]
+fn one_host_of_each_pair_sends_heartbeats() {
+    for own in 0..16 {
+        let others = (0..16).filter(|peer| *peer != own);
+        let sends = others.filter(|&peer| {
+            let is_first = asks_first(&host(own), &host(peer));
+            assert_ne!(is_first, asks_first(&host(peer), &host(own)));
+            is_first
+        });
+        let count = sends.count();
+        assert!(
+            (3..=12).contains(&count),
+            "host {own} sends to {count} of 15"
+        );
+    }
+}
+
+/// Guards against a host that loses contact because the peer that sends the heartbeats of the pair
+/// falls silent: it must send itself before its last acknowledged answer is too old.
+#[test]
+fn answering_host_sends_when_heartbeats_cease() {
+    let table = table(16, 1);
+    let peer = (1..16).find(|&peer| !asks_first(&host(0), &host(peer)));
+    let peer = peer.unwrap();
+    let others = (1..16).filter(|&other| other != peer);
+    // Contact is with more than half; with 7 of the other 14, this peer decides.
+    let others: Vec<_> = others.take(7).collect();
+    let mut echo = None;
+    for (sequence, millis) in [(1, 0), (2, 500)] {
+        let mut asked = heartbeat(peer, 5, sequence);
+        asked.echo = echo;
+        table.on_heartbeat(&asked, at(millis));
+        table.on_asked(&host(peer), at(millis));
+        let answer = table.heartbeat_for(&host(peer), at(millis)).unwrap();
+        echo = Some(SequenceMark {
+            incarnation: OWN,
+            sequence: answer.sequence,
+        });
+        assert!(table.leaves_to(&host(peer), at(millis + 600)));
+    }
+    // The heartbeats at 1000 and 1500 are lost.
+    for millis in (510..2500).step_by(10) {
+        if millis % 500 == 0 {
+            for &other in &others {
+                exchange(&table, other, millis, millis);
+            }
+        }
+        let is_round = millis % 500 == 0 && !table.leaves_to(&host(peer), at(millis));
+        if is_round || (millis % 100 == 0 && table.is_overdue(&host(peer), at(millis))) {
+            exchange(&table, peer, millis, millis);
+        }
+        if millis >= 1000 {
+            assert!(table.in_contact(at(millis)), "no contact at {millis} ms");
+        }
+    }
+}
