Hold a cold target's limit while it says that it is cold

Cause: good answers in a row raised the limit of a cold target to 2 although its answers still said that it was cold; the next cold notice took it back. Change: SlotPool keeps whether the last notice said cold, and answers do not raise the limit then. Conclusion: the limit follows what the target says about itself.

--- a/crates/placement/src/slots.rs
+++ b/crates/placement/src/slots.rs
@@ -1,8 +1,9 @@
 //! How many requests each owned target works on, and how many it may.
 //!
 //! A target that has just come to this host is cold: it gets one request at a time. Good answers in
-//! a row raise the number by one each, up to the slots of its service. A failure of a cold target
-//! takes it back to one; a shed answer of a warm one halves the number.
+//! a row raise the number by one each, up to the slots of its service, but not while the target says
+//! that it is cold. A failure of a cold target takes it back to one; a shed answer of a warm one
+//! halves the number.
 
 use std::time::Duration;
 
@@ -102,6 +103,8 @@
     good_in_row: u32,
     warm_up_answers: u32,
     was_cut: bool,
+    /// Whether the last answer said that the target is cold.
+    says_cold: bool,
     started_at: Option<SmolStr>,
     epoch: u64,
     last_number: u64,
@@ -150,7 +153,8 @@
 
     fn record_good(&mut self) {
         self.was_cut = false;
-        if self.limit >= self.ceiling {
+        // A target knows best when it is warm; answers in a row would raise its limit before.
+        if self.limit >= self.ceiling || self.says_cold {
             return;
         }
         self.good_in_row += 1;
@@ -243,6 +247,7 @@
     pub fn on_notice(&self, target: &TargetId, notice: &TargetNotice) {
         self.targets.with(target, |slots| {
             slots.is_stopping |= notice.is_draining;
+            slots.says_cold = notice.is_cold;
             let is_restarted = notice.started_at.is_some()
                 && slots.started_at.is_some()
                 && notice.started_at != slots.started_at;
--- a/crates/placement/tests/slots.rs
+++ b/crates/placement/tests/slots.rs
@@ -108,6 +108,26 @@
     }
 }
 
+/// Guards against two requests at once at a target that says that it is cold: good answers in a row
+/// raised its limit before it was warm.
+#[test]
+fn cold_notice_holds_the_limit_whatever_the_answers() {
+    let notice = |is_cold| TargetNotice {
+        started_at: Some("2".into()),
+        is_cold,
+        is_draining: false,
+    };
+    let pool = started(2);
+    for _ in 0..100 {
+        pool.on_notice(&target(), &notice(true));
+        run(&pool, AttemptOutcome::Good);
+        assert_eq!(limit(&pool), 1, "the target says that it is cold");
+    }
+    pool.on_notice(&target(), &notice(false));
+    (0..100).for_each(|_| run(&pool, AttemptOutcome::Good));
+    assert_eq!(limit(&pool), 2, "the target is warm");
+}
+
 /// Guards against a target that sheds load and gets as much again.
 #[test]
 fn shed_answers_halve_the_limit_and_good_ones_raise_it() {
