--- a/crates/demo/src/caller.rs
+++ b/crates/demo/src/caller.rs
@@ -25,7 +25,10 @@
 };
 use hyper_util::rt::TokioIo;
 use smol_str::SmolStr;
-use tokio::net::TcpStream;
+use tokio::{
+    net::TcpStream,
+    time::Instant, //
+};
 
 use crate::records::{
     CallEnd,
@@ -39,13 +42,17 @@
 /// Bytes of an upload.
 const UPLOAD_BYTES: usize = 96 * 1024;
 
+/// Longest time that a caller keeps an idle connection. It is below the 30 s after which a host
+/// closes one, so that no request meets the close of its connection (RFC 9112 section 9.3).
+const IDLE_MAX: Duration = Duration::from_secs(10);
+
 /// A connection of a caller.
 type CallerConnection = SendRequest<Full<Bytes>>;
 
 /// Idle connections of one team's caller, by host.
 #[derive(Debug, Default)]
 pub struct CallerPool {
-    idle: ShardMap<SocketAddr, Vec<CallerConnection>>,
+    idle: ShardMap<SocketAddr, Vec<(Instant, CallerConnection)>>,
 }
 
 /// What a caller sends.
@@ -123,8 +130,8 @@
     /// Takes an idle connection that is still open, or opens one.
     async fn connection(&self, address: SocketAddr) -> Option<CallerConnection> {
         let pop = || self.idle.with(&address, Vec::pop).flatten();
-        while let Some(mut connection) = pop() {
-            if connection.ready().await.is_ok() {
+        while let Some((since, mut connection)) = pop() {
+            if since.elapsed() < IDLE_MAX && connection.ready().await.is_ok() {
                 return Some(connection);
             }
         }
@@ -151,8 +158,9 @@
             };
             let end = judge(request, answer).await;
             if end != CallEnd::Cut {
+                let idle = (Instant::now(), connection);
                 self.idle
-                    .with_or_insert(&address, Vec::new, |idle| idle.push(connection));
+                    .with_or_insert(&address, Vec::new, |all| all.push(idle));
             }
             return end;
         }
--- a/crates/demo/src/measures.rs
+++ b/crates/demo/src/measures.rs
@@ -145,6 +145,15 @@
     }
 }
 
+/// Where invariants were first seen broken. Times count from the start of the run.
+#[derive(Clone, Debug, Default)]
+pub struct BrokenPlaces {
+    /// Cold target with several requests at once.
+    pub cold: Option<(SmolStr, Duration)>,
+    /// Request that was cut at a host that ran on.
+    pub cut: Option<(SmolStr, Duration)>,
+}
+
 /// Median and 99th percentile of the answered requests of one kind.
 #[derive(Clone, Copy, Debug)]
 pub struct LatencyMeasure {
@@ -191,6 +200,8 @@
     pub cold_at_once: u32,
     /// Requests that came to cold targets.
     pub cold_requests: usize,
+    /// First moments at which invariants were seen broken, for a search in the logs.
+    pub places: BrokenPlaces,
     /// Heads at targets that held a key.
     pub key_heads: u32,
     /// Answers that belonged to another request.
@@ -255,7 +266,8 @@
             let sum: f64 = others.iter().map(|target| count(target, at)).sum();
             let mean = sum / others.len().max(1) as f64;
             if mean >= 1.0 / DETECTION_PART && count(gray, at) <= mean * DETECTION_PART {
-                return Some(at - from);
+                // A target in full use would spend the part that is left to it in this time.
+                return Some(at + DETECTION_WINDOW.mul_f64(DETECTION_PART) - from);
             }
             at += DETECTION_STEP;
         }
@@ -300,6 +312,10 @@
             |call: &CallRecord| is_cut_at(call, CRASHED_HOST) && call.ended >= faults.crash;
         let is_stopped =
             |call: &CallRecord| is_cut_at(call, STOPPED_HOST) && call.ended >= faults.stop_from;
+        let is_cut_running = |call: &CallRecord| {
+            let is_cut = matches!(call.end, CallEnd::Cut | CallEnd::TimedOut);
+            is_cut && !is_crashed(call) && !is_stopped(call)
+        };
         let is_late_key =
             |call: &CallRecord| call.has_old_key && call.sent > withdrawn + FORCE_TIME;
         let is_purchase = |call: &&CallRecord| call.kind == CallKind::Purchase;
@@ -353,15 +369,20 @@
             cold_requests: cold().count(),
             key_heads: records.targets.iter().map(|target| target.key_heads).sum(),
             foreign: records.count(|call| call.end == CallEnd::Foreign),
-            cut_running: records.count(|call| {
-                let is_cut = matches!(call.end, CallEnd::Cut | CallEnd::TimedOut);
-                is_cut && !is_crashed(call) && !is_stopped(call)
-            }),
+            cut_running: records.count(is_cut_running),
             cut_stop: records.count(is_stopped),
             is_drained: faults.is_drained,
             cut_crash: records.count(is_crashed),
             unreachable: records.count(|call| call.end == CallEnd::Unreachable),
             unsent: records.unsent,
+            places: BrokenPlaces {
+                cold: first_cold_excess(records),
+                cut: records
+                    .calls()
+                    .filter(|call| is_cut_running(call))
+                    .map(|call| (call.name.clone(), call.sent))
+                    .min_by_key(|(_, sent)| *sent),
+            },
             failures: failures(records),
             latency: CallKind::ALL.map(|kind| records.latency(kind)).to_vec(),
             broken: Vec::new(),
@@ -395,7 +416,11 @@
             (
                 "I6",
                 self.cold_at_once > 1,
-                format!("a cold target had {} requests at once", self.cold_at_once),
+                format!(
+                    "a cold target had {} requests at once{}",
+                    self.cold_at_once,
+                    place_text(&self.places.cold)
+                ),
             ),
             (
                 "I7",
@@ -413,7 +438,11 @@
             (
                 "I8",
                 self.cut_running > 0,
-                format!("{} answers were cut at hosts that ran on", self.cut_running),
+                format!(
+                    "{} answers were cut at hosts that ran on{}",
+                    self.cut_running,
+                    place_text(&self.places.cut)
+                ),
             ),
             (
                 "I9",
@@ -470,3 +499,19 @@
     }
     failures
 }
+
+/// Finds the first moment at which a cold target had several requests at once.
+fn first_cold_excess(records: &RunRecords) -> Option<(SmolStr, Duration)> {
+    let moments = records.targets.iter().flat_map(|target| {
+        let excess = target.arrivals.iter();
+        let excess = excess.filter(|it| it.is_cold && it.at_once > 1);
+        excess.map(|it| (target.place.id.clone(), it.at))
+    });
+    moments.min_by_key(|(_, at)| *at)
+}
+
+fn place_text(place: &Option<(SmolStr, Duration)>) -> String {
+    let text =
+        |(name, at): &(SmolStr, Duration)| format!(", first {name} at {:.3} s", at.as_secs_f64());
+    place.as_ref().map(text).unwrap_or_default()
+}
