Stop counting contact from before a pause

Change: OwnerTable::on_wake forgets the old contact; the next one starts the takeover wait anew. ShardMap, OwnerTable, PeerTable and ConfigFollower can be copied and show their whole state in Debug form. Conclusion: a host that wakes after more than the wake gap waits 4 s after its next contact before it serves, also when the pause was short.

--- a/crates/core/src/digest.rs
+++ b/crates/core/src/digest.rs
@@ -4,7 +4,10 @@
 //! time, so that the time of a refusal tells nothing about the digest.
 
 use std::{
-    fmt,
+    fmt::{
+        self,
+        Write, //
+    },
     str::FromStr, //
 };
 
@@ -41,7 +44,11 @@
 }
 
 fn write_hex(f: &mut fmt::Formatter<'_>, bytes: &[u8]) -> fmt::Result {
-    bytes.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    const DIGITS: &[u8; 16] = b"0123456789abcdef";
+    bytes.iter().try_for_each(|byte| {
+        f.write_char(char::from(DIGITS[usize::from(byte >> 4)]))?;
+        f.write_char(char::from(DIGITS[usize::from(byte & 15)]))
+    })
 }
 
 /// Digest of a team's key.
@@ -87,10 +94,16 @@
 
 /// Digest of a configuration document.
 #[derive(
-    Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
+    Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
 )]
 pub struct DocumentDigest([u8; DIGEST_LENGTH]);
 
+impl fmt::Debug for DocumentDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "DocumentDigest({self})")
+    }
+}
+
 impl DocumentDigest {
     /// Computes the digest of a document.
     pub fn of_document(document: &[u8]) -> Self {
--- a/crates/core/src/shard_map.rs
+++ b/crates/core/src/shard_map.rs
@@ -4,6 +4,7 @@
 //! that no guard can be held across an await.
 
 use std::{
+    fmt,
     hash::{
         Hash,
         Hasher, //
@@ -22,11 +23,35 @@
 const SHARD_COUNT: usize = 16;
 
 /// A map whose entries are spread over shards by the hash of the key.
-#[derive(Debug)]
 pub struct ShardMap<K, V> {
     shards: [Mutex<IndexMap<K, V>>; SHARD_COUNT],
 }
 
+impl<K: fmt::Debug, V: fmt::Debug> fmt::Debug for ShardMap<K, V> {
+    /// Writes the entries alone, one shard at a time.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut map = f.debug_map();
+        for shard in &self.shards {
+            let shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
+            map.entries(shard.iter());
+        }
+        map.finish()
+    }
+}
+
+impl<K: Clone, V: Clone> Clone for ShardMap<K, V> {
+    /// Copies one shard at a time; writers in between may be in the copy in part.
+    fn clone(&self) -> Self {
+        let copy = |shard: &Mutex<IndexMap<K, V>>| {
+            let shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
+            Mutex::new(shard.clone())
+        };
+        Self {
+            shards: std::array::from_fn(|n| copy(&self.shards[n])),
+        }
+    }
+}
+
 impl<K: Eq + Hash, V> Default for ShardMap<K, V> {
     fn default() -> Self {
         Self::new()
--- a/crates/inventory/src/follow.rs
+++ b/crates/inventory/src/follow.rs
@@ -116,6 +116,9 @@
 }
 
 /// Follows the published configuration.
+///
+/// Its `Debug` form shows the whole state, which the model checker compares.
+#[derive(Clone)]
 pub struct ConfigFollower {
     machine: StateMachine<FollowRecord>,
     readiness: ReadinessRecord,
@@ -123,7 +126,11 @@
 
 impl std::fmt::Debug for ConfigFollower {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "ConfigFollower({:?})", self.accepted())
+        f.debug_struct("ConfigFollower")
+            .field("state", self.machine.state())
+            .field("record", self.machine.inner())
+            .field("readiness", &self.readiness)
+            .finish()
     }
 }
 
@@ -300,6 +307,9 @@
     }
 
     /// Notes that this host was paused: what it heard before says nothing about what is in force.
+    ///
+    /// Callers keep back reports that were sent before this call and arrive after it; the follower
+    /// cannot tell them from new ones.
     pub fn on_wake(&mut self) {
         self.readiness = ReadinessRecord::default();
     }
--- a/crates/inventory/src/follow_states.rs
+++ b/crates/inventory/src/follow_states.rs
@@ -98,7 +98,7 @@
 }
 
 /// What stays over all states.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct FollowRecord {
     pub(crate) accepted: Option<IndexSummary>,
     pub(crate) refused: IndexSet<IndexSummary>,
--- a/crates/inventory/src/readiness.rs
+++ b/crates/inventory/src/readiness.rs
@@ -47,7 +47,7 @@
 }
 
 /// What was heard since the start or the last pause.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct ReadinessRecord {
     peers: IndexMap<HostId, ZoneId>,
     heard: IndexSet<IndexSummary>,
--- a/crates/membership/src/entry.rs
+++ b/crates/membership/src/entry.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::VecDeque,
+    fmt,
     net::SocketAddr,
     time::Duration, //
 };
@@ -70,6 +71,7 @@
     Stale,
 }
 
+#[derive(Clone)]
 pub(crate) struct PeerEntry {
     pub(crate) zone: ZoneId,
     pub(crate) address: SocketAddr,
@@ -81,6 +83,22 @@
     pub(crate) is_dropped: bool,
 }
 
+impl fmt::Debug for PeerEntry {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("PeerEntry")
+            .field("zone", &self.zone)
+            .field("address", &self.address)
+            .field("mark", &self.mark)
+            .field("standing", self.machine.state())
+            .field("times", self.machine.inner())
+            .field("sent", &self.sent)
+            .field("next_sequence", &self.next_sequence)
+            .field("known_at", &self.known_at)
+            .field("is_dropped", &self.is_dropped)
+            .finish()
+    }
+}
+
 impl PeerEntry {
     pub(crate) fn new(
         zone: ZoneId,
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -70,7 +70,7 @@
     }
 }
 
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 struct FleetSight {
     roster: HostRoster,
     roster_at: Option<MonoTime>,
@@ -81,6 +81,9 @@
 }
 
 /// All peers of a host.
+///
+/// Its `Debug` form shows the whole state, which the model checker compares.
+#[derive(Debug)]
 pub struct PeerTable {
     own: LiveHost,
     incarnation: HostIncarnation,
@@ -89,9 +92,16 @@
     sight: Mutex<FleetSight>,
 }
 
-impl std::fmt::Debug for PeerTable {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "PeerTable({}, {} peers)", self.own.id, self.peers.len())
+impl Clone for PeerTable {
+    /// Copies the state, as the model checker does before each event.
+    fn clone(&self) -> Self {
+        Self {
+            own: self.own.clone(),
+            incarnation: self.incarnation,
+            rules: self.rules,
+            peers: self.peers.clone(),
+            sight: Mutex::new(self.sight().clone()),
+        }
     }
 }
 
--- a/crates/placement/src/contact.rs
+++ b/crates/placement/src/contact.rs
@@ -8,7 +8,7 @@
 };
 
 /// How recent this host's contact is and how long it has lasted.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct ContactState {
     basis: Option<MonoTime>,
     since: MonoTime,
@@ -47,7 +47,11 @@
     }
 
     /// Notes that the process resumed from a pause.
+    ///
+    /// The monotonic clock stands still while a machine is suspended, so that the age of the old
+    /// basis says nothing. The next contact starts the wait anew.
     pub(crate) fn on_wake(&mut self, now: MonoTime) {
+        self.basis = None;
         self.must_refresh = Some(now);
     }
 
--- a/crates/placement/src/owners.rs
+++ b/crates/placement/src/owners.rs
@@ -43,14 +43,14 @@
 };
 
 /// A host of a zone.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct HostRecord {
     is_listed: bool,
     last_heard: Option<MonoTime>,
 }
 
 /// Hosts of one zone.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct ZoneHosts {
     region: RegionId,
     hosts: IndexMap<HostId, HostRecord>,
@@ -82,7 +82,7 @@
 }
 
 /// This host.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct LocalHost {
     id: HostId,
     zone: ZoneId,
@@ -98,6 +98,19 @@
     contact: Mutex<ContactState>,
 }
 
+impl Clone for OwnerTable {
+    /// Copies the state, as the model checker does before each event.
+    fn clone(&self) -> Self {
+        Self {
+            own: self.own.clone(),
+            times: self.times,
+            zones: self.zones.clone(),
+            keys: self.keys.clone(),
+            contact: Mutex::new(self.contact().clone()),
+        }
+    }
+}
+
 impl OwnerTable {
     /// Makes the table of a host that has just started and knows no previous owner.
     pub fn new(id: HostId, zone: ZoneId, times: OwnerTimes, now: MonoTime) -> Self {
--- a/crates/placement/tests/ownership_rules.rs
+++ b/crates/placement/tests/ownership_rules.rs
@@ -126,3 +126,25 @@
         assert_eq!(table.may_serve(&key("t"), &home("z"), now), expected);
     }
 }
+
+/// Guards against two owners after a suspended machine: its monotonic clock stood still, so that the
+/// contact from before seems recent although another host has taken over.
+#[test]
+fn contact_from_before_a_pause_does_not_count() {
+    let table = table_of(listed(host(1), "z"));
+    let both = [listed(host(1), "z"), listed(host(2), "z")];
+    table.on_roster(both, MonoTime::START);
+    let serve = |millis| table.may_serve(&key("t"), &home("z"), MonoTime::from_millis(millis));
+    for millis in (0..=5_000).step_by(500) {
+        table.on_contact(MonoTime::from_millis(millis), MonoTime::from_millis(millis));
+    }
+    assert_eq!(serve(5_001), Ok(()));
+    let woken = MonoTime::from_millis(5_002);
+    table.on_wake(woken);
+    table.on_fresh_round(woken);
+    assert_eq!(serve(5_003), Err(OwnershipError::OutOfContact));
+    let back = MonoTime::from_millis(5_100);
+    table.on_contact(back, back);
+    let until = MonoTime::from_millis(9_100);
+    assert_eq!(serve(5_101), Err(OwnershipError::TooEarly { until }));
+}
