--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -7,12 +7,28 @@
 
 mod support;
 
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use chicorycroft_health::prelude::TargetPhase;
+use chicorycroft_inventory::prelude::TargetRecord;
+use chicorycroft_node::prelude::EntryHost;
 use chicorycroft_standin::prelude::*;
 use support::TestFleet;
 
+/// Returns the phase of a target at its owner.
+fn phase_of(fleet: &TestFleet, target: &str) -> Option<TargetPhase> {
+    let is_named = |it: &&Arc<TargetRecord>| it.id.as_str() == target;
+    let find = |host: &EntryHost| host.state().owned().iter().find(is_named).cloned();
+    let (host, target) = fleet
+        .hosts
+        .iter()
+        .find_map(|host| Some((host, find(host)?)))?;
+    host.state().health.phase_of(&target.id)
+}
+
 /// Guards against a host that serves only the targets that it owns: every host must answer for
 /// every target, through the owner.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -70,7 +86,7 @@
 async fn gray_target_is_ejected_by_its_owner() {
     let fleet = TestFleet::start(2, 4, "rate: 1000, burst: 1000").await;
     fleet.targets[0].set_fault(TargetFault::ErrorEvery(2));
-    let is_out = || fleet.phase_of("rate-0").is_some_and(TargetPhase::is_out);
+    let is_out = || phase_of(&fleet, "rate-0").is_some_and(TargetPhase::is_out);
     for call in 0..2_000 {
         fleet.get(call % 2, "/rates").await;
         if is_out() {
@@ -78,10 +94,10 @@
         }
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
-    assert!(is_out(), "{:?}", fleet.phase_of("rate-0"));
+    assert!(is_out(), "{:?}", phase_of(&fleet, "rate-0"));
     for target in ["rate-1", "rate-2", "rate-3"] {
         assert!(
-            !fleet.phase_of(target).is_some_and(TargetPhase::is_out),
+            !phase_of(&fleet, target).is_some_and(TargetPhase::is_out),
             "{target}"
         );
     }
@@ -95,11 +111,11 @@
     fleet.targets[0].set_fault(TargetFault::ErrorEvery(2));
     for call in 0..600 {
         fleet.get(call % 2, "/rates").await;
-        let phase = fleet.phase_of("rate-0");
+        let phase = phase_of(&fleet, "rate-0");
         assert!(!phase.is_some_and(TargetPhase::is_out), "{phase:?}");
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
-    assert_eq!(fleet.phase_of("rate-0"), Some(TargetPhase::Suspect));
+    assert_eq!(phase_of(&fleet, "rate-0"), Some(TargetPhase::Suspect));
     fleet.stop().await;
 }
 
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -7,7 +7,6 @@
 
 use chicorycroft_border::prelude::*;
 use chicorycroft_core::prelude::*;
-use chicorycroft_health::prelude::TargetPhase;
 use chicorycroft_node::prelude::*;
 use chicorycroft_platform::prelude::*;
 use chicorycroft_standin::prelude::*;
@@ -127,14 +126,6 @@
         }
     }
 
-    /// Returns the phase of a target at its owner.
-    pub(crate) fn phase_of(&self, target: &str) -> Option<TargetPhase> {
-        let target = TargetId::new(target).unwrap();
-        let is_owner = |host: &&EntryHost| host.state().owned().iter().any(|it| it.id == target);
-        let owner = self.hosts.iter().find(is_owner)?;
-        owner.state().health.phase_of(&target)
-    }
-
     /// Sends a lookup to a host and returns the whole answer.
     pub(crate) async fn get(&self, host: usize, path: &str) -> String {
         let address = self.hosts[host].caller_address();
