Test parts in pieces and a version that is published twice

Cause: no test with running hosts fetched a part that is longer than one answer, or published the same version twice. Change: both cases in the tests of published changes; the turns of pairs are in a file of their own. Conclusion: both hold.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`contact`]: the state machine of one peer.
 //! - [`entry`]: what is kept about one peer.
 //! - [`table`]: all peers; contact, isolation and who was last heard.
+//! - [`turns`]: which host of a pair sends the heartbeats.
 //! - [`plan`]: whom to send heartbeats to, and which hosts read the platform.
 //! - [`wake`]: recognises that the process or the machine was paused.
 //!
@@ -16,6 +17,7 @@
 pub mod roster;
 pub mod rules;
 pub mod table;
+pub mod turns;
 pub mod wake;
 
 /// The names that most users of the crate need.
--- a/crates/node/tests/config.rs
+++ b/crates/node/tests/config.rs
@@ -262,6 +262,13 @@
     fleet.publish(3, str::to_owned);
     assert!(holds_within(SECONDS, || all_have(&fleet, 3)).await);
     assert_eq!(fleet.hosts[0].state().refused_version(), None);
+    // The same version with other content is an error, and not a change.
+    fleet.publish(3, |text| format!("# other\n{text}"));
+    let has_conflict = || {
+        let reason = fleet.hosts[0].state().refused_version();
+        reason.is_some_and(|reason| reason.contains("version 3 was published twice"))
+    };
+    assert!(holds_within(SECONDS, has_conflict).await);
     fleet.stop().await;
 }
 
@@ -271,8 +278,10 @@
 async fn only_readers_read_changes() {
     let fleet = start(6, 1).await;
     let before = fleet.platform.call_count();
+    // Longer than one answer between hosts, so that they get the part in pieces.
+    let padding = "x".repeat(300_000);
     for version in 2..8 {
-        fleet.publish(version, |text| format!("# {version}\n{text}"));
+        fleet.publish(version, |text| format!("# {version} {padding}\n{text}"));
         assert!(holds_within(SECONDS, || all_have(&fleet, version)).await);
     }
     // 2 readers read the part and renew the watch for each of 6 versions, and each host may read the
