Close idle connections only after readiness has turned at a planned stop

Cause: a planned stop closed idle connections at once. Change: a host goes on answering for 1 s after its readiness has turned, and tells HTTP/1.1 callers to close their connections. The handover starts at once as before. Measured: planned_stop_answers_a_request_on_a_kept_connection fails with an empty answer when the notice time is zero, and passes with it. Conclusion: callers move off a stopping host before its connections close.

--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -2,13 +2,22 @@
 
 use std::{
     net::SocketAddr,
-    sync::Arc, //
+    sync::Arc,
+    time::Duration, //
 };
 
 use chicorycroft_border::prelude::*;
 use chicorycroft_peer::prelude::*;
 use chicorycroft_platform::prelude::*;
 use chicorycroft_proxy::prelude::*;
+use http::{
+    HeaderValue,
+    Request,
+    Response,
+    Version, //
+    header::CONNECTION,
+};
+use hyper::body::Incoming;
 use thiserror::Error;
 use tokio::{
     net::TcpListener,
@@ -55,6 +64,23 @@
     Metrics(#[from] prometheus::Error),
 }
 
+/// Time between the turn of readiness and the close of idle connections at a planned stop.
+///
+/// The balancer sees the turn meanwhile. A request that meets the close of its idle HTTP/1.1
+/// connection is cut, although nothing of it was read.
+const READINESS_NOTICE: Duration = Duration::from_secs(1);
+
+/// Answers a caller. During a planned stop, HTTP/1.1 callers are told to close their connection.
+async fn answer_caller(state: Arc<HostState>, request: Request<Incoming>) -> Response<ProxyBody> {
+    let version = request.version();
+    let mut response = ingress::handle(state.clone(), request).await;
+    if state.is_stopping() && version < Version::HTTP_2 {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
 /// A running entry host.
 #[derive(Debug)]
 pub struct EntryHost {
@@ -117,7 +143,7 @@
         let loops = start_loops(&state, platform, admin_listener, &drain);
         let (stop, peer_stop) = (watch::Sender::new(false), watch::Sender::new(false));
         let handler_state = state.clone();
-        let handler = move |request| ingress::handle(handler_state.clone(), request);
+        let handler = move |request| answer_caller(handler_state.clone(), request);
         let server = tokio::spawn(server.serve(handler, stop.subscribe()));
         let (message_state, forward_state) = (state.clone(), state.clone());
         let peer_server = tokio::spawn(peer_server.serve(
@@ -164,8 +190,9 @@
         self.state.peer_address
     }
 
-    /// Stops the host: readiness turns, owned targets go to other hosts, callers' requests run to
-    /// their end, and the other hosts' forwarded requests as well.
+    /// Stops the host: readiness turns, owned targets go to other hosts, idle connections close after
+    /// a notice time, callers' requests run to their end, and the other hosts' forwarded requests as
+    /// well.
     ///
     /// Returns whether all requests ended within the drain limit.
     pub async fn stop(mut self) -> bool {
@@ -173,8 +200,13 @@
         self.state.begin_stop();
         let limit = self.state.settings.drain_limit;
         let handover = handover::hand_over_all(&self.state, limit);
-        self.stop.send_replace(true);
-        let ((), server) = tokio::join!(handover, &mut self.server);
+        let (stop, server) = (&self.stop, &mut self.server);
+        let closing = async move {
+            tokio::time::sleep(READINESS_NOTICE.min(limit)).await;
+            stop.send_replace(true);
+            server.await
+        };
+        let ((), server) = tokio::join!(handover, closing);
         self.peer_stop.send_replace(true);
         let peer_server = (&mut self.peer_server).await;
         self.loops.shutdown().await;
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -7,10 +7,23 @@
 
 mod support;
 
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use chicorycroft_standin::prelude::*;
-use support::TestFleet;
+use support::{
+    KEY,
+    TestFleet, //
+};
+use tokio::{
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::TcpStream,
+};
 
 /// Guards against a host that serves only the targets that it owns: every host must answer for
 /// every target, through the owner.
@@ -63,3 +76,32 @@
     assert!(stop.await.unwrap(), "the host was not drained");
     fleet.stop().await;
 }
+
+/// Guards against a planned stop that closes idle connections before the balancer knows: the next
+/// request on such a connection was cut.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn planned_stop_answers_a_request_on_a_kept_connection() {
+    let mut fleet = TestFleet::start(2, 1, "rate: 1000, burst: 1000").await;
+    let stopping = fleet.hosts.pop().unwrap();
+    let state = Arc::clone(stopping.state());
+    let mut stream = TcpStream::connect(stopping.caller_address()).await.unwrap();
+    let request = format!("GET /rates HTTP/1.1\r\nHost: gateway\r\nX-Api-Key: {KEY}\r\n\r\n");
+    let mut first = [0; 2048];
+    stream.write_all(request.as_bytes()).await.unwrap();
+    assert!(stream.read(&mut first).await.unwrap() > 0);
+
+    let stop = tokio::spawn(stopping.stop());
+    while !state.is_stopping() {
+        tokio::task::yield_now().await;
+    }
+    // The idle connection was closed within this time.
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+
+    assert!(answer.starts_with("HTTP/1.1 "), "{answer:?}");
+    assert!(answer.contains("connection: close"), "{answer}");
+    assert!(stop.await.unwrap(), "the host was not drained");
+    fleet.stop().await;
+}
