--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -16,7 +16,17 @@
 use chicorycroft_inventory::prelude::TargetRecord;
 use chicorycroft_node::prelude::EntryHost;
 use chicorycroft_standin::prelude::*;
-use support::TestFleet;
+use support::{
+    KEY,
+    TestFleet, //
+};
+use tokio::{
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::TcpStream,
+};
 
 /// Returns the phase of a target at its owner.
 fn phase_of(fleet: &TestFleet, target: &str) -> Option<TargetPhase> {
@@ -142,3 +152,32 @@
     assert!(has_grown.iter().all(|&grown| grown), "{has_grown:?}");
     fleet.stop().await;
 }
+
+/// Guards against a planned stop that closes idle connections before the balancer knows: the next
+/// request on such a connection was cut.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn planned_stop_answers_a_request_on_a_kept_connection() {
+    let mut fleet = TestFleet::start(2, 1, "rate: 1000, burst: 1000").await;
+    let stopping = fleet.hosts.pop().unwrap();
+    let state = Arc::clone(stopping.state());
+    let mut stream = TcpStream::connect(stopping.caller_address()).await.unwrap();
+    let request = format!("GET /rates HTTP/1.1\r\nHost: gateway\r\nX-Api-Key: {KEY}\r\n\r\n");
+    let mut first = [0; 2048];
+    stream.write_all(request.as_bytes()).await.unwrap();
+    assert!(stream.read(&mut first).await.unwrap() > 0);
+
+    let stop = tokio::spawn(stopping.stop());
+    while !state.is_stopping() {
+        tokio::task::yield_now().await;
+    }
+    // The idle connection was closed within this time.
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+
+    assert!(answer.starts_with("HTTP/1.1 "), "{answer:?}");
+    assert!(answer.contains("connection: close"), "{answer}");
+    assert!(stop.await.unwrap(), "the host was not drained");
+    fleet.stop().await;
+}
