Count unlisted hosts that are heard as candidates

Cause: the model checker found two owners of one target: a new host read a list that lacked the live owner, heard its heartbeats and took its target, because OwnerTable::on_heard ignored hosts that the list did not name. Change: on_heard adds the host.

Conclusion: a list that lacks one host, whichever it is, no longer leads to two owners.

--- a/crates/model/src/rates.rs
+++ b/crates/model/src/rates.rs
@@ -322,13 +322,17 @@
 
     fn replace(&mut self, of: usize) {
         let (name, incarnation) = (self.processes[of].name, self.processes[of].incarnation);
-        if self.processes[of].paused_at.is_some() {
-            self.processes[of].is_replaced = true;
+        self.start_process(name, incarnation + 1, 0);
+        let Some(mut old) = self.processes.pop() else {
+            return;
+        };
+        std::mem::swap(&mut old, &mut self.processes[of]);
+        if old.paused_at.is_some() {
+            old.is_replaced = true;
+            self.processes.push(old);
         } else {
             self.left.faults -= 1;
-            self.processes.remove(of);
         }
-        self.start_process(name, incarnation + 1, 0);
     }
 
     fn apply(&mut self, event: &RateEvent) {
--- a/crates/placement/src/owners.rs
+++ b/crates/placement/src/owners.rs
@@ -157,11 +157,12 @@
     }
 
     /// Notes that a host of a zone was heard, by this host or by another one that reports it.
+    ///
+    /// It is a candidate even when the list of this host lacks it: it may have served for long.
     pub fn on_heard(&self, zone: &ZoneId, host: &HostId, heard_at: MonoTime) {
         self.zones.with(zone, |zone| {
-            if let Some(host) = zone.hosts.get_mut(host) {
-                host.last_heard = host.last_heard.max(Some(heard_at));
-            }
+            let host = zone.hosts.entry(host.clone()).or_default();
+            host.last_heard = host.last_heard.max(Some(heard_at));
         });
     }
 
--- a/crates/placement/tests/ownership_rules.rs
+++ b/crates/placement/tests/ownership_rules.rs
@@ -148,3 +148,18 @@
     let until = MonoTime::from_millis(9_100);
     assert_eq!(serve(5_101), Err(OwnershipError::TooEarly { until }));
 }
+
+/// Guards against two owners when a new host reads a list that lacks a live owner. Found by the model
+/// checker: it heard the owner's heartbeats and took its target all the same.
+#[test]
+fn heard_host_is_a_candidate_although_the_list_lacks_it() {
+    let zone = ZoneId::new("z").unwrap();
+    let rival = host(2);
+    let keys = ["t", "u", "v", "w", "x"].map(key);
+    let table = table_of(listed(host(1), "z"));
+    table.on_roster([listed(host(1), "z")], MonoTime::START);
+    let now = MonoTime::from_millis(10);
+    table.on_heard(&zone, &rival, now);
+    let owner_of = |key| table.owner_of(key, &home("z"), now);
+    assert!(keys.iter().any(|key| owner_of(key) == Some(rival.clone())));
+}
