--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,6 +1,10 @@
 //! Experiments on the decisions of the fleet. Each prints the rows of one table.
 //!
+//! - [`latency`]: latency that one entry host adds.
 //! - [`fairness`]: the share of the worst-served team while another one sends too much.
+//! - [`cold`]: requests at cold targets while a zone returns.
+//! - [`detection`]: time until a failing target is out of use, and false ejections.
+//! - [`faults`]: the faults that [`detection`] draws.
 //! - [`owners`]: how evenly rendezvous hashing spreads targets over hosts.
 //! - [`rates`]: refusals within the rate, overshoot and cost of moving tokens between hosts.
 //! - [`rates_driver`]: the fleet in virtual time on which `rates` runs.
@@ -10,7 +14,11 @@
 use eyre::Result;
 use getopts::Options;
 
+mod cold;
+mod detection;
 mod fairness;
+mod faults;
+mod latency;
 mod owners;
 mod rates;
 mod rates_driver;
@@ -26,11 +34,26 @@
 }
 
 const EXPERIMENTS: &[ExperimentEntry] = &[
+    ExperimentEntry {
+        name: "latency",
+        brief: "latency that one entry host adds",
+        run: latency::run,
+    },
     ExperimentEntry {
         name: "fairness",
         brief: "share of the worst-served team beside a team at five times its share",
         run: fairness::run,
     },
+    ExperimentEntry {
+        name: "cold",
+        brief: "requests at cold targets while a zone returns",
+        run: cold::run,
+    },
+    ExperimentEntry {
+        name: "detection",
+        brief: "time to eject failing targets, and false ejections",
+        run: detection::run,
+    },
     ExperimentEntry {
         name: "owners",
         brief: "spread of targets over their owners",
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -6,22 +6,35 @@
 };
 
 use chicorycroft_border::prelude::*;
+use chicorycroft_peer::prelude::*;
 use chicorycroft_platform::prelude::*;
 use chicorycroft_proxy::prelude::*;
 use thiserror::Error;
 use tokio::{
     net::TcpListener,
     sync::watch,
-    task::JoinSet, //
+    task::{
+        JoinHandle,
+        JoinSet, //
+    },
 };
 
 use crate::{
-    admin,
+    admin::{
+        self,
+        AdminCalls, //
+    },
     clock::HostClock,
     config_loop,
     decision_log::DecisionLine,
-    dispatch,
-    state::HostState, //
+    handover,
+    ingress,
+    member_loop,
+    metrics::HostMetrics,
+    peer_service,
+    state::HostState,
+    status_facts::collect_status,
+    token_loop, //
 };
 
 /// Why a host does not start.
@@ -37,6 +50,9 @@
         /// The system's reason.
         source: std::io::Error,
     },
+    /// The metrics cannot be set up.
+    #[error("the metrics cannot be set up: {0}")]
+    Metrics(#[from] prometheus::Error),
 }
 
 /// A running entry host.
@@ -45,8 +61,11 @@
     state: Arc<HostState>,
     caller_address: SocketAddr,
     admin_address: SocketAddr,
+    drain: watch::Sender<bool>,
     stop: watch::Sender<bool>,
-    server: tokio::task::JoinHandle<bool>,
+    peer_stop: watch::Sender<bool>,
+    server: JoinHandle<bool>,
+    peer_server: JoinHandle<bool>,
     loops: JoinSet<()>,
 }
 
@@ -79,31 +98,42 @@
             .await
             .map_err(listen_error("callers", caller))?;
         let caller_address = server.address().map_err(listen_error("callers", caller))?;
+        let peer = settings.peer_listen;
+        let peer_error = listen_error("other hosts", peer);
+        let peer_server = PeerServer::new(peer).await.map_err(&peer_error)?;
+        let peer_server = peer_server.with_drain_limit(settings.drain_limit);
+        let peer_address = peer_server.address().map_err(&peer_error)?;
         let admin = settings.admin_listen;
         let admin_error = listen_error("operators", admin);
         let admin_listener = TcpListener::bind(admin).await.map_err(&admin_error)?;
         let admin_address = admin_listener.local_addr().map_err(&admin_error)?;
-        let state = Arc::new(HostState::new(settings, clock));
-        let platform = Arc::new(platform);
-        let mut loops = JoinSet::new();
-        loops.spawn(config_loop::follow(state.clone(), platform));
-        loops.spawn(config_loop::apply_bookings(state.clone()));
-        let admin_state = state.clone();
-        loops.spawn(async move {
-            if let Err(error) = admin::serve(admin_state, admin_listener).await {
-                DecisionLine::new("admin_ended").with("error", error).warn();
-            }
-        });
-        let stop = watch::Sender::new(false);
+        let state = Arc::new(HostState::new(
+            settings,
+            peer_address,
+            clock,
+            HostMetrics::new()?,
+        ));
+        let drain = watch::Sender::new(false);
+        let loops = start_loops(&state, platform, admin_listener, &drain);
+        let (stop, peer_stop) = (watch::Sender::new(false), watch::Sender::new(false));
         let handler_state = state.clone();
-        let handler = move |request| dispatch::handle(handler_state.clone(), request);
+        let handler = move |request| ingress::handle(handler_state.clone(), request);
         let server = tokio::spawn(server.serve(handler, stop.subscribe()));
+        let (message_state, forward_state) = (state.clone(), state.clone());
+        let peer_server = tokio::spawn(peer_server.serve(
+            move |message| peer_service::on_message(message_state.clone(), message),
+            move |head, request| peer_service::on_forward(forward_state.clone(), head, request),
+            peer_stop.subscribe(),
+        ));
         Ok(Self {
             state,
             caller_address,
             admin_address,
             stop,
+            drain,
+            peer_stop,
             server,
+            peer_server,
             loops,
         })
     }
@@ -123,13 +153,64 @@
         &self.state
     }
 
-    /// Stops the host: no new connections, requests run to their end.
+    /// Waits until operators ask for a planned stop at the admin address.
+    pub async fn drain_requested(&self) {
+        // The sender lives as long as the host, so that the wait does not fail.
+        let _ = self.drain.subscribe().wait_for(|&is_asked| is_asked).await;
+    }
+
+    /// Returns the address for other hosts.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.state.peer_address
+    }
+
+    /// Stops the host: readiness turns, owned targets go to other hosts, callers' requests run to
+    /// their end, and the other hosts' forwarded requests as well.
     ///
     /// Returns whether all requests ended within the drain limit.
     pub async fn stop(mut self) -> bool {
+        self.drain.send_replace(true);
+        self.state.begin_stop();
+        let limit = self.state.settings.drain_limit;
+        let handover = handover::hand_over_all(&self.state, limit);
         self.stop.send_replace(true);
-        let is_drained = self.server.await.unwrap_or(false);
+        let ((), server) = tokio::join!(handover, &mut self.server);
+        self.peer_stop.send_replace(true);
+        let peer_server = (&mut self.peer_server).await;
+        self.loops.shutdown().await;
+        matches!((server, peer_server), (Ok(true), Ok(true)))
+    }
+
+    /// Ends the host at once, as a crash does: open connections are cut.
+    pub async fn crash(mut self) {
+        self.server.abort();
+        self.peer_server.abort();
         self.loops.shutdown().await;
-        is_drained
     }
 }
+
+fn start_loops(
+    state: &Arc<HostState>,
+    platform: PlatformClient,
+    admin_listener: TcpListener,
+    drain: &watch::Sender<bool>,
+) -> JoinSet<()> {
+    let platform = Arc::new(platform);
+    let mut loops = JoinSet::new();
+    loops.spawn(config_loop::follow(state.clone(), platform.clone()));
+    loops.spawn(config_loop::apply_bookings(state.clone()));
+    loops.spawn(member_loop::read_roster(state.clone(), platform));
+    loops.spawn(member_loop::heartbeat(state.clone()));
+    loops.spawn(member_loop::tick(state.clone()));
+    loops.spawn(token_loop::draw(state.clone()));
+    loops.spawn(token_loop::poll(state.clone()));
+    let admin_state = state.clone();
+    let collect = move || collect_status(&admin_state);
+    let calls = AdminCalls::new(collect, state.metrics.clone(), drain.clone());
+    loops.spawn(async move {
+        if let Err(error) = admin::serve(calls, admin_listener).await {
+            DecisionLine::new("admin_ended").with("error", error).warn();
+        }
+    });
+    loops
+}
--- a/crates/proxy/src/refusal.rs
+++ b/crates/proxy/src/refusal.rs
@@ -66,6 +66,12 @@
     BadGateway,
     /// The deadline passed.
     TimedOut,
+    /// The head or the body came too slowly.
+    SlowRequest,
+    /// The request expects what the fleet does not do.
+    BadExpectation,
+    /// This host has as many connections as it may have.
+    TooManyConnections,
 }
 
 impl RefusalKind {
@@ -82,9 +88,35 @@
             Self::NoCapacity | Self::NotReady => StatusCode::SERVICE_UNAVAILABLE,
             Self::BadGateway => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Self::SlowRequest => StatusCode::REQUEST_TIMEOUT,
+            Self::BadExpectation => StatusCode::EXPECTATION_FAILED,
+            Self::TooManyConnections => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
+    /// All kinds.
+    const ALL: [Self; 14] = [
+        Self::BadRequest,
+        Self::HeadTooLarge,
+        Self::NoRoute,
+        Self::NoMethod,
+        Self::BadKey,
+        Self::NotAllowed,
+        Self::OverRate,
+        Self::NoCapacity,
+        Self::NotReady,
+        Self::BadGateway,
+        Self::TimedOut,
+        Self::SlowRequest,
+        Self::BadExpectation,
+        Self::TooManyConnections,
+    ];
+
+    /// Returns the kind with a name.
+    pub fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|kind| kind.name() == name)
+    }
+
     /// Returns the name for logs, metrics and the `type` member.
     pub fn name(self) -> &'static str {
         match self {
@@ -99,6 +131,9 @@
             Self::NotReady => "not-ready",
             Self::BadGateway => "bad-gateway",
             Self::TimedOut => "timed-out",
+            Self::SlowRequest => "slow-request",
+            Self::BadExpectation => "bad-expectation",
+            Self::TooManyConnections => "too-many-connections",
         }
     }
 
@@ -106,7 +141,7 @@
     fn proxy_error(self) -> &'static str {
         match self {
             Self::NoRoute => "destination_not_found",
-            Self::NoCapacity => "connection_limit_reached",
+            Self::NoCapacity | Self::TooManyConnections => "connection_limit_reached",
             Self::NotReady => "destination_unavailable",
             Self::BadGateway => "connection_terminated",
             Self::TimedOut => "http_response_timeout",
@@ -127,6 +162,9 @@
             Self::NotReady => "This host may not serve now",
             Self::BadGateway => "The target failed",
             Self::TimedOut => "The deadline passed",
+            Self::SlowRequest => "The request came too slowly",
+            Self::BadExpectation => "The expectation is not known",
+            Self::TooManyConnections => "This host has too many connections",
         }
     }
 
