Print the refusals of the worst-served team

Cause: the total over all teams hides that the smallest teams are refused most.

Change: chicorycroft-bench rates prints the refusals within the rate of the worst-served team in each row, and counts per team.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -21,6 +21,7 @@
 mod latency;
 mod owners;
 mod rates;
+mod rates_counts;
 mod rates_driver;
 
 /// Exit status for a command line that is not valid, as `sysexits` has it.
--- a/crates/bench/src/rates.rs
+++ b/crates/bench/src/rates.rs
@@ -6,12 +6,15 @@
 
 use eyre::Result;
 
-use crate::rates_driver::{
-    HOSTS,
-    RUN_SECONDS,
-    RateBench,
-    RateCase,
-    TEAM_RATES, //
+use crate::{
+    rates_counts::TeamCounts,
+    rates_driver::{
+        HOSTS,
+        RUN_SECONDS,
+        RateBench,
+        RateCase,
+        TEAM_RATES, //
+    },
 };
 
 fn even(_: usize, _: u64, random: u64) -> usize {
@@ -54,15 +57,18 @@
         true => "transfers",
         false => "equal-split",
     };
-    let refused = counts.false_refusals as f64 * 100.0 / counts.requests as f64;
+    let percent = |refused: u64, requests: u64| refused as f64 * 100.0 / requests.max(1) as f64;
+    let of_all = percent(counts.false_refusals(), counts.requests());
+    let of_team = |team: &TeamCounts| percent(team.false_refusals, team.requests);
+    let of_worst = counts.teams.iter().map(of_team).fold(0.0, f64::max);
     let bytes = bench.hosts.iter().map(|host| host.bytes / RUN_SECONDS);
     let mean = bytes.clone().sum::<u64>() / HOSTS as u64;
     let most = bytes.max().unwrap_or(0);
     println!(
-        "{seed} {} {} {kind} {} {refused:.3} {overshoot:.3} {mean} {most} {:.1} {:.1}",
+        "{seed} {} {} {kind} {} {of_all:.3} {of_worst:.3} {overshoot:.3} {mean} {most} {:.1} {:.1}",
         bench.case.burst_seconds,
         bench.case.name,
-        counts.requests,
+        counts.requests(),
         wait_at(50),
         wait_at(99)
     );
@@ -113,8 +119,8 @@
 /// Prints a row for each load and fault, with and without transfers.
 pub(crate) fn run(seed: u64) -> Result<()> {
     println!(
-        "seed burst_s case kind requests false_refusals_% overshoot_tokens mean_bytes_s most_bytes_s \
-         wait_p50_ms wait_p99_ms"
+        "seed burst_s case kind requests false_refusals_% worst_team_% overshoot_tokens mean_bytes_s \
+         most_bytes_s wait_p50_ms wait_p99_ms"
     );
     for case in [1, 4].into_iter().flat_map(cases) {
         for has_transfers in [true, false] {
--- /dev/null
+++ b/crates/bench/src/rates_counts.rs
@@ -0,0 +1,26 @@
+//! What one row of the experiment on rates counts.
+
+/// What was counted for one team.
+#[derive(Clone, Default)]
+pub(crate) struct TeamCounts {
+    pub(crate) requests: u64,
+    pub(crate) false_refusals: u64,
+}
+
+/// What was counted in one row.
+#[derive(Default)]
+pub(crate) struct RateCounts {
+    pub(crate) teams: Vec<TeamCounts>,
+    pub(crate) waits: Vec<u64>,
+    pub(crate) spent_at: Vec<Vec<u64>>,
+}
+
+impl RateCounts {
+    pub(crate) fn requests(&self) -> u64 {
+        self.teams.iter().map(|team| team.requests).sum()
+    }
+
+    pub(crate) fn false_refusals(&self) -> u64 {
+        self.teams.iter().map(|team| team.false_refusals).sum()
+    }
+}
--- a/crates/bench/src/rates_driver.rs
+++ b/crates/bench/src/rates_driver.rs
@@ -17,6 +17,11 @@
 };
 use rand_chacha::ChaCha8Rng;
 
+use crate::rates_counts::{
+    RateCounts,
+    TeamCounts, //
+};
+
 pub(crate) const HOSTS: usize = 48;
 pub(crate) const ZONES: usize = 3;
 pub(crate) const TEAM_RATES: [u32; 8] = [10, 20, 50, 100, 100, 200, 400, 100];
@@ -82,15 +87,6 @@
     filled_at: u64,
 }
 
-/// What was counted in one row.
-#[derive(Default)]
-pub(crate) struct RateCounts {
-    pub(crate) requests: u64,
-    pub(crate) false_refusals: u64,
-    pub(crate) waits: Vec<u64>,
-    pub(crate) spent_at: Vec<Vec<u64>>,
-}
-
 pub(crate) struct RateBench {
     pub(crate) case: RateCase,
     /// Separate streams, so that both kinds see the same requests.
@@ -154,6 +150,7 @@
             filled_at: 0,
         };
         let counts = RateCounts {
+            teams: vec![TeamCounts::default(); TEAM_RATES.len()],
             spent_at: vec![Vec::new(); TEAM_RATES.len()],
             ..RateCounts::default()
         };
@@ -243,7 +240,7 @@
         if self.hosts[host].is_asleep {
             return;
         }
-        self.counts.requests += u64::from(self.is_counted(team));
+        self.counts.teams[team].requests += u64::from(self.is_counted(team));
         let (id, terms) = self.teams[team].clone();
         let taken = self.hosts[host]
             .ledger
@@ -273,7 +270,8 @@
     }
 
     fn refuse(&mut self, team: usize, is_ideal: bool) {
-        self.counts.false_refusals += u64::from(is_ideal && self.is_counted(team));
+        let is_false = is_ideal && self.is_counted(team);
+        self.counts.teams[team].false_refusals += u64::from(is_false);
     }
 
     fn record_spent(&mut self, request: &WaitingRequest) {
