Leave out of a refill what expires on its way

Cause: a refill asked for exactly what one token lacked and was answered with the oldest tokens. Their life counts from the sending of the draw, so a part expired before the grant came; the token lacked a few thousandths, the request was refused, and the nearly whole token expired unused at its host. Small teams, whose requests each need a refill, were refused most.

Change: a refill is sized by what the host will hold when the grant arrives; what expires by then counts for nothing at the giver and is handed on top. The last draw that a broker answers is not cut to its surplus, so that a zone hands over all it has.

--- a/crates/limits/src/account.rs
+++ b/crates/limits/src/account.rs
@@ -36,6 +36,10 @@
 /// seldom complete a token, and what they keep would expire in parts of less than one.
 const KEEPING_SHARE: TokenAmount = TokenAmount::from_whole(4);
 
+/// Longest time from a draw to the arrival of its grant. The life of moved tokens counts from the
+/// sending of the draw, so that a grant of older tokens would arrive as less than was drawn.
+const GRANT_TRANSIT: Duration = Duration::from_millis(25);
+
 /// Most drawers whose last draw is remembered, to recognise doubled draws.
 const DRAWERS_MAX: usize = 64;
 
@@ -148,6 +152,11 @@
         TokenAmount::ONE.saturating_sub(self.balance())
     }
 
+    /// Returns the time up to which tokens must live to be of use after a transfer.
+    fn arrival(&self, now: MonoTime) -> MonoTime {
+        now.after(GRANT_TRANSIT.min(self.terms.life() / 10))
+    }
+
     /// Returns how long minting alone takes to complete one token.
     pub(crate) fn time_to_one(&self) -> Duration {
         let missing = BurstSize::from_micros(self.missing_to_one().as_micros());
@@ -181,15 +190,21 @@
         self.open_draws.values().filter(is_unanswered).count()
     }
 
-    /// Returns what this host can give without running short itself.
-    pub(crate) fn surplus(&self, now: MonoTime) -> TokenAmount {
+    /// Returns what this host keeps for its own demand.
+    fn kept(&self, now: MonoTime) -> TokenAmount {
         let share = self.terms.burst.as_micros() / u64::from(self.terms.minters.max(1));
         let has_demand = !self.demand.level_at(now).is_zero();
-        let kept = match has_demand && share >= KEEPING_SHARE.as_micros() {
+        match has_demand && share >= KEEPING_SHARE.as_micros() {
             true => self.target(now).saturating_add(TokenAmount::ONE),
             false => TokenAmount::ZERO,
-        };
-        self.balance().saturating_sub(kept)
+        }
+    }
+
+    /// Returns what this host can give without running short itself, and what lives long enough to
+    /// arrive.
+    pub(crate) fn surplus(&self, now: MonoTime) -> TokenAmount {
+        let lasting = self.lots.balance_at(self.arrival(now));
+        lasting.saturating_sub(self.kept(now))
     }
 
     /// Returns the tokens that the next draw should ask for, if one is due.
@@ -206,7 +221,8 @@
         let least = TokenAmount::from_micros(target.as_micros() / 3);
         let is_low = target >= TokenAmount::ONE && balance < least.max(TokenAmount::ONE);
         let is_short = self.is_unmet && balance < TokenAmount::ONE;
-        let wanted = target.max(TokenAmount::ONE).saturating_sub(balance);
+        let lasting = self.lots.balance_at(self.arrival(now));
+        let wanted = target.max(TokenAmount::ONE).saturating_sub(lasting);
         (is_low || is_short).then_some(wanted)
     }
 
@@ -243,11 +259,7 @@
             self.drawers.shift_remove_index(0);
         }
         self.drawers.insert(draw.id.host.clone(), stamp);
-        let given = self.surplus(now).min(draw.wanted);
-        let is_useful = given >= draw.least;
-        let lots = self
-            .lots
-            .withdraw(if is_useful { given } else { TokenAmount::ZERO });
+        let lots = self.lots.withdraw(self.grant_for(draw, now));
         let granted = |lot: TokenLot| GrantedLot {
             amount: lot.amount,
             first_left: lot.first.since(now),
@@ -261,6 +273,22 @@
         })
     }
 
+    /// Returns how much a draw gets. What expires before a grant can arrive comes on top, as it is of
+    /// no other use.
+    fn grant_for(&self, draw: &TokenDraw, now: MonoTime) -> TokenAmount {
+        let lasting = self.lots.balance_at(self.arrival(now));
+        let expiring = self.balance().saturating_sub(lasting);
+        let surplus = lasting.saturating_sub(self.kept(now));
+        if draw.purpose != DrawPurpose::Refill {
+            return surplus.saturating_add(expiring).min(draw.wanted);
+        }
+        let given = surplus.min(draw.wanted).saturating_add(expiring);
+        match given >= draw.least {
+            true => given,
+            false => TokenAmount::ZERO,
+        }
+    }
+
     /// Takes the tokens of a grant for an open draw and returns how many there were.
     ///
     /// Their life counts from the time at which the draw was sent, which is before the deduction.
--- a/crates/limits/src/broker.rs
+++ b/crates/limits/src/broker.rs
@@ -253,8 +253,10 @@
         while !desk.waiting.is_empty() {
             let count = desk.waiting.len();
             let mut draw = desk.waiting.remove(0).draw;
-            let part = divided(context.surplus(&draw.team), count);
-            draw.wanted = draw.wanted.min(part.max(draw.least));
+            if count > 1 {
+                let part = divided(context.surplus(&draw.team), count);
+                draw.wanted = draw.wanted.min(part.max(draw.least));
+            }
             letters.extend(context.answer(&draw));
         }
         letters
--- a/crates/limits/src/lots.rs
+++ b/crates/limits/src/lots.rs
@@ -142,6 +142,12 @@
         self.lots.iter().fold(TokenAmount::ZERO, sum)
     }
 
+    /// Returns the sum of what has not expired by a later time.
+    pub fn balance_at(&self, later: MonoTime) -> TokenAmount {
+        let left = self.lots.iter().filter_map(|lot| lot.left_at(later));
+        left.fold(TokenAmount::ZERO, |sum, lot| sum.saturating_add(lot.amount))
+    }
+
     /// Removes up to an amount, what expires first in front.
     pub fn withdraw(&mut self, amount: TokenAmount) -> Vec<TokenLot> {
         let mut open = amount;
