Slow down draws only after grants of less than one token

Cause: a grant of less than half of what was wanted doubled the pause before the next draw, up to 800 ms. A broker that was empty between two collections made a busy host refuse for as long.

Change: the pause follows a grant that completes no token.

--- a/crates/limits/src/account.rs
+++ b/crates/limits/src/account.rs
@@ -313,7 +313,7 @@
             self.lots.insert(lot);
         }
         if draw.purpose == DrawPurpose::Refill {
-            self.pace_draws(amount.as_micros() < draw.wanted.as_micros() / 2, now);
+            self.pace_draws(amount < TokenAmount::ONE.min(draw.wanted), now);
         }
         Some(amount)
     }
