Do not count a collection that the allowance stops

Cause: a collection for which the allowance had no draw left was noted as sent and then as fruitless, which doubled the pause before the next one.

Change: a collection without draws leaves the desk as it is.

--- a/crates/limits/src/broker.rs
+++ b/crates/limits/src/broker.rs
@@ -167,6 +167,9 @@
         let mut givers = self.givers(team, purpose, context);
         let count = givers.len();
         let allowed = self.with_allowance(|allowance| allowance.take_collection(count, now));
+        if allowed == 0 {
+            return Vec::new();
+        }
         givers.rotate_left(desk.cursor % count.max(1));
         desk.cursor = (desk.cursor + allowed) % count.max(1);
         let of = (team, &context.terms);
