Collect from no more givers than the need takes

Cause: each collection asked every host of the fleet, four times in the life of a token, and that was most of the control traffic; brokers of several teams used up their allowance of draws, and truncated collections then held up the next ones.

Change: a broker remembers when it visited each giver, asks the one not visited for longest first, and only as many as are expected to cover the need; a collection that fell short goes on at once with the next givers. Hosts that wait for a grant are not asked. Another zone is asked for what is needed.

--- a/crates/limits/src/broker.rs
+++ b/crates/limits/src/broker.rs
@@ -9,9 +9,13 @@
 //! in one place instead of lying in parts of less than one token in each zone. While that broker
 //! does not answer, they refill from the one of their own zone.
 
-use std::sync::{
-    Mutex,
-    PoisonError, //
+use std::{
+    cmp::Reverse,
+    sync::{
+        Mutex,
+        PoisonError, //
+    },
+    time::Duration,
 };
 
 use chicorycroft_core::prelude::*;
@@ -55,6 +59,37 @@
     }
 }
 
+/// A host that may have tokens to give.
+struct TokenGiver {
+    host: HostId,
+    purpose: DrawPurpose,
+    /// Time since the last visit, at most the life of a token.
+    unvisited: Duration,
+    /// What the giver, or the zone that it speaks for, has minted in that time.
+    expected: TokenAmount,
+    /// The most that can have been minted and not expired.
+    most: TokenAmount,
+}
+
+impl TokenGiver {
+    /// Returns what to ask for: all that a host has, and of a zone what is needed.
+    fn wanted(&self, need: TokenAmount) -> TokenAmount {
+        match self.purpose {
+            DrawPurpose::ZoneSurplus => need.min(self.most),
+            _ => self.most,
+        }
+    }
+
+    /// Returns the time up to which a draw takes what was minted.
+    fn visited_until(&self, wanted: TokenAmount, now: MonoTime) -> MonoTime {
+        let rest = self.expected.saturating_sub(wanted).as_micros();
+        let rest = u128::from(rest) * self.unvisited.as_micros();
+        let rest = rest / u128::from(self.expected.as_micros().max(1));
+        let rest = u64::try_from(rest).unwrap_or(u64::MAX);
+        MonoTime::from_micros(now.as_micros().saturating_sub(rest))
+    }
+}
+
 /// The part of this host as broker of teams, and as one that draws from brokers.
 #[derive(Debug)]
 pub struct TokenBroker {
@@ -150,6 +185,8 @@
     }
 
     /// Sends collecting draws if the desk needs more than the ledger can spare.
+    ///
+    /// It asks those who were not visited for longest, and only as many as the need takes.
     fn collect(
         &self,
         desk: &mut TeamDesk,
@@ -160,64 +197,74 @@
     ) -> Vec<TokenLetter> {
         let (ledger, now, life) = (context.ledger, context.now, context.terms.life());
         let surplus = context.surplus(team);
-        let need = desk.need(surplus, life, now);
-        if !desk.may_collect(is_urgent, life, now) || (!is_urgent && need < surplus) {
+        let mut need = desk.need(surplus, life, now);
+        if !desk.may_collect(now) || (!is_urgent && need < surplus) {
             return Vec::new();
         }
-        let mut givers = self.givers(team, purpose, context);
-        let count = givers.len();
-        let allowed = self.with_allowance(|allowance| allowance.take_collection(count, now));
-        if allowed == 0 {
+        need = need.max(TokenAmount::ONE);
+        let mut chosen = Vec::new();
+        let mut expected = TokenAmount::ZERO;
+        for giver in self.givers(desk, team, purpose, context) {
+            if expected >= need {
+                break;
+            }
+            let open = need.saturating_sub(expected);
+            let wanted = giver.wanted(open);
+            expected = expected.saturating_add(wanted.min(giver.expected));
+            chosen.push((giver, wanted));
+        }
+        let allowed = self.with_allowance(|allowance| allowance.take_collection(chosen.len(), now));
+        chosen.truncate(allowed);
+        if chosen.is_empty() {
             return Vec::new();
         }
-        givers.rotate_left(desk.cursor % count.max(1));
-        desk.cursor = (desk.cursor + allowed) % count.max(1);
         let of = (team, &context.terms);
-        let draws: Vec<_> = givers
-            .into_iter()
-            .take(allowed)
-            .filter_map(|(to, purpose)| {
-                let wanted = self.part_of(purpose, context);
-                Some((to, ledger.draw_surplus(of, wanted, purpose, now)?))
-            })
-            .collect();
-        desk.begin_collection(draws.iter().map(|(_, draw)| draw.id.sequence), now);
+        let mut draws = Vec::new();
+        for (giver, wanted) in chosen {
+            desk.visit(&giver.host, giver.visited_until(wanted, now));
+            let draw = ledger.draw_surplus(of, wanted, giver.purpose, now);
+            draws.extend(draw.map(|draw| (giver.host, draw)));
+        }
+        let sequences = draws.iter().map(|(_, draw)| draw.id.sequence);
+        desk.begin_collection(sequences, expected, now);
         let letter = |(to, draw)| TokenLetter::with_draw(to, draw);
         draws.into_iter().map(letter).collect()
     }
 
-    /// Returns the most that one giver can have minted. A smaller part would need a second visit.
-    fn part_of(&self, purpose: DrawPurpose, context: &BrokerContext<'_>) -> TokenAmount {
-        let terms = &context.terms;
-        let minters = usize::try_from(terms.minters).unwrap_or(usize::MAX);
-        let burst = TokenAmount::from_micros(terms.burst.as_micros());
-        let hosts = match purpose {
-            DrawPurpose::ZoneSurplus => context.roster.hosts_in(&self.zone).len(),
-            _ => 1,
-        };
-        let part = divided(burst, minters).as_micros();
-        TokenAmount::from_micros(part.saturating_mul(u64::try_from(hosts).unwrap_or(u64::MAX)))
-    }
-
-    /// Lists whom to ask: the brokers of other zones only for hosts of this zone, so that a
-    /// collection never goes on from zone to zone.
+    /// Lists whom to ask, the one not visited for longest first. The brokers of other zones are asked
+    /// only for hosts of this zone, so that a collection never goes on from zone to zone.
     fn givers(
         &self,
+        desk: &TeamDesk,
         team: &TeamId,
         purpose: DrawPurpose,
         context: &BrokerContext<'_>,
-    ) -> Vec<(HostId, DrawPurpose)> {
-        let own = context.ledger.host();
-        let hosts = context.roster.hosts_in(&self.zone).iter();
+    ) -> Vec<TokenGiver> {
+        let (own, roster, terms) = (context.ledger.host(), context.roster, &context.terms);
+        let is_waiting = |host: &HostId| desk.waiting.iter().any(|open| open.draw.id.host == *host);
+        let hosts = roster.hosts_in(&self.zone).iter();
         let hosts = hosts
-            .filter(|host| *host != own)
-            .map(|host| (host.clone(), DrawPurpose::HostSurplus));
-        let brokers = context
-            .roster
+            .filter(|host| *host != own && !is_waiting(host))
+            .map(|host| (host, DrawPurpose::HostSurplus, 1));
+        let brokers = roster
             .brokers_outside(&self.zone, team)
             .filter(|_| purpose == DrawPurpose::Refill)
-            .map(|host| (host.clone(), DrawPurpose::ZoneSurplus));
-        brokers.chain(hosts).collect()
+            .map(|(zone, host)| (host, DrawPurpose::ZoneSurplus, roster.hosts_in(zone).len()));
+        let giver = |(host, purpose, hosts): (&HostId, _, usize)| {
+            let unvisited = desk.unvisited((host, purpose), terms.life(), context.now)?;
+            let hosts = u64::try_from(hosts).unwrap_or(u64::MAX);
+            let times = |part: u64| TokenAmount::from_micros(part.saturating_mul(hosts));
+            Some(TokenGiver {
+                host: host.clone(),
+                purpose,
+                unvisited,
+                expected: times(terms.share().accrued_over(unvisited).as_micros()),
+                most: times(terms.burst.as_micros() / u64::from(terms.minters.max(1))),
+            })
+        };
+        let mut givers: Vec<_> = brokers.chain(hosts).filter_map(giver).collect();
+        givers.sort_by_key(|giver| Reverse(giver.unvisited));
+        givers
     }
 
     /// Takes a grant into the ledger and answers the draws that waited for it.
@@ -230,14 +277,28 @@
         };
         let serve = |desk: &mut TeamDesk| {
             desk.record_grant(grant.draw.sequence, amount);
+            let mut letters = Self::answer_some(desk, context);
             if desk.is_complete(context.now) {
-                return Self::answer_all(desk, context);
+                letters.extend(self.collect_on(desk, context));
             }
-            Self::answer_some(desk, context)
+            letters
         };
         self.desks.with(&grant.team, serve).unwrap_or_default()
     }
 
+    /// Goes on collecting for draws that still wait, or answers them if nobody is left to ask.
+    fn collect_on(&self, desk: &mut TeamDesk, context: &BrokerContext<'_>) -> Vec<TokenLetter> {
+        let Some(first) = desk.waiting.first() else {
+            return Vec::new();
+        };
+        let (team, purpose) = (first.draw.team.clone(), first.draw.purpose);
+        let letters = self.collect(desk, &team, purpose, true, context);
+        match letters.is_empty() {
+            true => Self::answer_all(desk, context),
+            false => letters,
+        }
+    }
+
     /// Answers the first draws for which there is enough.
     fn answer_some(desk: &mut TeamDesk, context: &BrokerContext<'_>) -> Vec<TokenLetter> {
         let mut letters = Vec::new();
--- a/crates/limits/src/desk.rs
+++ b/crates/limits/src/desk.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use chicorycroft_core::prelude::*;
-use indexmap::IndexSet;
+use indexmap::{
+    IndexMap,
+    IndexSet, //
+};
 
 use crate::{
     demand::DemandMeter,
@@ -13,19 +16,21 @@
     },
 };
 
-/// Collections in the life of a token while a draw waits, and otherwise. A giver that was just
-/// visited has nothing new, so that more collections cost messages and bring no tokens.
-const COLLECTIONS_URGENT: u32 = 4;
-const COLLECTIONS_AHEAD: u32 = 2;
+/// Visits of one giver in the life of a token. A giver that was just visited has nothing new, so that
+/// more visits cost messages and bring few tokens.
+const VISITS_IN_LIFE: u32 = 4;
+
+/// Longest time between two visits of one giver, where tokens live long. A longer one leaves the
+/// broker empty in between.
+const VISIT_MAX: Duration = Duration::from_millis(300);
 
-/// Longest time between two collections while a draw waits, where tokens live long. A longer one
-/// leaves the broker empty in between.
-const COLLECT_URGENT_MAX: Duration = Duration::from_millis(300);
+/// Most givers whose last visit is remembered; beyond it all are taken for full.
+const VISITS_MAX: usize = 1024;
 
-/// Least time between two collections, whatever the life of a token.
+/// Pause after the first collection that brought little.
 const COLLECT_LEAST: Duration = Duration::from_millis(25);
 
-/// Longest time between two collections that brought nothing, for teams above their rate.
+/// Longest pause after such a collection, for teams above their rate.
 const COLLECT_PAUSE_MAX: Duration = Duration::from_secs(1);
 
 /// Time without draws after which a desk is dropped.
@@ -53,12 +58,12 @@
     pub(crate) waiting: Vec<WaitingDraw>,
     open: IndexSet<u64>,
     demand: DemandMeter,
+    expected: TokenAmount,
     collected: TokenAmount,
     sent_at: Option<MonoTime>,
     pause: Duration,
     drawn_at: MonoTime,
-    /// Position in the list of givers at which the next collection starts.
-    pub(crate) cursor: usize,
+    visited: IndexMap<HostId, MonoTime>,
 }
 
 impl TeamDesk {
@@ -67,11 +72,12 @@
             waiting: Vec::new(),
             open: IndexSet::new(),
             demand: DemandMeter::default(),
+            expected: TokenAmount::ZERO,
             collected: TokenAmount::ZERO,
             sent_at: None,
             pause: COLLECT_LEAST,
             drawn_at: now,
-            cursor: 0,
+            visited: IndexMap::new(),
         }
     }
 
@@ -102,23 +108,56 @@
             .saturating_sub(surplus)
     }
 
-    /// Tells whether a collection may be sent.
-    pub(crate) fn may_collect(&self, is_urgent: bool, life: Duration, now: MonoTime) -> bool {
-        let least = match is_urgent {
-            true => (life / COLLECTIONS_URGENT).min(COLLECT_URGENT_MAX),
-            false => (life / COLLECTIONS_AHEAD).min(COLLECT_URGENT_MAX * 2),
+    /// Tells whether a collection may be sent: none is open, and the last one was worth it or long ago.
+    pub(crate) fn may_collect(&self, now: MonoTime) -> bool {
+        let is_worth = self.collected.as_micros() >= self.expected.as_micros() / 4;
+        let pause = if is_worth { Duration::ZERO } else { self.pause };
+        let is_over = |sent_at: MonoTime| now.since(sent_at) >= pause;
+        self.is_complete(now) && self.sent_at.is_none_or(is_over)
+    }
+
+    /// Returns the time for which a giver has minted since its last visit, at most a token's life, or
+    /// `None` when that visit was too recent.
+    ///
+    /// Another broker bounds the visits in its zone itself, and may be asked for the rest of it.
+    pub(crate) fn unvisited(
+        &self,
+        (giver, purpose): (&HostId, DrawPurpose),
+        life: Duration,
+        now: MonoTime,
+    ) -> Option<Duration> {
+        let Some(visited_at) = self.visited.get(giver) else {
+            return Some(life);
         };
-        self.sent_at
-            .is_none_or(|sent_at| now.since(sent_at) >= self.pause.max(least))
+        let least = match purpose {
+            DrawPurpose::ZoneSurplus => COLLECT_LEAST,
+            _ => (life / VISITS_IN_LIFE).min(VISIT_MAX),
+        };
+        let since = now.since(*visited_at).min(life);
+        (since >= least).then_some(since)
+    }
+
+    /// Notes up to when a giver is asked for what it minted.
+    pub(crate) fn visit(&mut self, giver: &HostId, until: MonoTime) {
+        if self.visited.len() >= VISITS_MAX {
+            self.visited.clear();
+        }
+        self.visited.insert(giver.clone(), until);
     }
 
-    /// Notes that a collection starts. One that brought nothing doubles the pause after it.
-    pub(crate) fn begin_collection(&mut self, sequences: impl Iterator<Item = u64>, now: MonoTime) {
-        let is_fruitless = self.sent_at.is_some() && self.collected < TokenAmount::ONE;
-        self.pause = match is_fruitless {
+    /// Notes that a collection starts. One that brought little doubles the pause after it.
+    pub(crate) fn begin_collection(
+        &mut self,
+        sequences: impl Iterator<Item = u64>,
+        expected: TokenAmount,
+        now: MonoTime,
+    ) {
+        let is_poor = self.collected.as_micros() < self.expected.as_micros() / 4;
+        self.pause = match is_poor {
             true => (self.pause * 2).min(COLLECT_PAUSE_MAX),
             false => COLLECT_LEAST,
         };
+        self.expected = expected;
         self.collected = TokenAmount::ZERO;
         self.sent_at = Some(now);
         self.open = sequences.collect();
--- a/crates/limits/src/roster.rs
+++ b/crates/limits/src/roster.rs
@@ -45,13 +45,13 @@
         rendezvous::first_of(team.as_str(), hosts, HostId::as_str)
     }
 
-    /// Returns the brokers of a team in the other zones.
+    /// Returns the other zones with the brokers of a team in them.
     pub fn brokers_outside<'a>(
         &'a self,
         zone: &'a ZoneId,
         team: &'a TeamId,
-    ) -> impl Iterator<Item = &'a HostId> {
+    ) -> impl Iterator<Item = (&'a ZoneId, &'a HostId)> {
         let others = self.zones.keys().filter(move |other| *other != zone);
-        others.filter_map(move |other| self.broker_of(other, team))
+        others.filter_map(move |other| Some((other, self.broker_of(other, team)?)))
     }
 }
