Draw a quarter of a token's life ahead

Cause: a host and its broker each held half of a token's life of demand, together nearly the whole burst where it is one second of rate. What a host held was missing at the next one, and the broker visited every giver as often as it may.

--- a/crates/limits/src/demand.rs
+++ b/crates/limits/src/demand.rs
@@ -35,7 +35,7 @@
 
     /// Returns the number of tokens to hold: the demand ahead, within half of a token's life.
     pub fn target(&self, life: Duration, now: MonoTime) -> TokenAmount {
-        let ahead = (life / 2).min(DRAW_AHEAD).as_micros();
+        let ahead = (life / 4).min(DRAW_AHEAD).as_micros();
         let level = u128::from(self.level_at(now).as_micros());
         let micros = level * ahead / DEMAND_MEMORY.as_micros();
         TokenAmount::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
