Join received lots of nearly the same times

Cause: a broker kept a lot for each host it visited, and a grant of many tokens carried up to 48 of them, 20 bytes each.

Change: a received lot joins a held one whose times differ by at most 1/64 of a token's life. The sum has the earlier times of both, so it expires no later than its parts.

--- a/crates/limits/src/account.rs
+++ b/crates/limits/src/account.rs
@@ -40,6 +40,9 @@
 /// sending of the draw, so that a grant of older tokens would arrive as less than was drawn.
 const GRANT_TRANSIT: Duration = Duration::from_millis(25);
 
+/// Part of a token's life by which the times of two received lots may differ to become one.
+const MERGE_PART: u32 = 64;
+
 /// Most drawers whose last draw is remembered, to recognise doubled draws.
 const DRAWERS_MAX: usize = 64;
 
@@ -309,8 +312,9 @@
         lots.expire(now);
         lots.convert(&grant.terms, &self.terms, now);
         let amount = lots.balance();
+        let slack = self.terms.life() / MERGE_PART;
         for lot in lots.withdraw(amount) {
-            self.lots.insert(lot);
+            self.lots.merge(lot, slack);
         }
         if draw.purpose == DrawPurpose::Refill {
             self.pace_draws(amount < TokenAmount::ONE.min(draw.wanted), now);
--- a/crates/limits/src/lots.rs
+++ b/crates/limits/src/lots.rs
@@ -67,6 +67,13 @@
         taken
     }
 
+    /// Adds another lot. The sum has the earlier times of both, and so expires no later than they would.
+    fn join(&mut self, other: &Self) {
+        self.amount = self.amount.saturating_add(other.amount);
+        self.first = self.first.min(other.first);
+        self.last = self.last.min(other.last);
+    }
+
     fn earlier_by(self, time: Duration) -> Self {
         let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
         let shift = |at: MonoTime| MonoTime::from_micros(at.as_micros().saturating_sub(micros));
@@ -125,14 +132,36 @@
         }
     }
 
+    /// Adds tokens that another host gave, joined with a lot whose times differ by at most a slack.
+    ///
+    /// Hosts that are visited together give lots of nearly the same times, and each lot that goes on in
+    /// a grant takes bytes.
+    pub fn merge(&mut self, lot: TokenLot, slack: Duration) {
+        let at = self.lots.partition_point(|held| held.first <= lot.first);
+        let is_near = |a: MonoTime, b: MonoTime| a.since(b).max(b.since(a)) <= slack;
+        let is_alike =
+            |held: &TokenLot| is_near(held.first, lot.first) && is_near(held.last, lot.last);
+        let near = [at.checked_sub(1), Some(at)].into_iter().flatten();
+        let found = near
+            .into_iter()
+            .find(|&index| self.lots.get(index).is_some_and(is_alike));
+        let Some(index) = found else {
+            self.insert(lot);
+            return;
+        };
+        // What is minted next has another density.
+        self.is_back_open &= index + 1 < self.lots.len();
+        if let Some(held) = self.lots.get_mut(index) {
+            held.join(&lot);
+        }
+    }
+
     /// Dates the second lot as the first one, which is earlier and hence safe.
     fn join_oldest(&mut self) {
         if let Some(first) = self.lots.pop_front()
             && let Some(second) = self.lots.front_mut()
         {
-            second.amount = second.amount.saturating_add(first.amount);
-            second.first = first.first.min(second.first);
-            second.last = first.last.min(second.last);
+            second.join(&first);
         }
     }
 
