Halve the pause of draws after a good grant

Cause: for a team far above its rate every few draws bring a token, and each took the pause back to its least, so that all hosts drew from the home broker at full pace.

Change: a good grant halves the pause.

--- a/crates/limits/src/account.rs
+++ b/crates/limits/src/account.rs
@@ -327,7 +327,7 @@
             self.next_draw_at = now.after(self.draw_pause);
             self.draw_pause = (self.draw_pause * 2).min(DRAW_PAUSE_MAX);
         } else {
-            self.draw_pause = DRAW_PAUSE_MIN;
+            self.draw_pause = (self.draw_pause / 2).max(DRAW_PAUSE_MIN);
         }
     }
 
