Correct the notes on collections and on demand ahead

Cause: module notes still said that a collection visits every giver and that half of a life is held.

Change: comments only.

--- a/crates/limits/src/allowance.rs
+++ b/crates/limits/src/allowance.rs
@@ -4,10 +4,10 @@
 //! 170 bytes at each end. A host that sends `d` draws a second answers as many on average, which
 //! makes 340 x `d` bytes a second at most.
 //!
-//! - 48 hosts, 8 teams, a burst of one second: a broker visits the 17 givers twice in the life of a
-//!   token, and 8 teams have 24 brokers. That makes 8 x (17 + 2 x 15) x 2 = 752 draws a second in the
-//!   fleet, 16 for each host, and about 3 refills a second of each team. [`SMALL_FLEET`] allows 96,
-//!   because one host may be the broker of several teams.
+//! - 48 hosts, 8 teams, a burst of one second: brokers visit a giver at most four times in the life of
+//!   a token, and 8 teams have 24 brokers. That makes at most 8 x 47 x 4 = 1,504 draws a second in the
+//!   fleet, 31 for each host. [`SMALL_FLEET`] allows 96, because one host may be the broker of several
+//!   teams.
 //! - 1,700 hosts, 10 zones: [`LARGE_FLEET`] allows 24 draws a second, at most 24 x 340 = 8.2 KB/s of
 //!   the 9 KB/s for control. A broker visits the 169 hosts of its zone in turn as that permits; the
 //!   bound does not grow with the number of teams.
--- a/crates/limits/src/broker.rs
+++ b/crates/limits/src/broker.rs
@@ -1,9 +1,9 @@
 //! Collects surplus and hands it to hosts that are short.
 //!
 //! A team has one broker in each zone. A broker works only while some host is short of the team's
-//! tokens: it asks the hosts of its zone and the brokers of the other zones for what they can
-//! spare, keeps half a second of demand in its host's ledger, and answers refills from there. A
-//! refill that finds too little waits for the collection, a few milliseconds at most.
+//! tokens: it asks hosts of its zone and brokers of other zones for what they can spare, the one
+//! not visited for longest first and no more than it needs, and answers refills from its host's
+//! ledger. A refill that finds too little waits for the collection, a few milliseconds at most.
 //!
 //! Hosts refill from the first broker of the fleet, so that the tokens of a small team come together
 //! in one place instead of lying in parts of less than one token in each zone. While that broker
--- a/crates/limits/src/demand.rs
+++ b/crates/limits/src/demand.rs
@@ -8,7 +8,7 @@
 const DEMAND_MEMORY: Duration = Duration::from_secs(1);
 
 /// Longest time that a host draws ahead of need. Refills of two thirds of it make about three
-/// draws a second for a steady team.
+/// draws a second for a steady team, and six with a burst of one second.
 const DRAW_AHEAD: Duration = Duration::from_millis(500);
 
 /// Requests of the last second, older ones counting less.
@@ -33,7 +33,10 @@
         self.measured_at = now;
     }
 
-    /// Returns the number of tokens to hold: the demand ahead, within half of a token's life.
+    /// Returns the number of tokens to hold: the demand ahead, within a quarter of a token's life.
+    ///
+    /// The host and the broker each hold as much. With half of the life they would together hold
+    /// nearly the whole burst, and what one holds the next short host lacks.
     pub fn target(&self, life: Duration, now: MonoTime) -> TokenAmount {
         let ahead = (life / 4).min(DRAW_AHEAD).as_micros();
         let level = u128::from(self.level_at(now).as_micros());
--- a/crates/limits/src/desk.rs
+++ b/crates/limits/src/desk.rs
@@ -99,7 +99,7 @@
         }
     }
 
-    /// Returns the tokens to collect beyond a surplus: for those who wait and the next half second.
+    /// Returns the tokens to collect beyond a surplus: for those who wait and the demand ahead.
     pub(crate) fn need(&self, surplus: TokenAmount, life: Duration, now: MonoTime) -> TokenAmount {
         let add = |sum: TokenAmount, waiting: &WaitingDraw| sum.saturating_add(waiting.draw.wanted);
         let waiting = self.waiting.iter().fold(TokenAmount::ZERO, add);
