--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -22,6 +22,7 @@
 mod latency;
 mod owners;
 mod rates;
+mod rates_counts;
 mod rates_driver;
 mod slopes;
 
