Keep request ids of different hosts apart

Cause: Each host numbered its requests from 1. The golden session `lookup_through_owner` showed the owner log `id=` for the requests of two ingress hosts, so that a log of the fleet could not tell which request an owner's line belongs to. Change: A process counts from the hash of its host's name and incarnation. The id takes 9 bytes in the forward header; small numbers took 1 to 3. Conclusion: A line of an owner belongs to one request of the fleet.

--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -10,7 +10,10 @@
 };
 
 use chicorycroft_border::prelude::*;
-use chicorycroft_core::prelude::*;
+use chicorycroft_core::{
+    prelude::*,
+    rendezvous::weight_of, //
+};
 use chicorycroft_inventory::prelude::*;
 use chicorycroft_limits::{
     allowance::SMALL_FLEET,
@@ -103,6 +106,9 @@
             zone: zone.clone(),
         };
         let rules = MembershipRules::default();
+        // Owners log the ids of many ingress hosts; a start of its own for each process keeps them
+        // apart.
+        let first_request = weight_of(host.as_str(), &incarnation.to_string());
         Self {
             settings,
             peer_address,
@@ -125,7 +131,7 @@
             clients: ShardMap::new(),
             view: RwLock::new(None),
             refused_version: RwLock::new(None),
-            last_request: AtomicU64::new(0),
+            last_request: AtomicU64::new(first_request),
             random: AtomicU64::new(incarnation.get()),
             is_stopping: AtomicBool::new(false),
         }
@@ -270,9 +276,11 @@
             .with_or_insert(&target.id, make, |client| client.clone())
     }
 
-    /// Returns a number that no other request of this process has.
+    /// Returns a number that no other request of this process has, and with a high probability none
+    /// of another one.
     pub fn next_request(&self) -> u64 {
-        self.last_request.fetch_add(1, Ordering::Relaxed) + 1
+        let last = self.last_request.fetch_add(1, Ordering::Relaxed);
+        last.wrapping_add(1)
     }
 
     /// Returns a random number for choices that need no secrecy.
--- a/crates/peer/src/forward.rs
+++ b/crates/peer/src/forward.rs
@@ -38,7 +38,7 @@
 /// The only version of the head's encoding.
 const VERSION: FormatVersion = FormatVersion::V1;
 
-/// Number of a request within its ingress host.
+/// Number of a request. Each process of an ingress host counts from a start of its own.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct RequestId(u64);
 
