Close the connections of a peer server that ends

Cause: Connections of the server for other hosts ran in tasks of their own. A planned stop that reached its drain limit left them open without a log line, and `EntryHost::crash` did not cut them: in the golden session `owner_dies_with_order` the dead owner went on with the order, and the caller got `timed-out` after 2 s of the paused clock instead of a cut at once. Change: The server keeps its connections in a set that ends with it. A forced close writes `event=peer_forced_close`, as the server for callers does. The session is committed. The session shows 502 with run=unknown at once, one run of the order, and the takeover by the other host. Conclusion: A host that ends leaves no work behind, and a forced close is on record.

--- a/crates/node/tests/golden/operations.rs
+++ b/crates/node/tests/golden/operations.rs
@@ -110,3 +110,29 @@
         session.call(0, LOOKUP, "").await;
     });
 }
+
+/// Guards against an order that runs twice when the owner of its target dies with it, and against a
+/// target that has no owner afterwards: the other host takes it over.
+#[test]
+fn owner_dies_with_order() {
+    play(
+        "owner_dies_with_order",
+        FleetPlan::new(2, 1),
+        async |session| {
+            session.script(TargetAct::Late(Arc::new(Notify::new())));
+            let mut caller = session.caller(0).await;
+            caller
+                .send(&request_of("POST /notices HTTP/1.1", "labels"))
+                .await;
+            session.settle().await;
+            note("entry-1 dies", "");
+            session.hosts.remove(1).crash().await;
+            session.settle().await;
+            caller.answer().await;
+            note("the platform's list drops entry-1", "");
+            session.list_hosts(Vec::new());
+            session.pass(Duration::from_secs(12)).await;
+            session.call(0, LOOKUP, "").await;
+        },
+    );
+}
--- a/crates/node/tests/golden/peers.rs
+++ b/crates/node/tests/golden/peers.rs
@@ -292,12 +292,7 @@
     let id = HostId::new("entry-7").unwrap();
     run(FleetPlan::new(1, 4), async |session| {
         let (listing, _stop) = start_old_peer(id.clone()).await;
-        let own = HostListing {
-            id: session.hosts[0].state().settings.host.clone(),
-            address: session.hosts[0].peer_address(),
-            ..listing.clone()
-        };
-        session.platform.set_hosts(vec![own, listing.clone()]);
+        session.list_hosts(vec![listing.clone()]);
         let client = PeerClient::with_codec(PeerCodec::with_highest(FormatVersion::V1));
         for sequence in 1..=24 {
             let message = PeerMessage::Heartbeat(heartbeat(&id, listing.address, sequence));
--- a/crates/node/tests/golden/session.rs
+++ b/crates/node/tests/golden/session.rs
@@ -51,8 +51,6 @@
 pub(crate) struct FleetPlan {
     pub(crate) hosts: Vec<&'static str>,
     pub(crate) targets: Vec<&'static str>,
-    /// Hosts that are listed as peers but run elsewhere.
-    pub(crate) peers: Vec<HostListing>,
 }
 
 impl FleetPlan {
@@ -61,7 +59,6 @@
         Self {
             hosts: vec!["muscat-1"; host_count],
             targets: vec!["muscat-1"; target_count],
-            peers: Vec::new(),
         }
     }
 }
@@ -123,13 +120,6 @@
         for (at, zone) in plan.hosts.iter().enumerate() {
             hosts.push(start_host(&platform, at, zone).await);
         }
-        let own = hosts.iter().map(|host| HostListing {
-            id: host.state().settings.host.clone(),
-            zone: host.state().settings.zone.clone(),
-            address: host.peer_address(),
-            is_leaving: false,
-        });
-        platform.set_hosts(own.chain(plan.peers).collect());
         let session = Self {
             hosts,
             targets,
@@ -137,11 +127,23 @@
             script,
             document,
         };
+        session.list_hosts(Vec::new());
         session.pass(START_TIME).await;
         transcript::open();
         session
     }
 
+    /// Makes the platform list the running hosts, and peers that run elsewhere.
+    pub(crate) fn list_hosts(&self, peers: Vec<HostListing>) {
+        let own = self.hosts.iter().map(|host| HostListing {
+            id: host.state().settings.host.clone(),
+            zone: host.state().settings.zone.clone(),
+            address: host.peer_address(),
+            is_leaving: false,
+        });
+        self.platform.set_hosts(own.chain(peers).collect());
+    }
+
     /// Lets time pass.
     pub(crate) async fn pass(&self, time: Duration) {
         for _ in 0..time.div_duration_f64(TIME_STEP).ceil() as usize {
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -47,6 +47,7 @@
         Semaphore, //
         watch,
     },
+    task::JoinSet,
 };
 
 use crate::{
@@ -166,7 +167,16 @@
         let (builder, codec) = (builder(), self.codec);
         let permits = Arc::new(Semaphore::new(CONNECTIONS_MAX));
         let graceful = GracefulShutdown::new();
-        while let Some(stream) = accept(&self.listener, &mut stop).await {
+        // Connections end with this future, so that a forced close leaves none open.
+        let mut tasks = JoinSet::new();
+        loop {
+            let accepted = tokio::select! {
+                accepted = accept(&self.listener, &mut stop) => accepted,
+                Some(_) = tasks.join_next() => continue,
+            };
+            let Some(stream) = accepted else {
+                break;
+            };
             let Ok(permit) = permits.clone().try_acquire_owned() else {
                 log::warn!("event=peer_connection_refused reason=connections_max");
                 continue;
@@ -178,7 +188,7 @@
             });
             let connection = builder.serve_connection(TokioIo::new(stream), service);
             let connection = graceful.watch(connection);
-            tokio::spawn(async move {
+            tasks.spawn(async move {
                 if let Err(error) = connection.await {
                     log::debug!("event=peer_connection_ended error=\"{error}\"");
                 }
@@ -186,10 +196,25 @@
             });
         }
         drop(self.listener);
-        tokio::time::timeout(self.drain_limit, graceful.shutdown())
-            .await
-            .is_ok()
+        drain(graceful, tasks, self.drain_limit).await
+    }
+}
+
+/// Waits until all connections have ended, and closes those that have not within the limit.
+async fn drain(graceful: GracefulShutdown, mut tasks: JoinSet<()>, limit: Duration) -> bool {
+    let is_drained = tokio::time::timeout(limit, graceful.shutdown())
+        .await
+        .is_ok();
+    while tasks.try_join_next().is_some() {}
+    if !is_drained {
+        let count = tasks.len();
+        log::warn!(
+            "event=peer_forced_close connections={count} after_ms={}",
+            limit.as_millis()
+        );
     }
+    tasks.shutdown().await;
+    is_drained
 }
 
 /// Returns the next connection, or none once the server is to stop.
