Add a golden file of answers that change places

Cause: No session had two requests at one target at once. Change: The session `answers_out_of_order` sends two requests through the owner to one target, which answers the second first. Conclusion: Crossed answers are compared with a committed file.

--- a/crates/node/tests/golden/answers.rs
+++ b/crates/node/tests/golden/answers.rs
@@ -49,3 +49,27 @@
         session.call(0, "GET /notices/second HTTP/1.1", "").await;
     });
 }
+
+/// Guards against answers that change places: two requests are with a target at once, by way of its
+/// owner, and the second is answered first.
+#[test]
+fn answers_out_of_order() {
+    play(
+        "answers_out_of_order",
+        FleetPlan::new(2, 1),
+        async |session| {
+            // One good answer opens the second slot of the cold target.
+            session.call(0, "GET /notices/warm-up HTTP/1.1", "").await;
+            let turn = Arc::new(Notify::new());
+            session.script(TargetAct::Late(turn.clone()));
+            let mut first = session.caller(0).await;
+            first
+                .send(&request_of("GET /notices/first HTTP/1.1", ""))
+                .await;
+            session.settle().await;
+            session.call(0, "GET /notices/second HTTP/1.1", "").await;
+            turn.notify_one();
+            first.answer().await;
+        },
+    );
+}
