--- a/crates/node/src/config_watch.rs
+++ b/crates/node/src/config_watch.rs
@@ -89,18 +89,20 @@
     loop {
         if !may_read(&state) {
             tokio::select! {
-                () = tokio::time::sleep(ROLE_PERIOD) => {}
+                biased;
                 _ = wakes.changed() => seen = ConfigVersion::default(),
+                () = tokio::time::sleep(ROLE_PERIOD) => {}
             }
             continue;
         }
         let answer = tokio::select! {
-            answer = platform.wait_newer("index", seen) => answer,
+            biased;
             _ = wakes.changed() => {
                 // What is in force is to be read anew, and not only what follows.
                 seen = ConfigVersion::default();
                 continue;
             }
+            answer = platform.wait_newer("index", seen) => answer,
         };
         match answer {
             Ok(value) => {
@@ -158,8 +160,9 @@
             }
         }
         tokio::select! {
-            () = tokio::time::sleep(ASK_PERIOD) => {}
+            biased;
             _ = wakes.changed() => {}
+            () = tokio::time::sleep(ASK_PERIOD) => {}
         }
     }
 }
--- a/crates/node/src/roster_loop.rs
+++ b/crates/node/src/roster_loop.rs
@@ -56,9 +56,10 @@
     loop {
         let begun = state.clock.mono();
         let hosts = tokio::select! {
-            hosts = platform.list_hosts() => hosts,
+            biased;
             // The answer to a question from before a pause says nothing about the time after it.
             _ = wakes.changed() => continue,
+            hosts = platform.list_hosts() => hosts,
         };
         let pause = match hosts {
             Ok(hosts) => {
@@ -78,8 +79,9 @@
             }
         };
         tokio::select! {
-            () = tokio::time::sleep(pause) => {}
+            biased;
             _ = wakes.changed() => {}
+            () = tokio::time::sleep(pause) => {}
         }
     }
 }
