--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -11,7 +11,7 @@
 //! - [`limits`]: a team's requests against its rate and burst.
 //! - [`measures`]: computes the measures from the records.
 //! - [`table`]: prints them.
-//! - [`hold`]: keeps the fleet up for trials by hand.
+//! - [`mod@hold`]: keeps the fleet up for trials by hand.
 //!
 //! Every figure of the table is computed from records of the run.
 
