Send one request at a time to a target that refused a connection

Change: after a refused connection a target gets one request at a time until a later one is answered.

--- a/crates/placement/src/slots.rs
+++ b/crates/placement/src/slots.rs
@@ -107,6 +107,9 @@
     was_cut: bool,
     /// Whether the last answer said that the target is cold.
     says_cold: bool,
+    /// Last permit before a connection was refused. Until an answer to a later one, the target may
+    /// have restarted and gets one request at once.
+    lost_at: Option<u64>,
     started_at: Option<SmolStr>,
     epoch: u64,
     last_number: u64,
@@ -129,6 +132,27 @@
             .retain(|_, deadline| deadline.after(RECLAIM_MARGIN) > now);
     }
 
+    /// Returns the requests that the target may work on at once.
+    fn effective_limit(&self) -> u16 {
+        match self.lost_at {
+            Some(_) => 1,
+            None => self.limit,
+        }
+    }
+
+    /// Notes whether the target may have restarted: a refused connection says so until a request that
+    /// was sent after it is answered. One that breaks does not, because it may break for any reason.
+    fn note_presence(&mut self, number: u64, outcome: AttemptOutcome) {
+        use AttemptOutcome::*;
+        match outcome {
+            Refused => self.lost_at = Some(self.last_number),
+            Good | Slow | Shed | Wrong if self.lost_at.is_some_and(|lost| number > lost) => {
+                self.lost_at = None;
+            }
+            _ => {}
+        }
+    }
+
     fn record(&mut self, outcome: AttemptOutcome) {
         use AttemptOutcome::*;
         match outcome {
@@ -208,7 +232,7 @@
             slots.reclaim(now);
             SlotUsage {
                 in_flight: u16::try_from(slots.in_flight.len()).unwrap_or(u16::MAX),
-                limit: slots.limit,
+                limit: slots.effective_limit(),
                 is_cold: slots.is_cold,
                 is_stopping: slots.is_stopping,
             }
@@ -231,8 +255,9 @@
             if slots.is_stopping {
                 return Err(SlotRefusal::Stopping);
             }
-            if slots.in_flight.len() >= usize::from(slots.limit) {
-                return Err(SlotRefusal::Full { limit: slots.limit });
+            let limit = slots.effective_limit();
+            if slots.in_flight.len() >= usize::from(limit) {
+                return Err(SlotRefusal::Full { limit });
             }
             slots.last_number += 1;
             slots.in_flight.insert(slots.last_number, deadline);
@@ -272,6 +297,7 @@
         self.targets.with(&permit.target, |slots| {
             slots.reclaim(now);
             slots.in_flight.swap_remove(&permit.number);
+            slots.note_presence(permit.number, outcome);
             if slots.epoch == permit.epoch {
                 slots.record(outcome);
             }
--- a/crates/placement/tests/slots.rs
+++ b/crates/placement/tests/slots.rs
@@ -108,6 +108,23 @@
     }
 }
 
+/// Guards against two requests at once at a target that restarted while it was warm: before its first
+/// answer nothing but the refused connection tells of the restart.
+#[test]
+fn refused_connection_leaves_one_request_until_an_answer() {
+    let pool = warmed(2);
+    let older = pool
+        .try_acquire(&target(), DEADLINE, MonoTime::START)
+        .unwrap();
+    run(&pool, AttemptOutcome::Refused);
+    assert_eq!(limit(&pool), 1);
+    // An answer to a request from before the loss tells nothing about the new process.
+    pool.release(older, AttemptOutcome::Good, MonoTime::START);
+    assert_eq!(limit(&pool), 1);
+    run(&pool, AttemptOutcome::Good);
+    assert_eq!(limit(&pool), 2);
+}
+
 /// Guards against two requests at once at a target that says that it is cold: good answers in a row
 /// raised its limit before it was warm.
 #[test]
