Let the connections to a target follow the slots of its service

Cause: a host opened at most 8 connections to any target, and kept a target's address for ever. At 2,000 requests/s through one host with 4,096 slots, requests waited for a connection: p50 308 ms.

Change: a target gets a connection for each slot and 6 more, at most those of its service; another address gets new connections. At a planned stop, targets that are handed over no longer show as draining.

--- a/crates/bench/src/latency.rs
+++ b/crates/bench/src/latency.rs
@@ -19,6 +19,7 @@
 use chicorycroft_border::prelude::*;
 use chicorycroft_core::prelude::*;
 use chicorycroft_node::prelude::*;
+use chicorycroft_platform::prelude::*;
 use chicorycroft_standin::prelude::*;
 use eyre::{
     Result, //
@@ -171,6 +172,12 @@
     let settings = "{host: bench-entry, zone: z1, platform: '127.0.0.1:1', \
          caller_listen: '127.0.0.1:0', peer_listen: '127.0.0.1:0', admin_listen: '127.0.0.1:0'}";
     let settings = HostSettings::new(settings)?;
+    platform.set_hosts(vec![HostListing {
+        id: settings.host.clone(),
+        zone: settings.zone.clone(),
+        address: target,
+        is_leaving: false,
+    }]);
     let clock = HostClock::with_system_time();
     Ok(EntryHost::start(settings, platform.client(), clock).await?)
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -38,9 +38,8 @@
     token_loop::DrawBell, //
 };
 
-/// Most connections of this host to one target: its 2 slots, probes, and connections that are being
-/// closed.
-const TARGET_CONNECTIONS_MAX: usize = 8;
+/// Connections to one target beside those of its slots: probes, and connections that are being closed.
+const SPARE_CONNECTIONS: usize = 6;
 
 /// State of one host that all of its tasks share.
 #[derive(Debug)]
@@ -84,7 +83,7 @@
     host_list: RwLock<Option<Arc<HostList>>>,
     suspects: ShardMap<TargetId, bool>,
     owner_hints: ShardMap<TargetId, (HostId, MonoTime)>,
-    clients: ShardMap<TargetId, Arc<TargetClient>>,
+    clients: ShardMap<TargetId, (std::net::SocketAddr, Arc<TargetClient>)>,
     view: RwLock<Option<Arc<FleetView>>>,
     refused_version: RwLock<Option<SmolStr>>,
     /// Microseconds at the last tick.
@@ -270,7 +269,8 @@
     /// Returns why a target gets no work although operators let it have some.
     pub fn out_reason(&self, target: &TargetRecord) -> Option<SmolStr> {
         let usage = self.slots.usage(&target.id, self.clock.mono());
-        if usage.is_some_and(|usage| usage.is_stopping) {
+        // At a planned stop of this host its targets go to other hosts and are not out.
+        if usage.is_some_and(|usage| usage.is_stopping) && !self.is_stopping() {
             return Some("the target says that it drains".into());
         }
         let phase = self.health.phase_of(&target.id)?;
@@ -327,11 +327,27 @@
         }
     }
 
-    /// Returns the connections to a target.
+    /// Returns the connections to a target. A target that gets another address gets new ones.
     pub fn client_of(&self, target: &TargetRecord) -> Arc<TargetClient> {
-        let make = || Arc::new(TargetClient::new(target.address, TARGET_CONNECTIONS_MAX));
+        let make = || (target.address, self.new_client(target));
         self.clients
-            .with_or_insert(&target.id, make, |client| client.clone())
+            .with_or_insert(&target.id, make, |(address, client)| {
+                if *address != target.address {
+                    (*address, *client) = (target.address, self.new_client(target));
+                }
+                client.clone()
+            })
+    }
+
+    fn new_client(&self, target: &TargetRecord) -> Arc<TargetClient> {
+        let view = self.view();
+        let service = view
+            .as_ref()
+            .and_then(|view| view.snapshot().service(&target.service));
+        let slots = service.map_or(0, |service| usize::from(service.slots.get()));
+        let most = service.map_or(usize::MAX, |service| service.connections as usize);
+        let wanted = (slots + SPARE_CONNECTIONS).min(most);
+        Arc::new(TargetClient::new(target.address, wanted))
     }
 
     /// Returns a number that no other request of this process has, and with a high probability none
