--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`handover`]: hands owned targets over at a planned stop.
 //! - [`health_desk`]: evidence, life cycle and ejection leases of owned targets.
 //! - [`health_loop`]: acts on the evidence.
+//! - [`permits`]: asks arbiters for ejection permits, and answers as an arbiter.
 //! - [`probe`]: probes a target.
 //! - [`member_loop`]: heartbeats, pauses.
 //! - [`roster_loop`]: the platform's list of hosts.
@@ -53,6 +54,7 @@
 pub mod owned;
 pub mod owner;
 pub mod peer_service;
+pub mod permits;
 pub mod probe;
 pub mod replay;
 pub mod roster_loop;
--- a/crates/node/src/peer_service.rs
+++ b/crates/node/src/peer_service.rs
@@ -23,6 +23,7 @@
     health_loop,
     member_loop::heartbeat_to,
     owner,
+    permits,
     state::HostState,
     token_loop, //
 };
@@ -40,7 +41,7 @@
             PeerMessage::Accepted
         }
         PeerMessage::ProbeRequest(request) => health_loop::on_probe_request(&state, request).await,
-        PeerMessage::EjectionRequest(request) => health_loop::on_request(&state, request),
+        PeerMessage::EjectionRequest(request) => permits::on_request(&state, request),
         PeerMessage::PartsRequest(request) => state.config.answer(&request),
         PeerMessage::OwnerHandover(notice) => handover::on_notice(&state, &notice),
         _ => PeerMessage::Refused(RefusalReason::NotARequest),
