--- a/crates/core/src/digest.rs
+++ b/crates/core/src/digest.rs
@@ -52,7 +52,7 @@
 }
 
 /// Digest of a team's key.
-#[derive(Clone, Copy, Eq, Hash)]
+#[derive(Clone, Copy, Eq, Hash, serde::Deserialize, serde::Serialize)]
 #[expect(
     clippy::derived_hash_with_manual_eq,
     reason = "equality is the same as the derived one, only in constant time"
--- /dev/null
+++ b/crates/dispatch/src/conduct.rs
@@ -0,0 +1,61 @@
+//! How long a host waits for a request, and when it repeats one.
+
+use std::time::Duration;
+
+/// Multiple of the usual time of an answer, in tenths, after which a request that may be repeated is
+/// also sent to a second target. Ordinary work exceeds it a few times in a hundred.
+const HEDGE_TENTHS: u32 = 22;
+
+/// Shortest time before a second target is asked.
+const HEDGE_MIN: Duration = Duration::from_millis(80);
+
+/// Part of the time left that a wait may take, in tenths; the rest is for the work.
+const WAIT_TENTHS: u32 = 6;
+
+/// Time of a request for which neither its caller nor its route states one.
+const TIME_DEFAULT: Duration = Duration::from_secs(30);
+
+/// Least time with which a request is still sent to a target.
+const SEND_MIN: Duration = Duration::from_millis(20);
+
+/// The time that a request has.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RequestBudget {
+    /// Time until the caller or the route gives up.
+    pub left: Duration,
+}
+
+impl RequestBudget {
+    /// Takes the lower one of what the caller and the route allow.
+    pub fn new(caller: Option<Duration>, route: Option<Duration>) -> Self {
+        let left = caller.into_iter().chain(route).min();
+        Self {
+            left: left.unwrap_or(TIME_DEFAULT),
+        }
+    }
+
+    /// Returns the budget after some of it was used.
+    pub fn after(self, used: Duration) -> Self {
+        Self {
+            left: self.left.saturating_sub(used),
+        }
+    }
+
+    /// Returns how long the request may wait for a slot.
+    pub fn wait_max(self) -> Duration {
+        self.left * WAIT_TENTHS / 10
+    }
+
+    /// Tells whether the request is still worth sending.
+    pub fn is_sendable(self) -> bool {
+        self.left >= SEND_MIN
+    }
+}
+
+/// Returns when a request that may be repeated is also sent to a second target.
+///
+/// Load pattern: a target hangs while all others answer as usual, and the caller's objective is two
+/// to four times the usual time.
+pub fn hedge_delay(usual: Duration) -> Duration {
+    (usual * HEDGE_TENTHS / 10).max(HEDGE_MIN)
+}
--- /dev/null
+++ b/crates/dispatch/src/dispatcher.rs
@@ -0,0 +1,167 @@
+//! Joins pools, buckets and budgets for all services and teams.
+
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
+
+use chicorycroft_core::prelude::*;
+use chicorycroft_directory::prelude::*;
+use chicorycroft_retry::prelude::*;
+
+use crate::{
+    messages::{
+        AdmitRequest,
+        ReleaseNotice,
+        TeamUsage,
+        TicketNumber, //
+    },
+    service_pool::{
+        LineChange,
+        PoolAnswer,
+        ServicePool, //
+    },
+    team_bucket::TeamBucket,
+};
+
+/// Which part of the fleet a dispatcher speaks for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct FleetShare {
+    /// Part of the hosts whose use of rates it knows.
+    pub part: CapacityRatio,
+    /// Whether other hosts ask it.
+    pub is_followed: bool,
+}
+
+/// Why a dispatcher refuses a request before it looks for a target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AdmitRefusal {
+    /// The team is over its rate.
+    OverRate(std::time::Duration),
+    /// The service was sent as many repeats as its budget allows.
+    NoBudget,
+}
+
+type PoolKey = (ServiceId, Option<ZoneId>);
+
+/// Grants permits for the targets of a zone.
+#[derive(Debug, Default)]
+pub struct ZoneDispatcher {
+    pools: ShardMap<PoolKey, ServicePool>,
+    buckets: ShardMap<TeamId, TeamBucket>,
+    repeats: RetryBudget,
+    numbers: AtomicU64,
+}
+
+impl ZoneDispatcher {
+    /// Makes a dispatcher that knows nothing. Its numbers start at a seed of its own, so that a permit
+    /// of an earlier process is not taken for one of this process.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            numbers: AtomicU64::new(seed),
+            ..Self::default()
+        }
+    }
+
+    fn next_number(&self) -> u64 {
+        self.numbers.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Charges a team for a request, and the service for a repeat.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the team is over its rate or the service over its budget.
+    pub fn charge(
+        &self,
+        request: &AdmitRequest,
+        config: &GatewayConfig,
+        share: FleetShare,
+        now: MonoTime,
+    ) -> Result<(), AdmitRefusal> {
+        if let Some(team) = &request.charged
+            && let Some(terms) = config.team(team)
+            && let Some(rate) = terms.rate
+        {
+            let take =
+                |bucket: &mut TeamBucket| bucket.try_take(rate, terms.burst, share.part, now);
+            self.buckets
+                .with_or_insert(team, TeamBucket::new, take)
+                .map_err(AdmitRefusal::OverRate)?;
+        }
+        if !request.is_repeat {
+            self.repeats.record_request(&request.service, now);
+        } else if !self.repeats.try_spend(&request.service, now) {
+            return Err(AdmitRefusal::NoBudget);
+        }
+        Ok(())
+    }
+
+    /// Finds a target for a request, or lets it wait.
+    pub fn admit(
+        &self,
+        request: &AdmitRequest,
+        config: &GatewayConfig,
+        directory: &TargetDirectory,
+        share: FleetShare,
+        now: MonoTime,
+    ) -> PoolAnswer {
+        let terms = config.service(&request.service);
+        let cold_rate = terms.map_or(RequestRate::ZERO, |terms| terms.cold_rate);
+        let key = (request.service.clone(), request.zone.clone());
+        self.pools.with_or_insert(&key, ServicePool::new, |pool| {
+            let scope = (&request.service, request.zone.as_ref());
+            pool.update(directory, scope, (cold_rate, share.is_followed), now);
+            pool.admit(request, || self.next_number(), now)
+        })
+    }
+
+    /// Takes a permit back and serves those that wait; tells whether the target is newly blocked.
+    pub fn release(&self, notice: &ReleaseNotice, now: MonoTime) -> (bool, LineChange) {
+        let key = (notice.service.clone(), notice.zone.clone());
+        let released = self.pools.with(&key, |pool| {
+            let is_blocked = pool.release(notice, now);
+            (is_blocked, pool.serve_line(|| self.next_number(), now))
+        });
+        released.unwrap_or_default()
+    }
+
+    /// Serves all lines; called now and then for waits that end and blocks that are over.
+    pub fn serve_lines(&self, now: MonoTime) -> LineChange {
+        let mut all = LineChange::default();
+        self.pools.for_each(|_, pool| {
+            let change = pool.serve_line(|| self.next_number(), now);
+            all.granted.extend(change.granted);
+            all.expired.extend(change.expired);
+        });
+        all
+    }
+
+    /// Takes a request whose caller has left out of its line.
+    pub fn cancel(&self, service: &ServiceId, zone: Option<&ZoneId>, ticket: TicketNumber) {
+        let key = (service.clone(), zone.cloned());
+        self.pools.with(&key, |pool| pool.cancel(ticket));
+    }
+
+    /// Returns what each team has spent here since the start.
+    pub fn usage(&self) -> Vec<TeamUsage> {
+        let mut usage = Vec::new();
+        self.buckets.for_each(|team, bucket| {
+            usage.push(TeamUsage {
+                team: team.clone(),
+                spent: bucket.spent(),
+            });
+        });
+        usage
+    }
+
+    /// Takes what another dispatcher's teams have spent.
+    pub fn on_usage(&self, host: &HostId, incarnation: HostIncarnation, usage: &[TeamUsage]) {
+        for report in usage {
+            self.buckets
+                .with_or_insert(&report.team, TeamBucket::new, |bucket| {
+                    bucket.on_report(host, incarnation, report.spent);
+                });
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/service_pool.rs
@@ -0,0 +1,287 @@
+//! The targets of a service in a zone, and the choice among them.
+//!
+//! Load pattern: about a third of the slots are in use, a third of the targets fails for some seconds
+//! at any time, and each host sends one or two requests a second. Work that must not run twice goes to
+//! targets that answered well a moment ago, first to those that the host is connected to; work that
+//! may be repeated also tries the targets that nothing is known about. When all slots are taken, work
+//! waits in a line.
+
+use std::time::Duration;
+
+use chicorycroft_core::prelude::*;
+use chicorycroft_directory::prelude::*;
+use indexmap::IndexMap;
+
+use crate::{
+    evidence::TargetTrust,
+    messages::{
+        AdmitRequest,
+        AttemptResult,
+        DispatchGrant,
+        PermitNumber,
+        ReleaseNotice,
+        TicketNumber, //
+    },
+    target_slots::TargetSlots,
+    waiting_line::WaitingLine,
+};
+
+/// Usual time of an answer before any came.
+const USUAL_TIME_START: Duration = Duration::from_millis(250);
+
+/// Multiple of the usual time after which a request under way speaks against its target. With the spread
+/// of ordinary work, fewer than one request in a hundred takes longer.
+const STUCK_FACTOR: u32 = 3;
+
+/// Time without a request after which a target is tried with one that may be repeated.
+const TRY_AFTER: Duration = Duration::from_millis(2500);
+
+/// Part of a pool that may be blocked; beyond it, blocked targets get work again, so that the rest
+/// does not carry all of it.
+const BLOCKED_PART_MAX: CapacityRatio = CapacityRatio::from_mille(400);
+
+/// What a pool answers to a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum PoolAnswer {
+    /// It may be sent.
+    Granted(DispatchGrant),
+    /// It waits.
+    Waiting(TicketNumber),
+    /// No slot becomes free in time; one may be free after this time.
+    Busy(Duration),
+    /// No target takes work.
+    NoTarget,
+}
+
+/// What became of waiting requests.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct LineChange {
+    /// Requests that may be sent now.
+    pub granted: Vec<(TicketNumber, DispatchGrant)>,
+    /// Requests whose wait is over, and the time after which a slot may be free.
+    pub expired: Vec<(TicketNumber, Duration)>,
+}
+
+/// The targets of one service in one zone.
+#[derive(Clone, Debug)]
+pub struct ServicePool {
+    targets: IndexMap<TargetId, TargetSlots>,
+    line: WaitingLine,
+    holders: IndexMap<PermitNumber, Option<TeamId>>,
+    usual_time: Duration,
+    cold_rate: RequestRate,
+    may_use_cold: bool,
+    seen: Option<StoreRevision>,
+}
+
+/// How a target is ranked for a request; the lowest goes first.
+type TargetRank = (TargetTrust, bool, usize, u64);
+
+impl Default for ServicePool {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl ServicePool {
+    /// Makes a pool without targets.
+    pub fn new() -> Self {
+        Self {
+            targets: IndexMap::new(),
+            line: WaitingLine::new(),
+            holders: IndexMap::new(),
+            usual_time: USUAL_TIME_START,
+            cold_rate: RequestRate::ZERO,
+            may_use_cold: true,
+            seen: None,
+        }
+    }
+
+    /// Takes the targets as the directory lists them.
+    pub fn update(
+        &mut self,
+        directory: &TargetDirectory,
+        (service, zone): (&ServiceId, Option<&ZoneId>),
+        (cold_rate, may_use_cold): (RequestRate, bool),
+        now: MonoTime,
+    ) {
+        (self.cold_rate, self.may_use_cold) = (cold_rate, may_use_cold);
+        if self.seen == Some(directory.changed_at) {
+            return;
+        }
+        self.seen = Some(directory.changed_at);
+        let is_ours = |entry: &TargetEntry| zone.is_none_or(|zone| entry.zone == *zone);
+        let open: IndexMap<&TargetId, &TargetEntry> = directory
+            .open_targets(service)
+            .filter(|entry| is_ours(entry))
+            .map(|entry| (&entry.id, entry))
+            .collect();
+        self.targets.retain(|id, _| open.contains_key(id));
+        for (id, entry) in open {
+            match self.targets.get_mut(id) {
+                Some(target) => target.update(entry, now),
+                None => {
+                    let target = TargetSlots::new(entry.clone(), now);
+                    self.targets.insert(id.clone(), target);
+                }
+            }
+        }
+    }
+
+    /// Decides about a request.
+    pub fn admit(
+        &mut self,
+        request: &AdmitRequest,
+        next_number: impl Fn() -> u64,
+        now: MonoTime,
+    ) -> PoolAnswer {
+        self.expire(now);
+        if self.targets.is_empty() {
+            return PoolAnswer::NoTarget;
+        }
+        // Those that wait already go first, unless this one ranks above them.
+        let is_first = self.line.ahead_of(request.priority) == 0;
+        if is_first && let Some(grant) = self.try_grant(request, next_number(), now) {
+            return PoolAnswer::Granted(grant);
+        }
+        let drain = self.drain_time(request.priority);
+        if request.wait_millis == 0 || drain > request.wait() {
+            return PoolAnswer::Busy(drain);
+        }
+        let ticket = TicketNumber::new(next_number());
+        self.line.push(ticket, request.clone(), now);
+        PoolAnswer::Waiting(ticket)
+    }
+
+    /// Returns the time until a slot is free for a request of this rank.
+    fn drain_time(&self, priority: u8) -> Duration {
+        let slots: u32 = self
+            .targets
+            .values()
+            .map(|target| u32::from(target.entry().slots.get()))
+            .sum();
+        let ahead = u32::try_from(self.line.ahead_of(priority)).unwrap_or(u32::MAX);
+        self.usual_time.saturating_mul(ahead.saturating_add(1)) / slots.max(1)
+    }
+
+    fn try_grant(
+        &mut self,
+        request: &AdmitRequest,
+        number: u64,
+        now: MonoTime,
+    ) -> Option<DispatchGrant> {
+        let id = self.choose(request, now)?.clone();
+        let permit = PermitNumber::new(number);
+        let target = self.targets.get_mut(&id)?;
+        target.grant(permit, request.time_left(), self.cold_rate, now);
+        self.holders.insert(permit, request.team.clone());
+        Some(DispatchGrant {
+            permit,
+            target: id,
+            usual_millis: u32::try_from(self.usual_time.as_millis()).unwrap_or(u32::MAX),
+        })
+    }
+
+    /// Returns the target that suits a request best.
+    fn choose(&self, request: &AdmitRequest, now: MonoTime) -> Option<&TargetId> {
+        let stuck_after = self.usual_time.saturating_mul(STUCK_FACTOR);
+        let blocked = self.targets.values();
+        let blocked = blocked.filter(|target| target.evidence().trust(now) == TargetTrust::Blocked);
+        let blocked_max = BLOCKED_PART_MAX.ceil_of(u32::try_from(self.targets.len()).unwrap_or(0));
+        let may_use_blocked = u32::try_from(blocked.count()).unwrap_or(0) > blocked_max;
+        let candidates = self.targets.iter().filter_map(|(id, target)| {
+            let is_usable = target.has_room(now)
+                && (self.may_use_cold || !target.is_cold(now))
+                && !request.tried.contains(id);
+            let trust = target.trust(stuck_after, now);
+            let is_allowed = trust != TargetTrust::Blocked || may_use_blocked;
+            (is_usable && is_allowed).then(|| (self.rank(request, (id, target), trust, now), id))
+        });
+        candidates.min().map(|(_, id)| id)
+    }
+
+    fn rank(
+        &self,
+        request: &AdmitRequest,
+        (id, target): (&TargetId, &TargetSlots),
+        trust: TargetTrust,
+        now: MonoTime,
+    ) -> TargetRank {
+        let is_due = target
+            .granted_at()
+            .is_none_or(|at| now.since(at) > TRY_AFTER);
+        let is_trial = request.is_idempotent
+            && !request.is_repeat
+            && trust != TargetTrust::Blocked
+            && target.open_count() == 0
+            && is_due;
+        let trust = match is_trial {
+            true => TargetTrust::Proven,
+            false => trust,
+        };
+        let is_far = !is_trial && !request.connected.contains(id);
+        // The target with the latest good answer goes first.
+        let good_at = target.evidence().good_at().map_or(0, MonoTime::as_micros);
+        (trust, is_far, target.open_count(), u64::MAX - good_at)
+    }
+
+    /// Gives a slot back and serves those that wait; returns whether the target is newly blocked.
+    pub fn release(&mut self, notice: &ReleaseNotice, now: MonoTime) -> bool {
+        self.holders.swap_remove(&notice.permit);
+        if notice.result == AttemptResult::Good {
+            let elapsed = Duration::from_millis(notice.elapsed_millis.into());
+            self.usual_time = (self.usual_time * 15 + elapsed) / 16;
+        }
+        let target = self.targets.get_mut(&notice.target);
+        target.is_some_and(|target| target.release(notice.permit, notice.result, now))
+    }
+
+    fn expire(&mut self, now: MonoTime) {
+        for target in self.targets.values_mut() {
+            target.expire(now);
+        }
+    }
+
+    /// Serves the line and drops those whose wait is over.
+    pub fn serve_line(&mut self, next_number: impl Fn() -> u64, now: MonoTime) -> LineChange {
+        let mut change = LineChange::default();
+        if self.line.is_empty() {
+            return change;
+        }
+        self.expire(now);
+        for ticket in self.line.take_expired(now) {
+            change.expired.push((ticket, self.drain_time(u8::MAX)));
+        }
+        let holders = &self.holders;
+        let open_of = |team: Option<&TeamId>| {
+            holders
+                .values()
+                .filter(|held| held.as_ref() == team)
+                .count()
+        };
+        for ticket in self.line.in_order(open_of) {
+            let Some(waiting) = self.line.get(ticket) else {
+                continue;
+            };
+            let mut request = waiting.request.clone();
+            let waited = u32::try_from(now.since(waiting.since).as_millis()).unwrap_or(u32::MAX);
+            request.left_millis = request.left_millis.saturating_sub(waited);
+            let Some(grant) = self.try_grant(&request, next_number(), now) else {
+                break;
+            };
+            self.line.remove(ticket);
+            change.granted.push((ticket, grant));
+        }
+        change
+    }
+
+    /// Takes a request whose caller has left out of the line.
+    pub fn cancel(&mut self, ticket: TicketNumber) {
+        self.line.remove(ticket);
+    }
+
+    /// Returns the number of requests that wait.
+    pub fn waiting_count(&self) -> usize {
+        self.line.len()
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/team_bucket.rs
@@ -0,0 +1,103 @@
+//! The rate and burst of a team over all dispatchers.
+//!
+//! Load pattern: one team sends many times its rate through all zones at once, while hosts are cut off
+//! from each other. Each dispatcher fills a bucket of the whole rate and takes out what it spends and
+//! what the others report; one that does not hear the others fills its share only. The bucket goes below
+//! zero when reports come late, so that a burst is paid back and the sum stays at the rate.
+
+use std::time::Duration;
+
+use chicorycroft_core::prelude::*;
+use indexmap::IndexMap;
+
+/// Millionths of a token.
+const MICROS: i128 = 1_000_000;
+
+/// Longest time that a caller is told to stay away.
+const RETRY_MAX: Duration = Duration::from_secs(2);
+
+/// The tokens of a team at one dispatcher.
+#[derive(Clone, Debug, Default)]
+pub struct TeamBucket {
+    /// Tokens in millionths; negative while late reports are paid back.
+    tokens: i128,
+    filled_at: Option<MonoTime>,
+    spent: u64,
+    /// What each other dispatcher has spent since its start, by host and incarnation.
+    reported: IndexMap<(HostId, HostIncarnation), u64>,
+}
+
+fn part_of(micros: u64, share: CapacityRatio) -> i128 {
+    i128::from(micros) * i128::from(share.as_mille()) / i128::from(CapacityRatio::MAX_MILLE)
+}
+
+impl TeamBucket {
+    /// Makes a bucket that fills to its burst on first use.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    fn fill(
+        &mut self,
+        rate: RequestRate,
+        burst: BurstSize,
+        share: CapacityRatio,
+        now: MonoTime,
+    ) -> i128 {
+        let capacity = part_of(burst.as_micros(), share).max(MICROS);
+        let rate = part_of(rate.as_micros(), share);
+        match self.filled_at {
+            None => self.tokens += capacity,
+            Some(at) => {
+                let micros =
+                    i128::try_from(now.since(at).as_micros()).unwrap_or(i128::MAX / MICROS);
+                self.tokens += rate.saturating_mul(micros) / MICROS;
+            }
+        }
+        self.filled_at = Some(now);
+        self.tokens = self.tokens.min(capacity);
+        rate
+    }
+
+    /// Takes a token.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the time after which there is one.
+    pub fn try_take(
+        &mut self,
+        rate: RequestRate,
+        burst: BurstSize,
+        share: CapacityRatio,
+        now: MonoTime,
+    ) -> Result<(), Duration> {
+        let rate = self.fill(rate, burst, share, now);
+        if self.tokens >= MICROS {
+            self.tokens -= MICROS;
+            self.spent += 1;
+            return Ok(());
+        }
+        let micros = ((MICROS - self.tokens) * MICROS).checked_div(rate);
+        let micros = micros.and_then(|micros| u64::try_from(micros).ok());
+        Err(micros
+            .map_or(RETRY_MAX, Duration::from_micros)
+            .min(RETRY_MAX))
+    }
+
+    /// Returns what was spent here since the start.
+    pub fn spent(&self) -> u64 {
+        self.spent
+    }
+
+    /// Takes what another dispatcher has spent since its start.
+    pub fn on_report(&mut self, host: &HostId, incarnation: HostIncarnation, spent: u64) {
+        let key = (host.clone(), incarnation);
+        let known = self.reported.get(&key).copied();
+        // The first report of a dispatcher may cover hours; only what follows it is news.
+        let news = known.map_or(0, |known| spent.saturating_sub(known));
+        self.reported
+            .retain(|(name, start), _| name != host || *start == incarnation);
+        self.reported.insert(key, spent.max(known.unwrap_or(0)));
+        self.tokens -= i128::from(news) * MICROS;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/follow_loop.rs
@@ -0,0 +1,152 @@
+//! Follows other hosts.
+//!
+//! A host follows the dispatcher of its zone. A dispatcher follows those of the other zones, for what
+//! teams have spent there, and the next host of its own zone, which reads the store when the dispatcher
+//! cannot.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use chicorycroft_core::prelude::*;
+use chicorycroft_membership::prelude::*;
+use chicorycroft_peer::prelude::*;
+use indexmap::IndexMap;
+use tokio::{
+    task::JoinHandle,
+    time::Instant, //
+};
+
+use crate::state::{
+    DispatcherReport,
+    GatewayState, //
+};
+
+/// Time for which a dispatcher holds an answer to a follower back while nothing changes.
+const FOLLOW_WAIT: Duration = Duration::from_millis(500);
+
+/// The same between dispatchers. What a team spends in one zone is known in the others after this time.
+const DISPATCHER_WAIT: Duration = Duration::from_millis(250);
+
+/// Time beyond the wait in which an answer must come.
+const ANSWER_LIMIT: Duration = Duration::from_millis(500);
+
+/// Time between looks at whom to follow.
+const LOOK_PERIOD: Duration = Duration::from_millis(200);
+
+/// Pause after a call that failed.
+const FAILURE_PAUSE: Duration = Duration::from_millis(200);
+
+/// Returns the hosts that this one follows now.
+fn leaders(state: &GatewayState) -> Vec<MemberRecord> {
+    let now = state.now();
+    let own = &state.settings.zone;
+    let ranked = state.gossip.ranked(own, now);
+    let is_self = |record: &MemberRecord| record.host == state.settings.host;
+    if ranked.first().is_some_and(|first| !is_self(first)) {
+        return ranked.into_iter().take(1).collect();
+    }
+    let mut leaders: Vec<MemberRecord> = ranked.into_iter().skip(1).take(1).collect();
+    let mut zones: Vec<ZoneId> = Vec::new();
+    for record in state.gossip.records() {
+        if record.zone != *own && !zones.contains(&record.zone) {
+            zones.push(record.zone);
+        }
+    }
+    for zone in zones {
+        leaders.extend(state.gossip.ranked(&zone, now).into_iter().take(1));
+    }
+    leaders
+}
+
+/// Keeps one task for each host that is to be followed.
+pub async fn follow(state: Arc<GatewayState>) {
+    let mut tasks: IndexMap<HostId, JoinHandle<()>> = IndexMap::new();
+    loop {
+        let leaders = leaders(&state);
+        tasks.retain(|host, task| {
+            let is_wanted = leaders.iter().any(|leader| leader.host == *host);
+            if !is_wanted {
+                task.abort();
+            }
+            is_wanted && !task.is_finished()
+        });
+        for leader in leaders {
+            let host = leader.host.clone();
+            let task_state = state.clone();
+            tasks
+                .entry(host)
+                .or_insert_with(|| tokio::spawn(follow_one(task_state, leader)));
+        }
+        tokio::time::sleep(LOOK_PERIOD).await;
+    }
+}
+
+async fn follow_one(state: Arc<GatewayState>, leader: MemberRecord) {
+    loop {
+        let is_dispatcher = state.is_dispatcher();
+        let wait = match is_dispatcher {
+            true => DISPATCHER_WAIT,
+            false => FOLLOW_WAIT,
+        };
+        let index = state.knowledge.index();
+        let request = FollowRequest {
+            member: state.gossip.own(),
+            config: index.map(|index| index.config().version()),
+            changed_at: state.knowledge.directory().changed_at,
+            wait_millis: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+            is_dispatcher,
+        };
+        let sent_at = state.now();
+        let message = PeerMessage::Gateway(GatewayMessage::Follow(request));
+        let deadline = Instant::now() + wait + ANSWER_LIMIT;
+        match state.peers.call(leader.address, message, deadline).await {
+            Ok(PeerMessage::Gateway(GatewayMessage::News(news))) => take(&state, *news, sent_at),
+            Ok(_) => {
+                log::warn!("event=peer_answer_unexpected host={}", leader.host);
+                tokio::time::sleep(FAILURE_PAUSE).await;
+            }
+            Err(error) => {
+                if state.gossip.suspect(&leader.host, state.now()) {
+                    log::warn!("event=peer_lost host={} error=\"{error}\"", leader.host);
+                }
+                tokio::time::sleep(FAILURE_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn take(state: &GatewayState, news: FollowAnswer, sent_at: MonoTime) {
+    let now = state.now();
+    let host = news.member.host.clone();
+    state.gossip.on_answer(&host, now);
+    state.gossip.merge(news.member.clone(), now);
+    if let Some(config) = news.config {
+        state.knowledge.adopt_config(config, host.as_str());
+    }
+    if let Some(directory) = news.directory {
+        state.knowledge.adopt_directory(directory);
+    }
+    if let Some(age) = news.age_millis {
+        // The answer was made at least the held time after the request was sent.
+        let made_at = sent_at.after(Duration::from_millis(news.held_millis.into()));
+        let age = Duration::from_millis(age.into());
+        let confirmed = made_at.since(MonoTime::START.after(age));
+        state.knowledge.confirm(MonoTime::START.after(confirmed));
+    }
+    if !news.usage.is_empty() || state.is_dispatcher() {
+        let incarnation = news.member.incarnation;
+        state.dispatcher.on_usage(&host, incarnation, &news.usage);
+        let host_count = match news.member.zone == state.settings.zone {
+            // The next host of the own zone is a follower already.
+            true => 0,
+            false => news.follower_count + 1,
+        };
+        let report = DispatcherReport {
+            at: now,
+            host_count,
+        };
+        state.on_report(&host, report);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/knowledge.rs
@@ -0,0 +1,172 @@
+//! What this host knows of the store, and how old it is.
+//!
+//! Configurations of a higher version replace lower ones and never the other way round, wherever they
+//! come from.
+
+use std::sync::{
+    Arc,
+    Mutex,
+    MutexGuard,
+    PoisonError,
+    RwLock, //
+};
+
+use chicorycroft_adapter::prelude::*;
+use chicorycroft_core::prelude::*;
+use chicorycroft_directory::prelude::*;
+use indexmap::IndexSet;
+use tokio::sync::watch;
+
+/// The configuration, the directory and the contact with the store.
+#[derive(Debug)]
+pub struct FleetKnowledge {
+    index: RwLock<Option<Arc<RouteIndex>>>,
+    keeper: Mutex<DirectoryKeeper>,
+    contact: Mutex<StoreContact>,
+    changes: watch::Sender<u64>,
+}
+
+fn lock<T>(slot: &Mutex<T>) -> MutexGuard<'_, T> {
+    slot.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Default for FleetKnowledge {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl FleetKnowledge {
+    /// Makes the knowledge of a host that has just started.
+    pub fn new() -> Self {
+        Self {
+            index: RwLock::new(None),
+            keeper: Mutex::new(DirectoryKeeper::new()),
+            contact: Mutex::new(StoreContact::new()),
+            changes: watch::Sender::new(0),
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub fn index(&self) -> Option<Arc<RouteIndex>> {
+        self.index
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Returns the directory.
+    pub fn directory(&self) -> Arc<TargetDirectory> {
+        lock(&self.keeper).directory().clone()
+    }
+
+    /// Returns how old the knowledge of this host is.
+    pub fn age(&self, now: MonoTime) -> Option<ContactAge> {
+        lock(&self.contact).age(now)
+    }
+
+    /// Tells whether keys may be trusted.
+    pub fn may_trust_keys(&self, revoke_bound: std::time::Duration, now: MonoTime) -> bool {
+        lock(&self.contact).may_trust_keys(revoke_bound, now)
+    }
+
+    /// Notes that the knowledge of this host holds as of a time.
+    pub fn confirm(&self, at: MonoTime) {
+        lock(&self.contact).confirm(at);
+    }
+
+    /// Notes an answer of the store about targets.
+    pub fn on_store_answer(&self, now: MonoTime) {
+        lock(&self.keeper).on_contact(now);
+    }
+
+    /// Takes a configuration when its version is higher than the one in force; returns whether it was.
+    pub fn adopt_config(&self, config: GatewayConfig, source: &str) -> bool {
+        let version = config.version();
+        let mut index = self.index.write().unwrap_or_else(PoisonError::into_inner);
+        let known = index.as_ref().map(|index| index.config().version());
+        if known >= Some(version) {
+            return false;
+        }
+        *index = Some(Arc::new(RouteIndex::new(Arc::new(config))));
+        drop(index);
+        let known = known.map_or(0, ConfigVersion::get);
+        log::info!("event=config_adopted version={version} previous={known} source={source}");
+        self.notify();
+        true
+    }
+
+    /// Takes the directory of another host when it was read later.
+    pub fn adopt_directory(&self, directory: TargetDirectory) {
+        let mut keeper = lock(&self.keeper);
+        let before = keeper.directory().changed_at;
+        keeper.adopt(Arc::new(directory));
+        let after = keeper.directory().changed_at;
+        drop(keeper);
+        self.note_directory(before, after, "peer");
+    }
+
+    /// Takes a full read of targets and evacuated zones.
+    pub fn replace_directory(
+        &self,
+        entries: Vec<TargetEntry>,
+        evacuated: IndexSet<ZoneId>,
+        as_of: StoreRevision,
+        now: MonoTime,
+    ) {
+        let mut keeper = lock(&self.keeper);
+        let before = keeper.directory().changed_at;
+        keeper.replace(entries, evacuated, as_of, now);
+        let after = keeper.directory().changed_at;
+        drop(keeper);
+        self.note_directory(before, after, "store");
+    }
+
+    /// Takes the items of the store up to a revision.
+    pub fn apply(&self, events: &StoreEvents, now: MonoTime) {
+        let mut changes = Vec::new();
+        for item in &events.items {
+            match decode_item(item) {
+                Ok(OperatorChange::Directory(change)) => changes.push(change),
+                Ok(OperatorChange::Config(config)) => {
+                    self.adopt_config(config, "store");
+                }
+                Ok(OperatorChange::Other) => {}
+                Err(error) => log::warn!(
+                    "event=document_refused key={} revision={} error=\"{error}\"",
+                    item.key,
+                    item.revision
+                ),
+            }
+        }
+        let mut keeper = lock(&self.keeper);
+        let before = keeper.directory().changed_at;
+        keeper.apply(changes, events.as_of, now);
+        let after = keeper.directory().changed_at;
+        drop(keeper);
+        self.note_directory(before, after, "store");
+    }
+
+    fn note_directory(&self, before: StoreRevision, after: StoreRevision, source: &str) {
+        if before == after {
+            return;
+        }
+        let directory = self.directory();
+        log::info!(
+            "event=directory_changed revision={after} previous={before} source={source} targets={} \
+             evacuated={}",
+            directory.targets.len(),
+            directory.evacuated.len()
+        );
+        self.notify();
+    }
+
+    fn notify(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    /// Returns a receiver that wakes with each change.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/main.rs
@@ -0,0 +1,103 @@
+//! The gateway process on each entry host of the users' platform.
+
+use std::process::ExitCode;
+
+use chicorycroft_adapter::{
+    prelude::*,
+    settings::{
+        PATH_DEFAULT,
+        PATH_VARIABLE, //
+    },
+};
+use chicorycroft_gateway::prelude::*;
+use eyre::Result;
+use getopts::Options;
+use log::LevelFilter;
+use tokio::signal::unix::{
+    SignalKind, //
+    signal,
+};
+
+/// Exit status for a command line that is not valid, as `sysexits` has it.
+const EXIT_USAGE: u8 = 64;
+
+/// Threads of the runtime. An entry host has a part of one core; a second thread lets the readiness
+/// question pass a long computation.
+const WORKER_THREADS: usize = 2;
+
+/// Stack of a thread of the runtime, in bytes.
+const STACK_BYTES: usize = 512 << 10;
+
+async fn run(path: &str, settings: GatewaySettings) -> Result<bool> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    let name = settings.host.clone();
+    let host = GatewayHost::start(settings, GatewayClock::with_suspension()).await?;
+    log::info!(
+        "event=started host={name} callers={}",
+        host.caller_address()
+    );
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = reload.recv() => reload_settings(path, &host),
+        }
+    }
+    log::info!("event=stop_begun host={name}");
+    let is_drained = host.stop().await;
+    log::info!("event=stopped host={name} drained={is_drained}");
+    Ok(is_drained)
+}
+
+/// Reads the settings again. Addresses and bounds stay as they are until the next start.
+fn reload_settings(path: &str, host: &GatewayHost) {
+    match GatewaySettings::with_file(path) {
+        Ok(settings) => {
+            let is_same = settings == host.state().settings;
+            log::info!("event=settings_reloaded unchanged={is_same}");
+        }
+        Err(error) => log::warn!("event=settings_refused error=\"{error}\""),
+    }
+}
+
+fn start(path: &str) -> Result<bool> {
+    let settings = GatewaySettings::with_file(path)?;
+    EventLog::new(std::io::stdout())?.install(LevelFilter::Info)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(WORKER_THREADS)
+        .thread_stack_size(STACK_BYTES)
+        .enable_all()
+        .build()?;
+    runtime.block_on(run(path, settings))
+}
+
+fn main() -> ExitCode {
+    let mut options = Options::new();
+    options.optflag("h", "help", "print this help");
+    options.optopt("s", "settings", "settings file of the platform", "FILE");
+    let brief = "Usage: chicorycroft-gateway [--settings FILE]\n\nRuns one gateway process. Without \
+                 --settings the file is named by CHICORYCROFT_SETTINGS.";
+    let matches = match options.parse(std::env::args().skip(1)) {
+        Ok(matches) => matches,
+        Err(error) => {
+            eprintln!("chicorycroft-gateway: {error}\n\n{}", options.usage(brief));
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    if matches.opt_present("h") {
+        println!("{}", options.usage(brief));
+        return ExitCode::SUCCESS;
+    }
+    let path = matches
+        .opt_str("s")
+        .or_else(|| std::env::var(PATH_VARIABLE).ok())
+        .unwrap_or_else(|| PATH_DEFAULT.to_owned());
+    match start(&path) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("chicorycroft-gateway: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,109 @@
+//! Counters and histograms.
+
+use std::time::Duration;
+
+use prometheus::{
+    Encoder,
+    HistogramOpts,
+    HistogramVec,
+    IntCounterVec,
+    IntGauge,
+    Opts,
+    Registry,
+    TextEncoder, //
+};
+
+/// Bounds of the latency buckets, in seconds: from an answer without a target to the longest deadline.
+const LATENCY_BUCKETS: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 0.8, 1.2, 2.0, 4.0];
+
+/// All metrics of a gateway process.
+#[derive(Debug)]
+pub struct GatewayMetrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    latency: HistogramVec,
+    attempts: IntCounterVec,
+    permits: IntCounterVec,
+    config_version: IntGauge,
+}
+
+impl GatewayMetrics {
+    /// Makes the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a name is taken or not valid.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let counter = |name: &str, help: &str, label: &str| {
+            IntCounterVec::new(Opts::new(name, help), &[label])
+        };
+        let latency = HistogramOpts::new(
+            "gateway_request_seconds",
+            "Time from the head of a request to its answer, by outcome.",
+        );
+        let metrics = Self {
+            registry: Registry::new(),
+            requests: counter(
+                "gateway_requests_total",
+                "Requests by outcome: ok, target-status, or the reason of a refusal.",
+                "outcome",
+            )?,
+            latency: HistogramVec::new(latency.buckets(LATENCY_BUCKETS.to_vec()), &["outcome"])?,
+            attempts: counter(
+                "gateway_attempts_total",
+                "Attempts at targets by result.",
+                "result",
+            )?,
+            permits: counter(
+                "gateway_permits_total",
+                "Answers of dispatchers to this host by kind.",
+                "answer",
+            )?,
+            config_version: IntGauge::new(
+                "gateway_config_version",
+                "Version of the configuration in force.",
+            )?,
+        };
+        let registry = &metrics.registry;
+        registry.register(Box::new(metrics.requests.clone()))?;
+        registry.register(Box::new(metrics.latency.clone()))?;
+        registry.register(Box::new(metrics.attempts.clone()))?;
+        registry.register(Box::new(metrics.permits.clone()))?;
+        registry.register(Box::new(metrics.config_version.clone()))?;
+        Ok(metrics)
+    }
+
+    /// Counts an answered request.
+    pub fn on_request(&self, outcome: &str, time: Duration) {
+        self.requests.with_label_values(&[outcome]).inc();
+        let latency = self.latency.with_label_values(&[outcome]);
+        latency.observe(time.as_secs_f64());
+    }
+
+    /// Counts an attempt at a target.
+    pub fn on_attempt(&self, result: &str) {
+        self.attempts.with_label_values(&[result]).inc();
+    }
+
+    /// Counts an answer of a dispatcher.
+    pub fn on_permit(&self, answer: &str) {
+        self.permits.with_label_values(&[answer]).inc();
+    }
+
+    /// Shows the version in force.
+    pub fn on_config(&self, version: u64) {
+        self.config_version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+
+    /// Returns all metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a metric cannot be written.
+    pub fn text(&self) -> Result<String, prometheus::Error> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(String::from_utf8_lossy(&text).into_owned())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/permit_client.rs
@@ -0,0 +1,186 @@
+//! Asks dispatchers for permits and gives them back.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use chicorycroft_core::prelude::*;
+use chicorycroft_dispatch::prelude::*;
+use chicorycroft_membership::prelude::*;
+use chicorycroft_peer::prelude::*;
+use tokio::time::Instant;
+
+use crate::{
+    permit_service,
+    state::GatewayState, //
+};
+
+/// Time beyond the wait for a slot in which a dispatcher answers: two crossings of zones, and late turns
+/// of two processes with a fifth of a core each.
+const ANSWER_LIMIT: Duration = Duration::from_millis(150);
+
+/// Hosts of a zone that are asked before this host decides by itself.
+const DISPATCHERS_ASKED: usize = 2;
+
+/// Time in which a permit given back must arrive.
+const RELEASE_LIMIT: Duration = Duration::from_millis(500);
+
+/// Where a permit came from.
+#[derive(Clone, Debug)]
+pub enum PermitSource {
+    /// The dispatcher of this process.
+    Local,
+    /// Another host.
+    Remote(MemberRecord),
+}
+
+/// A permit, which goes back to its dispatcher when it is dropped.
+#[derive(Debug)]
+pub struct HeldPermit {
+    state: Arc<GatewayState>,
+    source: PermitSource,
+    notice: ReleaseNotice,
+    granted_at: MonoTime,
+    hung_after: Duration,
+    is_settled: bool,
+}
+
+impl HeldPermit {
+    /// Returns the target.
+    pub fn target(&self) -> &TargetId {
+        &self.notice.target
+    }
+
+    /// Returns the time since the permit was granted.
+    pub fn elapsed(&self) -> Duration {
+        self.state.now().since(self.granted_at)
+    }
+
+    /// Returns the usual time of an answer.
+    pub fn hung_after(&self) -> Duration {
+        self.hung_after
+    }
+
+    /// Records how the attempt ended; the permit goes back with it.
+    pub fn settle(mut self, result: AttemptResult) {
+        self.notice.result = result;
+        self.is_settled = true;
+    }
+}
+
+impl Drop for HeldPermit {
+    fn drop(&mut self) {
+        let elapsed = self.elapsed();
+        self.notice.elapsed_millis = u32::try_from(elapsed.as_millis()).unwrap_or(u32::MAX);
+        // An attempt that was given up says something about its target only when it took long.
+        if !self.is_settled && elapsed >= self.hung_after {
+            self.notice.result = AttemptResult::Hung;
+        }
+        self.state
+            .metrics
+            .on_attempt(&self.notice.result.to_string());
+        let notice = self.notice.clone();
+        match &self.source {
+            PermitSource::Local => permit_service::release(&self.state, &notice),
+            PermitSource::Remote(member) => {
+                let (state, member) = (self.state.clone(), member.clone());
+                tokio::spawn(async move { send_release(&state, &member, notice).await });
+            }
+        }
+    }
+}
+
+async fn send_release(state: &GatewayState, member: &MemberRecord, notice: ReleaseNotice) {
+    let permit = notice.permit;
+    let message = PeerMessage::Gateway(GatewayMessage::Release(notice));
+    let deadline = Instant::now() + RELEASE_LIMIT;
+    if let Err(error) = state.peers.call(member.address, message, deadline).await {
+        // The permit ends by itself with the deadline of its request.
+        log::info!(
+            "event=release_lost permit={permit} dispatcher={} error=\"{error}\"",
+            member.host
+        );
+    }
+}
+
+/// What came of asking for a permit.
+#[derive(Debug)]
+pub enum PermitAnswer {
+    /// The request may be sent.
+    Held(HeldPermit),
+    /// It may not.
+    Refused(AdmitAnswer),
+    /// No dispatcher of the zone answered.
+    Silent,
+}
+
+fn hold(
+    state: &Arc<GatewayState>,
+    request: &AdmitRequest,
+    source: PermitSource,
+    answer: AdmitAnswer,
+) -> PermitAnswer {
+    let name = match &answer {
+        AdmitAnswer::Granted(_) => "granted",
+        AdmitAnswer::OverRate { .. } => "over-rate",
+        AdmitAnswer::Busy { .. } => "busy",
+        AdmitAnswer::NoTarget => "no-target",
+        AdmitAnswer::NoBudget => "no-budget",
+    };
+    state.metrics.on_permit(name);
+    let grant = match answer {
+        AdmitAnswer::Granted(grant) => grant,
+        refusal => return PermitAnswer::Refused(refusal),
+    };
+    let usual = Duration::from_millis(grant.usual_millis.into());
+    PermitAnswer::Held(HeldPermit {
+        state: state.clone(),
+        source,
+        notice: ReleaseNotice {
+            service: request.service.clone(),
+            zone: request.zone.clone(),
+            target: grant.target,
+            permit: grant.permit,
+            result: AttemptResult::Cancelled,
+            elapsed_millis: 0,
+        },
+        granted_at: state.now(),
+        hung_after: hedge_delay(usual),
+        is_settled: false,
+    })
+}
+
+/// Asks the dispatcher of this process.
+pub async fn ask_self(state: &Arc<GatewayState>, request: &AdmitRequest) -> PermitAnswer {
+    let answer = permit_service::admit(state, request).await;
+    hold(state, request, PermitSource::Local, answer)
+}
+
+/// Asks the dispatcher of a zone, and the next host in order when it does not answer.
+pub async fn ask_zone(
+    state: &Arc<GatewayState>,
+    zone: &ZoneId,
+    request: &AdmitRequest,
+) -> PermitAnswer {
+    let ranked = state.gossip.ranked(zone, state.now());
+    for member in ranked.into_iter().take(DISPATCHERS_ASKED) {
+        if member.host == state.settings.host {
+            return ask_self(state, request).await;
+        }
+        let deadline = Instant::now() + request.wait() + ANSWER_LIMIT;
+        let message = PeerMessage::Gateway(GatewayMessage::Admit(request.clone()));
+        match state.peers.call(member.address, message, deadline).await {
+            Ok(PeerMessage::Gateway(GatewayMessage::Admitted(answer))) => {
+                return hold(state, request, PermitSource::Remote(member), answer);
+            }
+            Ok(_) => log::warn!("event=peer_answer_unexpected host={}", member.host),
+            Err(error) => {
+                if state.gossip.suspect(&member.host, state.now()) {
+                    log::warn!("event=peer_lost host={} error=\"{error}\"", member.host);
+                }
+            }
+        }
+    }
+    PermitAnswer::Silent
+}
--- /dev/null
+++ b/crates/gateway/src/permit_service.rs
@@ -0,0 +1,143 @@
+//! Grants permits on this host, and lets requests wait.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use chicorycroft_core::prelude::*;
+use chicorycroft_dispatch::{
+    dispatcher::AdmitRefusal,
+    prelude::*, //
+};
+use tokio::sync::oneshot;
+
+use crate::state::GatewayState;
+
+/// Time between looks at the lines: waits end and blocks are over without a message.
+const LINE_PERIOD: Duration = Duration::from_millis(50);
+
+/// Time that a waiting host is given beyond its wait.
+const ANSWER_MARGIN: Duration = Duration::from_millis(100);
+
+/// Takes a request out of its line when the host that asked has left.
+struct TicketGuard<'a> {
+    state: &'a GatewayState,
+    request: &'a AdmitRequest,
+    ticket: TicketNumber,
+}
+
+impl Drop for TicketGuard<'_> {
+    fn drop(&mut self) {
+        self.state.tickets.remove(&self.ticket);
+        let zone = self.request.zone.as_ref();
+        let dispatcher = &self.state.dispatcher;
+        dispatcher.cancel(&self.request.service, zone, self.ticket);
+    }
+}
+
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Answers a request for a permit, after a wait where there is no slot.
+pub async fn admit(state: &Arc<GatewayState>, request: &AdmitRequest) -> AdmitAnswer {
+    let Some(index) = state.knowledge.index() else {
+        return AdmitAnswer::NoTarget;
+    };
+    let (now, share, config) = (state.now(), state.share(), index.config());
+    let charged = state.dispatcher.charge(request, config, share, now);
+    if let Err(refusal) = charged {
+        log::info!(
+            "event=permit_refused id={} service={} team={} reason={refusal:?} share={}",
+            request.request,
+            request.service,
+            request.team.as_ref().map_or("-", TeamId::as_str),
+            share.part
+        );
+        return match refusal {
+            AdmitRefusal::OverRate(wait) => AdmitAnswer::OverRate {
+                retry_millis: millis(wait),
+            },
+            AdmitRefusal::NoBudget => AdmitAnswer::NoBudget,
+        };
+    }
+    let directory = state.knowledge.directory();
+    let answer = state
+        .dispatcher
+        .admit(request, config, &directory, share, now);
+    match answer {
+        PoolAnswer::Granted(grant) => AdmitAnswer::Granted(grant),
+        PoolAnswer::NoTarget => AdmitAnswer::NoTarget,
+        PoolAnswer::Busy(drain) => AdmitAnswer::Busy {
+            retry_millis: millis(drain),
+        },
+        PoolAnswer::Waiting(ticket) => wait(state, request, ticket).await,
+    }
+}
+
+async fn wait(
+    state: &Arc<GatewayState>,
+    request: &AdmitRequest,
+    ticket: TicketNumber,
+) -> AdmitAnswer {
+    let (sender, answer) = oneshot::channel();
+    state.tickets.insert(ticket, sender);
+    let guard = TicketGuard {
+        state,
+        request,
+        ticket,
+    };
+    let answer = tokio::time::timeout(request.wait() + ANSWER_MARGIN, answer).await;
+    drop(guard);
+    match answer {
+        Ok(Ok(answer)) => answer,
+        _ => AdmitAnswer::Busy {
+            retry_millis: request.wait_millis,
+        },
+    }
+}
+
+/// Tells waiting requests what became of them.
+fn tell(state: &GatewayState, change: LineChange) {
+    for (ticket, grant) in change.granted {
+        let sender = state.tickets.remove(&ticket);
+        // A host that has left meanwhile never gives the permit back; it ends by itself.
+        let told = sender.map(|sender| sender.send(AdmitAnswer::Granted(grant)));
+        if !matches!(told, Some(Ok(()))) {
+            log::debug!("event=grant_not_taken ticket={ticket}");
+        }
+    }
+    for (ticket, drain) in change.expired {
+        let retry_millis = millis(drain);
+        if let Some(sender) = state.tickets.remove(&ticket) {
+            // The host may have left meanwhile.
+            let _ = sender.send(AdmitAnswer::Busy { retry_millis });
+        }
+    }
+}
+
+/// Takes a permit back.
+pub fn release(state: &GatewayState, notice: &ReleaseNotice) {
+    let (is_blocked, change) = state.dispatcher.release(notice, state.now());
+    if is_blocked {
+        log::info!(
+            "event=target_blocked target={} service={} result={} elapsed_ms={}",
+            notice.target,
+            notice.service,
+            notice.result,
+            notice.elapsed_millis
+        );
+    }
+    tell(state, change);
+}
+
+/// Serves the lines now and then.
+pub async fn serve_lines(state: Arc<GatewayState>) {
+    loop {
+        tokio::time::sleep(LINE_PERIOD).await;
+        if !state.tickets.is_empty() {
+            tell(&state, state.dispatcher.serve_lines(state.now()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/ready_service.rs
@@ -0,0 +1,42 @@
+//! Readiness and metrics over HTTP.
+
+use std::sync::Arc;
+
+use axum::{
+    Router,
+    extract::State,
+    http::StatusCode,
+    routing::get, //
+};
+use chicorycroft_adapter::headers::READY_PATH;
+use tokio::net::TcpListener;
+
+use crate::state::GatewayState;
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+async fn ready(State(state): State<Arc<GatewayState>>) -> StatusCode {
+    match state.is_ready() {
+        true => StatusCode::OK,
+        false => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+async fn metrics(State(state): State<Arc<GatewayState>>) -> Result<String, (StatusCode, String)> {
+    let text = state.metrics.text();
+    text.map_err(|error| (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()))
+}
+
+/// Serves readiness and metrics.
+///
+/// # Errors
+///
+/// Fails when the listening socket does.
+pub async fn serve(state: Arc<GatewayState>, listener: TcpListener) -> std::io::Result<()> {
+    let router = Router::new()
+        .route(READY_PATH, get(ready))
+        .route(METRICS_PATH, get(metrics))
+        .with_state(state);
+    axum::serve(listener, router).await
+}
--- /dev/null
+++ b/crates/gateway/src/request_run.rs
@@ -0,0 +1,345 @@
+//! The attempts of one request, their order and their end.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use chicorycroft_adapter::prelude::*;
+use chicorycroft_core::prelude::*;
+use chicorycroft_directory::prelude::*;
+use chicorycroft_dispatch::prelude::*;
+use chicorycroft_retry::prelude::*;
+use http::Response;
+use smol_str::SmolStr;
+
+use crate::{
+    exchange::{
+        ExchangeOutcome,
+        OutgoingRequest,
+        exchange, //
+    },
+    permit_client::{
+        HeldPermit,
+        PermitAnswer,
+        ask_self,
+        ask_zone, //
+    },
+    state::GatewayState,
+};
+
+/// What is fixed about a request before its first attempt.
+#[derive(Clone, Debug)]
+pub struct RequestPlan {
+    /// Id of the caller's request.
+    pub id: SmolStr,
+    /// The service that takes it.
+    pub service: ServiceId,
+    /// Team that it runs for.
+    pub team: Option<TeamId>,
+    /// Rank; 0 is the highest.
+    pub priority: u8,
+    /// Whether it may run twice.
+    pub is_idempotent: bool,
+    /// Most targets that it may be sent to.
+    pub attempts_max: u32,
+    /// Time at which it is given up.
+    pub ends_at: MonoTime,
+    /// The request as it goes to targets.
+    pub outgoing: OutgoingRequest,
+}
+
+/// How a request ended.
+#[derive(Debug)]
+pub enum RunEnd {
+    /// With an answer of a target.
+    Answered(Response<Bytes>),
+    /// With an answer of this host.
+    Refused(RefusalAnswer, Option<Duration>, &'static str),
+}
+
+/// The progress of one request.
+#[derive(Debug)]
+pub struct RequestRun {
+    state: Arc<GatewayState>,
+    plan: RequestPlan,
+    tried: Vec<TargetId>,
+    sent_count: u32,
+    open_count: u32,
+    is_charged: bool,
+    proof: RunProof,
+    last_response: Option<Response<Bytes>>,
+}
+
+/// A permit with the entry of its target.
+type Placement = (HeldPermit, TargetEntry);
+
+impl RequestRun {
+    /// Begins a request.
+    pub fn new(state: Arc<GatewayState>, plan: RequestPlan) -> Self {
+        Self {
+            state,
+            plan,
+            tried: Vec::new(),
+            sent_count: 0,
+            open_count: 0,
+            is_charged: false,
+            proof: RunProof::NotRun,
+            last_response: None,
+        }
+    }
+
+    /// Returns what is known about the run of all attempts together. An attempt under way may run.
+    pub fn proof(&self) -> RunProof {
+        match self.open_count {
+            0 => self.proof,
+            _ => self.proof.join(RunProof::Unknown),
+        }
+    }
+
+    fn close(&mut self, outcome: &ExchangeOutcome) {
+        self.open_count -= 1;
+        self.proof = self.proof.join(outcome.proof);
+    }
+
+    fn budget(&self) -> RequestBudget {
+        let left = self.plan.ends_at.since(self.state.now());
+        RequestBudget { left }
+    }
+
+    fn ask(&self, zone: Option<&ZoneId>, wait: Duration) -> AdmitRequest {
+        let millis = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
+        let charged = self.plan.team.clone().filter(|_| !self.is_charged);
+        AdmitRequest {
+            request: self.plan.id.clone(),
+            service: self.plan.service.clone(),
+            zone: zone.cloned(),
+            charged,
+            team: self.plan.team.clone(),
+            priority: self.plan.priority,
+            is_idempotent: self.plan.is_idempotent,
+            is_repeat: self.sent_count > 0,
+            wait_millis: millis(wait),
+            left_millis: millis(self.budget().left),
+            connected: self.state.connections.connected(self.state.now()),
+            tried: self.tried.clone(),
+        }
+    }
+
+    /// Finds a target: in the own zone, in the others, after a wait in the own zone, and last by the
+    /// rules of this host alone.
+    async fn place(&mut self, may_wait: bool) -> Result<Placement, AdmitAnswer> {
+        let own = self.state.settings.zone.clone();
+        let mut zones = self
+            .state
+            .knowledge
+            .directory()
+            .zones_of(&self.plan.service);
+        let has_own = zones.shift_remove(&own);
+        let mut refusal = AdmitAnswer::NoTarget;
+        let mut is_silent = true;
+        // The dispatcher of the own zone keeps the rates, whether it has targets or not.
+        if has_own || !self.is_charged {
+            match self.ask_in(&own, Duration::ZERO, &mut is_silent).await {
+                Ok(placement) => return Ok(placement),
+                Err(answer @ (AdmitAnswer::OverRate { .. } | AdmitAnswer::NoBudget)) => {
+                    return Err(answer);
+                }
+                Err(answer) => refusal = answer,
+            }
+        }
+        for zone in zones {
+            match self.ask_in(&zone, Duration::ZERO, &mut is_silent).await {
+                Ok(placement) => return Ok(placement),
+                Err(answer @ AdmitAnswer::Busy { .. }) if !has_own => refusal = answer,
+                Err(_) => {}
+            }
+        }
+        let wait = self.budget().wait_max();
+        if may_wait && !is_silent && matches!(refusal, AdmitAnswer::Busy { .. }) {
+            let zone = match has_own {
+                true => Some(own),
+                false => self.first_zone(),
+            };
+            if let Some(zone) = zone {
+                return self.ask_in(&zone, wait, &mut is_silent).await;
+            }
+        }
+        match is_silent {
+            true => self.place_alone().await,
+            false => Err(refusal),
+        }
+    }
+
+    fn first_zone(&self) -> Option<ZoneId> {
+        let zones = self.state.knowledge.directory();
+        zones.zones_of(&self.plan.service).into_iter().next()
+    }
+
+    async fn ask_in(
+        &mut self,
+        zone: &ZoneId,
+        wait: Duration,
+        is_silent: &mut bool,
+    ) -> Result<Placement, AdmitAnswer> {
+        let request = self.ask(Some(zone), wait);
+        let answer = ask_zone(&self.state, zone, &request).await;
+        *is_silent &= matches!(answer, PermitAnswer::Silent);
+        self.take(answer)
+    }
+
+    /// Decides by the rules of this host alone, where no dispatcher answers.
+    async fn place_alone(&mut self) -> Result<Placement, AdmitAnswer> {
+        let request = self.ask(None, Duration::ZERO);
+        let answer = ask_self(&self.state, &request).await;
+        self.take(answer)
+    }
+
+    fn take(&mut self, answer: PermitAnswer) -> Result<Placement, AdmitAnswer> {
+        let permit = match answer {
+            PermitAnswer::Held(permit) => permit,
+            PermitAnswer::Refused(refusal) => {
+                self.is_charged |= !matches!(refusal, AdmitAnswer::OverRate { .. });
+                return Err(refusal);
+            }
+            PermitAnswer::Silent => return Err(AdmitAnswer::NoTarget),
+        };
+        self.is_charged = true;
+        let directory = self.state.knowledge.directory();
+        // This host may know of a leaving target before its dispatcher does.
+        let entry = directory.targets.get(permit.target());
+        match entry.filter(|entry| directory.is_open(entry)) {
+            Some(entry) => Ok((permit, entry.clone())),
+            None => {
+                self.tried.push(permit.target().clone());
+                permit.settle(AttemptResult::Cancelled);
+                Err(AdmitAnswer::Busy { retry_millis: 0 })
+            }
+        }
+    }
+
+    /// Runs the request to its end.
+    pub async fn run(&mut self) -> RunEnd {
+        loop {
+            let is_first = self.sent_count == 0;
+            let (permit, entry) = match self.place(is_first).await {
+                Ok(placement) => placement,
+                Err(refusal) => return self.give_up(&refusal),
+            };
+            if !self.budget().is_sendable() {
+                permit.settle(AttemptResult::Cancelled);
+                return self.give_up(&AdmitAnswer::Busy { retry_millis: 0 });
+            }
+            let outcome = self.attempt(permit, entry).await;
+            let is_final = outcome.result == AttemptResult::Good;
+            if outcome.response.is_some() {
+                self.last_response = outcome.response;
+            }
+            let is_repeatable = self.plan.is_idempotent || self.proof() == RunProof::NotRun;
+            let has_more = self.sent_count < self.plan.attempts_max;
+            if is_final || !is_repeatable || !has_more {
+                return self.finish();
+            }
+        }
+    }
+
+    /// Sends the request to a target, and after a while to a second one where it may run twice.
+    async fn attempt(&mut self, permit: HeldPermit, entry: TargetEntry) -> ExchangeOutcome {
+        let hedge_after = permit.hung_after();
+        let first = self.start(permit, entry);
+        tokio::pin!(first);
+        let may_hedge = self.plan.is_idempotent && self.sent_count < self.plan.attempts_max;
+        let is_done = tokio::select! {
+            outcome = &mut first => Some(outcome),
+            () = tokio::time::sleep(hedge_after), if may_hedge => None,
+        };
+        if let Some(outcome) = is_done {
+            self.close(&outcome);
+            return outcome;
+        }
+        let placed = tokio::select! {
+            outcome = &mut first => {
+                self.close(&outcome);
+                return outcome;
+            }
+            placed = self.place(false) => placed,
+        };
+        let Ok((permit, entry)) = placed else {
+            let outcome = first.await;
+            self.close(&outcome);
+            return outcome;
+        };
+        let second = self.start(permit, entry);
+        tokio::pin!(second);
+        let (outcome, is_first) = tokio::select! {
+            outcome = &mut first => (outcome, true),
+            outcome = &mut second => (outcome, false),
+        };
+        self.close(&outcome);
+        if outcome.result == AttemptResult::Good {
+            return outcome;
+        }
+        let other = match is_first {
+            true => second.await,
+            false => first.await,
+        };
+        self.close(&other);
+        other
+    }
+
+    /// Starts one attempt. The permit goes back when the attempt ends or is dropped.
+    fn start(
+        &mut self,
+        permit: HeldPermit,
+        entry: TargetEntry,
+    ) -> impl Future<Output = ExchangeOutcome> + use<> {
+        self.sent_count += 1;
+        self.open_count += 1;
+        self.tried.push(entry.id.clone());
+        let (state, plan) = (self.state.clone(), self.plan.clone());
+        async move {
+            let left = || plan.ends_at.since(state.now());
+            let outcome = exchange(&state, &entry, &plan.outgoing, left).await;
+            log::info!(
+                "event=attempt id={} target={} zone={} result={} reason={} elapsed_ms={} left_ms={}",
+                plan.id,
+                entry.id,
+                entry.zone,
+                outcome.result,
+                outcome.reason,
+                permit.elapsed().as_millis(),
+                left().as_millis()
+            );
+            permit.settle(outcome.result);
+            outcome
+        }
+    }
+
+    fn finish(&mut self) -> RunEnd {
+        match self.last_response.take() {
+            Some(response) => RunEnd::Answered(response),
+            None if self.proof() == RunProof::NotRun => {
+                RunEnd::Refused(RefusalAnswer::Unavailable, None, "not-run-at-target")
+            }
+            None => RunEnd::Refused(RefusalAnswer::TargetFailed, None, "may-have-run"),
+        }
+    }
+
+    fn give_up(&mut self, refusal: &AdmitAnswer) -> RunEnd {
+        if self.proof() != RunProof::NotRun {
+            return self.finish();
+        }
+        let wait = |millis: u32| Some(Duration::from_millis(millis.into()));
+        match *refusal {
+            AdmitAnswer::OverRate { retry_millis } => {
+                RunEnd::Refused(RefusalAnswer::OverRate, wait(retry_millis), "over-rate")
+            }
+            AdmitAnswer::Busy { retry_millis } => {
+                RunEnd::Refused(RefusalAnswer::Unavailable, wait(retry_millis), "busy")
+            }
+            AdmitAnswer::NoBudget => RunEnd::Refused(RefusalAnswer::Unavailable, None, "no-budget"),
+            _ => RunEnd::Refused(RefusalAnswer::Unavailable, None, "no-target"),
+        }
+    }
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`entry`]: what is kept about one peer.
 //! - [`table`]: all peers; contact, isolation and who was last heard.
 //! - [`turns`]: which host of a pair sends the heartbeats.
+//! - [`host_gossip`]: what hosts tell each other where no list of hosts is published.
 //! - [`plan`]: whom to send heartbeats to, and which hosts read the platform.
 //! - [`wake`]: recognises that the process or the machine was paused.
 //!
@@ -13,6 +14,7 @@
 
 pub mod contact;
 pub mod entry;
+pub mod host_gossip;
 pub mod plan;
 pub mod roster;
 pub mod rules;
@@ -30,6 +32,10 @@
             PeerHeartbeat,
             SequenceMark, //
         },
+        host_gossip::{
+            HostGossip,
+            MemberRecord, //
+        },
         plan::{
             HeartbeatPlan,
             ReaderChoice, //
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -219,6 +219,7 @@
             PeerMessage::OwnerHandover(message) => put(&mut bytes, message)?,
             PeerMessage::Accepted => {}
             PeerMessage::Refused(reason) => put(&mut bytes, reason)?,
+            PeerMessage::Gateway(message) => put(&mut bytes, message)?,
         }
         Ok(bytes)
     }
@@ -254,6 +255,7 @@
             12 => PeerMessage::OwnerHandover(take(body)?),
             13 => take::<()>(body).map(|()| PeerMessage::Accepted)?,
             14 => PeerMessage::Refused(take(body)?),
+            16 => PeerMessage::Gateway(take(body)?),
             found => return Err(CodecError::UnknownKind { found }),
         };
         Ok((version, message))
@@ -275,5 +277,6 @@
         PeerMessage::OwnerHandover(_) => 12,
         PeerMessage::Accepted => 13,
         PeerMessage::Refused(_) => 14,
+        PeerMessage::Gateway(_) => 16,
     }
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`heartbeat`]: the heartbeat and what it reports.
 //! - [`parts`]: configuration documents in chunks.
 //! - [`codec`]: the only module that knows the encoding of control messages.
+//! - [`gateway`]: the messages of gateway hosts.
 //! - [`forward`]: the header that goes with a forwarded request.
 //! - [`client`]: one kept connection per peer.
 //! - [`server`]: accepts peers.
@@ -14,6 +15,7 @@
 pub mod codec;
 pub mod failure;
 pub mod forward;
+pub mod gateway;
 pub mod heartbeat;
 pub mod messages;
 pub mod parts;
@@ -37,6 +39,11 @@
             ForwardHead,
             RequestId, //
         },
+        gateway::{
+            FollowAnswer,
+            FollowRequest,
+            GatewayMessage, //
+        },
         heartbeat::{
             BucketCount,
             ConfigSummary,
--- a/crates/peer/src/messages.rs
+++ b/crates/peer/src/messages.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::{
+    gateway::GatewayMessage,
     heartbeat::{
         Heartbeat,
         HeartbeatAck,
@@ -258,4 +259,6 @@
     Accepted,
     /// Refusal of any message.
     Refused(RefusalReason),
+    /// Message between gateway hosts.
+    Gateway(GatewayMessage),
 }
--- a/crates/retry/src/budget.rs
+++ b/crates/retry/src/budget.rs
@@ -94,7 +94,8 @@
             });
     }
 
-    fn try_spend(&self, service: &ServiceId, now: MonoTime) -> bool {
+    /// Spends one retry of a service, and tells whether the budget had it.
+    pub fn try_spend(&self, service: &ServiceId, now: MonoTime) -> bool {
         self.services
             .with_or_insert(service, ServiceBudget::default, |budget| {
                 budget.try_spend(now)
