Keep a revision for each part of the store, and leave out late entries

Cause: the answer of the operators' watch raised the revision of the whole directory, so that an answer about targets at a lower revision was dropped; requests reached targets 2.1 to 2.5 s after they said that they leave. Change: the keeper holds one revision for each part, hosts compare directories by a digest of the content, and an entry that its incarnation wrote before the known one is left out.

--- a/crates/directory/src/keeper.rs
+++ b/crates/directory/src/keeper.rs
@@ -41,10 +41,21 @@
     ZoneRestored(ZoneId),
 }
 
+/// A part of the store that is watched by itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StorePart {
+    /// What operators write.
+    Operator,
+    /// What targets write.
+    Targets,
+}
+
 /// Keeps the directory of a host that reads the store.
 #[derive(Debug, Default)]
 pub struct DirectoryKeeper {
     directory: Arc<TargetDirectory>,
+    operator_as_of: StoreRevision,
+    target_as_of: StoreRevision,
     lapsed: IndexMap<TargetId, MonoTime>,
     contact_at: Option<MonoTime>,
     returned_at: Option<MonoTime>,
@@ -61,12 +72,16 @@
         &self.directory
     }
 
-    /// Takes the directory of another host when it is later than this one's.
-    pub fn adopt(&mut self, directory: Arc<TargetDirectory>) -> bool {
-        if directory.as_of <= self.directory.as_of {
+    /// Takes the directory of another host when it was read later than this one's; that of the host
+    /// that this one follows also when it was read at the same time.
+    pub fn adopt(&mut self, directory: TargetDirectory, is_followed: bool) -> bool {
+        let known = self.directory.as_of;
+        let is_later = directory.as_of > known || is_followed && directory.as_of == known;
+        if !is_later {
             return false;
         }
-        self.directory = directory;
+        (self.operator_as_of, self.target_as_of) = (directory.as_of, directory.as_of);
+        self.directory = Arc::new(directory);
         self.lapsed.clear();
         true
     }
@@ -85,80 +100,103 @@
         &mut self,
         entries: Vec<TargetEntry>,
         evacuated: IndexSet<ZoneId>,
-        as_of: StoreRevision,
+        (operator_as_of, target_as_of): (StoreRevision, StoreRevision),
         now: MonoTime,
     ) {
-        let mut changes: Vec<DirectoryChange> = Vec::new();
+        let mut zones: Vec<DirectoryChange> = Vec::new();
+        let zones_back = self.directory.evacuated.difference(&evacuated);
+        zones.extend(zones_back.cloned().map(DirectoryChange::ZoneRestored));
+        zones.extend(evacuated.into_iter().map(DirectoryChange::ZoneEvacuated));
+        let mut targets: Vec<DirectoryChange> = Vec::new();
         let known = self.directory.targets.keys();
         let missing = known.filter(|id| !entries.iter().any(|entry| entry.id == **id));
-        changes.extend(missing.cloned().map(DirectoryChange::TargetGone));
-        let zones_back = self.directory.evacuated.difference(&evacuated);
-        changes.extend(zones_back.cloned().map(DirectoryChange::ZoneRestored));
-        changes.extend(evacuated.into_iter().map(DirectoryChange::ZoneEvacuated));
-        changes.extend(entries.into_iter().map(DirectoryChange::TargetSeen));
-        self.apply(changes, as_of, now);
+        targets.extend(missing.cloned().map(DirectoryChange::TargetGone));
+        targets.extend(entries.into_iter().map(DirectoryChange::TargetSeen));
+        self.apply(StorePart::Operator, zones, operator_as_of, now);
+        self.apply(StorePart::Targets, targets, target_as_of, now);
     }
 
-    /// Applies changes up to a revision.
-    pub fn apply(&mut self, changes: Vec<DirectoryChange>, as_of: StoreRevision, now: MonoTime) {
-        if as_of < self.directory.as_of {
+    /// Applies the changes of one part up to a revision. The parts are read by themselves, and an answer
+    /// about one may come after a later answer about the other.
+    pub fn apply(
+        &mut self,
+        part: StorePart,
+        changes: Vec<DirectoryChange>,
+        as_of: StoreRevision,
+        now: MonoTime,
+    ) {
+        let known = match part {
+            StorePart::Operator => &mut self.operator_as_of,
+            StorePart::Targets => &mut self.target_as_of,
+        };
+        if as_of < *known {
             return;
         }
-        let is_returning = self
-            .returned_at
-            .is_some_and(|at| now.since(at) < RETURN_TIME);
+        *known = as_of;
         let mut next = (*self.directory).clone();
-        let mut is_changed = false;
         for change in changes {
-            is_changed |= match change {
-                DirectoryChange::TargetGone(id) if is_returning => {
-                    let until = self.returned_at.unwrap_or(now).after(RETURN_TIME);
-                    self.lapsed.entry(id).or_insert(until);
-                    false
-                }
-                DirectoryChange::TargetGone(id) => next.targets.shift_remove(&id).is_some(),
-                DirectoryChange::TargetSeen(entry) => {
-                    self.lapsed.shift_remove(&entry.id);
-                    put_entry(&mut next, entry)
-                }
-                DirectoryChange::ZoneEvacuated(zone) => next.evacuated.insert(zone),
-                DirectoryChange::ZoneRestored(zone) => next.evacuated.shift_remove(&zone),
-            };
+            self.apply_one(&mut next, change, now);
         }
-        is_changed |= drop_lapsed(&mut self.lapsed, &mut next, now);
-        self.finish(next, as_of, is_changed);
+        drop_lapsed(&mut self.lapsed, &mut next, now);
+        next.as_of = self.operator_as_of.min(self.target_as_of);
+        next.seal();
+        self.directory = Arc::new(next);
     }
 
-    fn finish(&mut self, mut next: TargetDirectory, as_of: StoreRevision, is_changed: bool) {
-        next.as_of = as_of;
-        if is_changed {
-            next.changed_at = as_of;
+    fn apply_one(&mut self, next: &mut TargetDirectory, change: DirectoryChange, now: MonoTime) {
+        match change {
+            DirectoryChange::TargetGone(id) => {
+                let lapse_end = self.returned_at.map(|at| at.after(RETURN_TIME));
+                match lapse_end.filter(|&end| now < end) {
+                    Some(end) => {
+                        self.lapsed.entry(id).or_insert(end);
+                    }
+                    None => {
+                        next.targets.shift_remove(&id);
+                    }
+                }
+            }
+            DirectoryChange::TargetSeen(entry) => {
+                self.lapsed.shift_remove(&entry.id);
+                put_entry(next, entry);
+            }
+            DirectoryChange::ZoneEvacuated(zone) => {
+                next.evacuated.insert(zone);
+            }
+            DirectoryChange::ZoneRestored(zone) => {
+                next.evacuated.shift_remove(&zone);
+            }
         }
-        self.directory = Arc::new(next);
     }
 }
 
-fn put_entry(directory: &mut TargetDirectory, entry: TargetEntry) -> bool {
-    let known = directory.targets.get(&entry.id);
-    let is_changed = known.is_none_or(|known| !known.is_equivalent(&entry));
-    if is_changed {
+/// Puts an entry. One that the same incarnation wrote before the known one came late and is left out. One
+/// that means the same leaves the known one as it is, because the time that a cold target has left
+/// counts from its first reading.
+fn put_entry(directory: &mut TargetDirectory, entry: TargetEntry) {
+    let Some(known) = directory.targets.get_mut(&entry.id) else {
         directory.targets.insert(entry.id.clone(), entry);
+        return;
+    };
+    if known.born == entry.born && entry.sequence < known.sequence {
+        return;
+    }
+    match known.is_equivalent(&entry) {
+        true => known.sequence = entry.sequence,
+        false => *known = entry,
     }
-    is_changed
 }
 
 fn drop_lapsed(
     lapsed: &mut IndexMap<TargetId, MonoTime>,
     directory: &mut TargetDirectory,
     now: MonoTime,
-) -> bool {
-    let mut is_changed = false;
+) {
     lapsed.retain(|id, until| {
         let is_over = now >= *until;
         if is_over {
-            is_changed |= directory.targets.shift_remove(id).is_some();
+            directory.targets.shift_remove(id);
         }
         !is_over
     });
-    is_changed
 }
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -33,13 +33,15 @@
         },
         keeper::{
             DirectoryChange,
-            DirectoryKeeper, //
+            DirectoryKeeper,
+            StorePart, //
         },
         routing::{
             RouteIndex,
             RoutingError, //
         },
         targets::{
+            ContentDigest,
             StoreRevision,
             TargetDirectory,
             TargetEntry,
--- a/crates/directory/src/targets.rs
+++ b/crates/directory/src/targets.rs
@@ -2,6 +2,10 @@
 
 use std::{
     fmt,
+    hash::{
+        Hash,
+        Hasher, //
+    },
     net::SocketAddr,
     num::ParseIntError,
     str::FromStr,
@@ -17,6 +21,7 @@
     Deserialize,
     Serialize, //
 };
+use xxhash_rust::xxh3::Xxh3;
 
 /// Revision of the store; a higher one is later.
 #[derive(
@@ -50,8 +55,26 @@
     }
 }
 
+/// Digest of a directory's content, so that hosts see without comparing whether they hold the same.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct ContentDigest(u64);
+
+impl fmt::Display for ContentDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for ContentDigest {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
 /// What a target says about taking work.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub enum TargetPhase {
     /// It takes work.
     Ready,
@@ -78,18 +101,24 @@
     pub cold_left: Duration,
     /// Start of this incarnation, as it tells it.
     pub born: u64,
+    /// Number of the entry within the incarnation.
+    pub sequence: u64,
 }
 
 impl TargetEntry {
-    /// Tells whether the other entry means the same for callers. The time that a cold target has left
-    /// counts down by itself and is no change.
+    /// Returns a digest of what the entry means to callers. The time that a cold target has left counts
+    /// down by itself and is no change.
+    fn digest(&self) -> u64 {
+        let mut hasher = Xxh3::new();
+        (&self.id, &self.service, self.address, &self.zone).hash(&mut hasher);
+        let is_cold = !self.cold_left.is_zero();
+        (self.slots, self.phase, self.born, is_cold).hash(&mut hasher);
+        hasher.finish()
+    }
+
+    /// Tells whether the other entry means the same to callers.
     pub fn is_equivalent(&self, other: &Self) -> bool {
-        let is_cold = |entry: &Self| !entry.cold_left.is_zero();
-        let bare = |entry: &Self| Self {
-            cold_left: Duration::ZERO,
-            ..entry.clone()
-        };
-        is_cold(self) == is_cold(other) && bare(self) == bare(other)
+        self.digest() == other.digest()
     }
 }
 
@@ -98,8 +127,8 @@
 pub struct TargetDirectory {
     /// Revision up to which the store was read.
     pub as_of: StoreRevision,
-    /// Revision of the last change that means something to callers.
-    pub changed_at: StoreRevision,
+    /// Digest of all that means something to callers.
+    pub content: ContentDigest,
     /// All targets.
     pub targets: IndexMap<TargetId, TargetEntry>,
     /// Zones whose targets get nothing.
@@ -112,6 +141,19 @@
         Self::default()
     }
 
+    /// Computes the digest of the content again, after a change.
+    pub fn seal(&mut self) {
+        let entries = self.targets.values().map(TargetEntry::digest);
+        let zones = self.evacuated.iter().map(|zone| {
+            let mut hasher = Xxh3::new();
+            zone.hash(&mut hasher);
+            hasher.finish()
+        });
+        // A sum does not depend on the order in which changes came.
+        let sum = entries.chain(zones).fold(0, u64::wrapping_add);
+        self.content = ContentDigest(sum);
+    }
+
     /// Tells whether a target may get new work.
     pub fn is_open(&self, entry: &TargetEntry) -> bool {
         entry.phase == TargetPhase::Ready && !self.evacuated.contains(&entry.zone)
--- a/crates/dispatch/src/service_pool.rs
+++ b/crates/dispatch/src/service_pool.rs
@@ -71,7 +71,7 @@
     usual_time: Duration,
     cold_rate: RequestRate,
     may_use_cold: bool,
-    seen: Option<StoreRevision>,
+    seen: Option<ContentDigest>,
 }
 
 /// How a target is ranked for a request; the lowest goes first.
@@ -106,10 +106,10 @@
         now: MonoTime,
     ) {
         (self.cold_rate, self.may_use_cold) = (cold_rate, may_use_cold);
-        if self.seen == Some(directory.changed_at) {
+        if self.seen == Some(directory.content) {
             return;
         }
-        self.seen = Some(directory.changed_at);
+        self.seen = Some(directory.content);
         let is_ours = |entry: &TargetEntry| zone.is_none_or(|zone| entry.zone == *zone);
         let open: IndexMap<&TargetId, &TargetEntry> = directory
             .open_targets(service)
--- a/crates/gateway/src/follow_loop.rs
+++ b/crates/gateway/src/follow_loop.rs
@@ -94,7 +94,7 @@
         let request = FollowRequest {
             member: state.gossip.own(),
             config: index.map(|index| index.config().version()),
-            changed_at: state.knowledge.directory().changed_at,
+            content: state.knowledge.directory().content,
             wait_millis: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
             is_dispatcher,
         };
@@ -126,7 +126,10 @@
         state.knowledge.adopt_config(config, host.as_str());
     }
     if let Some(directory) = news.directory {
-        state.knowledge.adopt_directory(directory);
+        let is_followed = !state.is_dispatcher();
+        state.knowledge.adopt_directory(directory, is_followed);
+    } else {
+        state.knowledge.on_same_directory(news.as_of);
     }
     if let Some(age) = news.age_millis {
         // The answer was made at least the held time after the request was sent.
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -96,34 +96,58 @@
         true
     }
 
-    /// Takes the directory of another host when it was read later.
-    pub fn adopt_directory(&self, directory: TargetDirectory) {
+    /// Changes the directory and tells those who wait for changes.
+    fn change(&self, source: &str, act: impl FnOnce(&mut DirectoryKeeper)) {
         let mut keeper = lock(&self.keeper);
-        let before = keeper.directory().changed_at;
-        keeper.adopt(Arc::new(directory));
-        let after = keeper.directory().changed_at;
+        let before = keeper.directory().content;
+        act(&mut keeper);
+        let directory = keeper.directory().clone();
         drop(keeper);
-        self.note_directory(before, after, "peer");
+        if before == directory.content {
+            return;
+        }
+        log::info!(
+            "event=directory_changed content={} previous={before} as_of={} source={source} targets={} \
+             evacuated={}",
+            directory.content,
+            directory.as_of,
+            directory.targets.len(),
+            directory.evacuated.len()
+        );
+        self.notify();
+    }
+
+    /// Takes the directory of another host when it was read later.
+    pub fn adopt_directory(&self, directory: TargetDirectory, is_followed: bool) {
+        self.change("peer", |keeper| {
+            keeper.adopt(directory, is_followed);
+        });
+    }
+
+    /// Notes that another host holds the same directory as of a revision.
+    pub fn on_same_directory(&self, as_of: StoreRevision) {
+        let mut directory = (*self.directory()).clone();
+        if as_of > directory.as_of {
+            directory.as_of = as_of;
+            lock(&self.keeper).adopt(directory, false);
+        }
     }
 
-    /// Takes a full read of targets and evacuated zones.
+    /// Takes a full read of targets and evacuated zones, with the revisions of both parts.
     pub fn replace_directory(
         &self,
         entries: Vec<TargetEntry>,
         evacuated: IndexSet<ZoneId>,
-        as_of: StoreRevision,
+        as_of: (StoreRevision, StoreRevision),
         now: MonoTime,
     ) {
-        let mut keeper = lock(&self.keeper);
-        let before = keeper.directory().changed_at;
-        keeper.replace(entries, evacuated, as_of, now);
-        let after = keeper.directory().changed_at;
-        drop(keeper);
-        self.note_directory(before, after, "store");
+        self.change("store", |keeper| {
+            keeper.replace(entries, evacuated, as_of, now);
+        });
     }
 
-    /// Takes the items of the store up to a revision.
-    pub fn apply(&self, events: &StoreEvents, now: MonoTime) {
+    /// Takes the changes of one part of the store up to a revision.
+    pub fn apply(&self, part: StorePart, events: &StoreEvents, now: MonoTime) {
         let mut changes = Vec::new();
         for item in &events.items {
             match decode_item(item) {
@@ -139,26 +163,9 @@
                 ),
             }
         }
-        let mut keeper = lock(&self.keeper);
-        let before = keeper.directory().changed_at;
-        keeper.apply(changes, events.as_of, now);
-        let after = keeper.directory().changed_at;
-        drop(keeper);
-        self.note_directory(before, after, "store");
-    }
-
-    fn note_directory(&self, before: StoreRevision, after: StoreRevision, source: &str) {
-        if before == after {
-            return;
-        }
-        let directory = self.directory();
-        log::info!(
-            "event=directory_changed revision={after} previous={before} source={source} targets={} \
-             evacuated={}",
-            directory.targets.len(),
-            directory.evacuated.len()
-        );
-        self.notify();
+        self.change("store", |keeper| {
+            keeper.apply(part, changes, events.as_of, now);
+        });
     }
 
     fn notify(&self) {
--- a/crates/gateway/src/peer_service.rs
+++ b/crates/gateway/src/peer_service.rs
@@ -56,8 +56,8 @@
     let has_news = |_: &u64| {
         let index = state.knowledge.index();
         let version = index.map(|index| index.config().version());
-        let changed_at = state.knowledge.directory().changed_at;
-        version > request.config || changed_at > request.changed_at || state.is_stopping()
+        let content = state.knowledge.directory().content;
+        version > request.config || content != request.content || state.is_stopping()
     };
     // A time-out is the usual end of a quiet wait.
     let _ = tokio::time::timeout(hold, changes.wait_for(has_news)).await;
@@ -72,7 +72,7 @@
         age_millis: state.knowledge.age(now).map(|age| millis(age.get())),
         config: config.map(|config| (*config).clone()),
         as_of: directory.as_of,
-        directory: (directory.changed_at != request.changed_at).then(|| (*directory).clone()),
+        directory: (directory.content != request.content).then(|| (*directory).clone()),
         usage: match request.is_dispatcher {
             true => state.dispatcher.usage(),
             false => Vec::new(),
--- a/crates/gateway/src/store_loop.rs
+++ b/crates/gateway/src/store_loop.rs
@@ -77,8 +77,7 @@
             Err(error) => log::warn!("event=document_refused key={} error=\"{error}\"", item.key),
         }
     }
-    // The operators' part was read first, so that its revision is a lower bound of both.
-    let as_of = operator.as_of.max(state.knowledge.directory().as_of);
+    let as_of = (operator.as_of, targets.as_of);
     state
         .knowledge
         .replace_directory(entries, evacuated, as_of, now);
@@ -90,9 +89,13 @@
 async fn watch(
     state: &GatewayState,
     store: &StoreClient,
-    (prefix, pace): (&str, Duration),
+    part: StorePart,
     mut after: StoreRevision,
 ) -> StoreError {
+    let (prefix, pace) = match part {
+        StorePart::Operator => (OPERATOR_PREFIX, Duration::ZERO),
+        StorePart::Targets => (TARGET_PREFIX, TARGET_PACE),
+    };
     loop {
         let asked_at = state.now();
         let events = store
@@ -104,12 +107,11 @@
         };
         after = events.as_of.max(after);
         let now = state.now();
-        if prefix == TARGET_PREFIX {
-            state.knowledge.on_store_answer(now);
-        } else {
-            state.knowledge.confirm(asked_at);
+        match part {
+            StorePart::Targets => state.knowledge.on_store_answer(now),
+            StorePart::Operator => state.knowledge.confirm(asked_at),
         }
-        state.knowledge.apply(&events, now);
+        state.knowledge.apply(part, &events, now);
         tokio::time::sleep(pace).await;
     }
 }
@@ -125,8 +127,8 @@
 async fn read_as_dispatcher(state: &GatewayState, store: &StoreClient) -> Result<(), StoreError> {
     let (operator, targets) = read_all(state, store).await?;
     log::info!("event=store_watched operator_revision={operator} target_revision={targets}");
-    let operator = watch(state, store, (OPERATOR_PREFIX, Duration::ZERO), operator);
-    let targets = watch(state, store, (TARGET_PREFIX, TARGET_PACE), targets);
+    let operator = watch(state, store, StorePart::Operator, operator);
+    let targets = watch(state, store, StorePart::Targets, targets);
     tokio::select! {
         error = operator => Err(error),
         error = targets => Err(error),
--- a/crates/peer/src/gateway.rs
+++ b/crates/peer/src/gateway.rs
@@ -16,8 +16,8 @@
     pub member: MemberRecord,
     /// Version of its configuration.
     pub config: Option<ConfigVersion>,
-    /// Revision of the last change in its directory.
-    pub changed_at: StoreRevision,
+    /// Digest of its directory.
+    pub content: ContentDigest,
     /// Longest time to hold the answer back while nothing changes, in milliseconds.
     pub wait_millis: u32,
     /// Whether the host grants permits to others, so that its use of rates must be known.
@@ -35,7 +35,7 @@
     pub age_millis: Option<u32>,
     /// The configuration, when the asking host holds a lower version.
     pub config: Option<GatewayConfig>,
-    /// The directory, when the asking host's has not the same changes.
+    /// The directory, when the asking host holds another one.
     pub directory: Option<TargetDirectory>,
     /// Revision up to which the store was read.
     pub as_of: StoreRevision,
