--- a/crates/directory/src/keeper.rs
+++ b/crates/directory/src/keeper.rs
@@ -21,8 +21,9 @@
     TargetEntry, //
 };
 
-/// Time without contact after which the store counts as having been away. A watch answers within 1 s.
-const AWAY_AFTER: Duration = Duration::from_millis(1500);
+/// Time of failing calls after which the store counts as having been away. A watch that is cut is no sign
+/// of it: the next call succeeds.
+const AWAY_AFTER: Duration = Duration::from_millis(1000);
 
 /// Time from the store's return in which lapsed entries come back: the platform's two seconds and one
 /// paced read.
@@ -57,7 +58,7 @@
     operator_as_of: StoreRevision,
     target_as_of: StoreRevision,
     lapsed: IndexMap<TargetId, MonoTime>,
-    contact_at: Option<MonoTime>,
+    failing_since: Option<MonoTime>,
     returned_at: Option<MonoTime>,
 }
 
@@ -88,11 +89,15 @@
 
     /// Notes an answer of the store.
     pub fn on_contact(&mut self, now: MonoTime) {
-        let was_away = self.contact_at.is_some_and(|at| now.since(at) > AWAY_AFTER);
-        if was_away {
+        let failing_since = self.failing_since.take();
+        if failing_since.is_some_and(|at| now.since(at) > AWAY_AFTER) {
             self.returned_at = Some(now);
         }
-        self.contact_at = Some(now);
+    }
+
+    /// Notes a call of the store that failed.
+    pub fn on_failure(&mut self, now: MonoTime) {
+        self.failing_since.get_or_insert(now);
     }
 
     /// Replaces all by a full read of the store.
--- a/crates/directory/tests/keeper.rs
+++ b/crates/directory/tests/keeper.rs
@@ -89,6 +89,7 @@
 #[test]
 fn entry_that_lapsed_while_the_store_was_away_stays_for_two_seconds() {
     let mut keeper = keeper_with_two();
+    keeper.on_failure(at(1000));
     keeper.on_contact(at(6000));
     let gone = DirectoryChange::TargetGone(TargetId::new("t-1").unwrap());
     keeper.apply(
@@ -169,3 +170,34 @@
     );
     assert_eq!(open_ids(&keeper), ["t-1", "t-2"]);
 }
+
+/// Guards against keeping a target that left while nothing was written for longer than a watch waits.
+#[test]
+fn quiet_store_does_not_count_as_away() {
+    let mut keeper = keeper_with_two();
+    keeper.on_contact(at(9000));
+    let gone = DirectoryChange::TargetGone(TargetId::new("t-1").unwrap());
+    keeper.apply(
+        StorePart::Targets,
+        vec![gone],
+        StoreRevision::new(20),
+        at(9000),
+    );
+    assert_eq!(open_ids(&keeper), ["t-2"]);
+}
+
+/// Guards against keeping a target that left while the history was dropped and the watch was cut.
+#[test]
+fn one_cut_watch_does_not_count_as_away() {
+    let mut keeper = keeper_with_two();
+    keeper.on_failure(at(3000));
+    keeper.on_contact(at(3400));
+    let gone = DirectoryChange::TargetGone(TargetId::new("t-1").unwrap());
+    keeper.apply(
+        StorePart::Targets,
+        vec![gone],
+        StoreRevision::new(20),
+        at(3400),
+    );
+    assert_eq!(open_ids(&keeper), ["t-2"]);
+}
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -80,6 +80,11 @@
         lock(&self.keeper).on_contact(now);
     }
 
+    /// Notes a call of the store that failed.
+    pub fn on_store_failure(&self, now: MonoTime) {
+        lock(&self.keeper).on_failure(now);
+    }
+
     /// Takes a configuration when its version is higher than the one in force; returns whether it was.
     pub fn adopt_config(&self, config: GatewayConfig, source: &str) -> bool {
         let version = config.version();
--- a/crates/gateway/src/store_loop.rs
+++ b/crates/gateway/src/store_loop.rs
@@ -168,6 +168,9 @@
             }
             Ok(()) => {}
             Err(error) => {
+                if !matches!(error, StoreError::Compacted) {
+                    state.knowledge.on_store_failure(state.now());
+                }
                 if !is_lost && !matches!(error, StoreError::Compacted) {
                     is_lost = true;
                     log::warn!("event=store_lost error=\"{error}\"");
