Start team buckets empty and assume a fleet for the first seconds

Change: buckets start empty; a process assumes at least 32 hosts for 3 s and exchanges records four times as often; the hosts that would take over from a dispatcher hear what teams have spent. Dispatchers log each grant.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -143,18 +143,27 @@
         self.pools.with(&key, |pool| pool.cancel(ticket));
     }
 
-    /// Returns what each team has spent here since the start.
-    pub fn usage(&self) -> Vec<TeamUsage> {
+    fn usage_by(&self, count_of: impl Fn(&TeamBucket) -> u64) -> Vec<TeamUsage> {
         let mut usage = Vec::new();
         self.buckets.for_each(|team, bucket| {
             usage.push(TeamUsage {
                 team: team.clone(),
-                spent: bucket.spent(),
+                spent: count_of(bucket),
             });
         });
         usage
     }
 
+    /// Returns what each team has spent here since the start, for the other dispatchers.
+    pub fn usage(&self) -> Vec<TeamUsage> {
+        self.usage_by(TeamBucket::spent)
+    }
+
+    /// Returns what each team has spent here and elsewhere, for the host that would take over.
+    pub fn total_usage(&self) -> Vec<TeamUsage> {
+        self.usage_by(TeamBucket::total)
+    }
+
     /// Takes what another dispatcher's teams have spent.
     pub fn on_usage(&self, host: &HostId, incarnation: HostIncarnation, usage: &[TeamUsage]) {
         for report in usage {
--- a/crates/dispatch/src/evidence.rs
+++ b/crates/dispatch/src/evidence.rs
@@ -5,9 +5,16 @@
 //! therefore stays with targets that answered well a moment ago; a target without a recent good answer
 //! is tried with a request that may be repeated.
 
-use std::time::Duration;
+use std::{
+    fmt,
+    time::Duration, //
+};
 
 use chicorycroft_core::prelude::*;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 use crate::messages::AttemptResult;
 
@@ -32,7 +39,7 @@
 const FORGIVEN_AFTER: u32 = 6;
 
 /// How far a target is trusted; a lower value is preferred.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum TargetTrust {
     /// It answered well a moment ago.
     Proven,
@@ -44,6 +51,17 @@
     Blocked,
 }
 
+impl fmt::Display for TargetTrust {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Proven => "proven",
+            Self::Unknown => "unknown",
+            Self::Doubtful => "doubtful",
+            Self::Blocked => "blocked",
+        })
+    }
+}
+
 /// What is known about one target.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct TargetEvidence {
--- a/crates/dispatch/src/messages.rs
+++ b/crates/dispatch/src/messages.rs
@@ -14,6 +14,8 @@
 };
 use smol_str::SmolStr;
 
+use crate::evidence::TargetTrust;
+
 macro_rules! define_number {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
@@ -109,6 +111,8 @@
     pub target: TargetId,
     /// Usual time of an answer of the service, in milliseconds.
     pub usual_millis: u32,
+    /// How far the target is trusted.
+    pub trust: TargetTrust,
 }
 
 /// What a dispatcher answers.
--- a/crates/dispatch/src/service_pool.rs
+++ b/crates/dispatch/src/service_pool.rs
@@ -170,7 +170,8 @@
         number: u64,
         now: MonoTime,
     ) -> Option<DispatchGrant> {
-        let id = self.choose(request, now)?.clone();
+        let (trust, id) = self.choose(request, now)?;
+        let id = id.clone();
         let permit = PermitNumber::new(number);
         let target = self.targets.get_mut(&id)?;
         target.grant(permit, request.time_left(), self.cold_rate, now);
@@ -179,11 +180,12 @@
             permit,
             target: id,
             usual_millis: u32::try_from(self.usual_time.as_millis()).unwrap_or(u32::MAX),
+            trust,
         })
     }
 
-    /// Returns the target that suits a request best.
-    fn choose(&self, request: &AdmitRequest, now: MonoTime) -> Option<&TargetId> {
+    /// Returns the target that suits a request best, and how far it is trusted.
+    fn choose(&self, request: &AdmitRequest, now: MonoTime) -> Option<(TargetTrust, &TargetId)> {
         let stuck_after = self.usual_time.saturating_mul(STUCK_FACTOR);
         let blocked = self.targets.values();
         let blocked = blocked.filter(|target| target.evidence().trust(now) == TargetTrust::Blocked);
@@ -195,9 +197,11 @@
                 && !request.tried.contains(id);
             let trust = target.trust(stuck_after, now);
             let is_allowed = trust != TargetTrust::Blocked || may_use_blocked;
-            (is_usable && is_allowed).then(|| (self.rank(request, (id, target), trust, now), id))
+            let rank = self.rank(request, (id, target), trust, now);
+            (is_usable && is_allowed).then_some((rank, id, trust))
         });
-        candidates.min().map(|(_, id)| id)
+        let (_, id, trust) = candidates.min()?;
+        Some((trust, id))
     }
 
     fn rank(
--- a/crates/dispatch/src/team_bucket.rs
+++ b/crates/dispatch/src/team_bucket.rs
@@ -3,7 +3,9 @@
 //! Load pattern: one team sends many times its rate through all zones at once, while hosts are cut off
 //! from each other. Each dispatcher fills a bucket of the whole rate and takes out what it spends and
 //! what the others report; one that does not hear the others fills its share only. The bucket goes below
-//! zero when reports come late, so that a burst is paid back and the sum stays at the rate.
+//! zero when reports come late, so that a burst is paid back and the sum stays at the rate. It is empty when
+//! its process starts, because a process before it may have spent the burst; the host that would take over
+//! from a dispatcher hears of its spending for the same reason.
 
 use std::time::Duration;
 
@@ -23,6 +25,8 @@
     tokens: i128,
     filled_at: Option<MonoTime>,
     spent: u64,
+    /// What was spent here and what was reported.
+    total: u64,
     /// What each other dispatcher has spent since its start, by host and incarnation.
     reported: IndexMap<(HostId, HostIncarnation), u64>,
 }
@@ -32,7 +36,7 @@
 }
 
 impl TeamBucket {
-    /// Makes a bucket that fills to its burst on first use.
+    /// Makes a bucket that is empty at the start of the process and fills from then on.
     pub fn new() -> Self {
         Self::default()
     }
@@ -46,15 +50,9 @@
     ) -> i128 {
         let capacity = part_of(burst.as_micros(), share).max(MICROS);
         let rate = part_of(rate.as_micros(), share);
-        match self.filled_at {
-            None => self.tokens += capacity,
-            Some(at) => {
-                let micros =
-                    i128::try_from(now.since(at).as_micros()).unwrap_or(i128::MAX / MICROS);
-                self.tokens += rate.saturating_mul(micros) / MICROS;
-            }
-        }
-        self.filled_at = Some(now);
+        let filled_at = self.filled_at.replace(now).unwrap_or(MonoTime::START);
+        let micros = u64::try_from(now.since(filled_at).as_micros()).unwrap_or(u64::MAX);
+        self.tokens += rate.saturating_mul(i128::from(micros)) / MICROS;
         self.tokens = self.tokens.min(capacity);
         rate
     }
@@ -75,6 +73,7 @@
         if self.tokens >= MICROS {
             self.tokens -= MICROS;
             self.spent += 1;
+            self.total += 1;
             return Ok(());
         }
         let micros = ((MICROS - self.tokens) * MICROS).checked_div(rate);
@@ -89,6 +88,11 @@
         self.spent
     }
 
+    /// Returns what was spent here or reported since the start.
+    pub fn total(&self) -> u64 {
+        self.total
+    }
+
     /// Takes what another dispatcher has spent since its start.
     pub fn on_report(&mut self, host: &HostId, incarnation: HostIncarnation, spent: u64) {
         let key = (host.clone(), incarnation);
@@ -99,5 +103,6 @@
             .retain(|(name, start), _| name != host || *start == incarnation);
         self.reported.insert(key, spent.max(known.unwrap_or(0)));
         self.tokens -= i128::from(news) * MICROS;
+        self.total += news;
     }
 }
--- a/crates/gateway/src/follow_loop.rs
+++ b/crates/gateway/src/follow_loop.rs
@@ -138,18 +138,20 @@
         let confirmed = made_at.since(MonoTime::START.after(age));
         state.knowledge.confirm(MonoTime::START.after(confirmed));
     }
-    if !news.usage.is_empty() || state.is_dispatcher() {
-        let incarnation = news.member.incarnation;
+    let incarnation = news.member.incarnation;
+    let is_own_zone = news.member.zone == state.settings.zone;
+    let is_heir = !state.is_dispatcher();
+    if is_heir || !is_own_zone {
         state.dispatcher.on_usage(&host, incarnation, &news.usage);
-        let host_count = match news.member.zone == state.settings.zone {
-            // The next host of the own zone is a follower already.
-            true => 0,
-            false => news.follower_count + 1,
-        };
-        let report = DispatcherReport {
-            at: now,
-            host_count,
-        };
-        state.on_report(&host, report);
+    }
+    if !is_own_zone {
+        let host_count = news.follower_count + 1;
+        state.on_report(
+            &host,
+            DispatcherReport {
+                at: now,
+                host_count,
+            },
+        );
     }
 }
--- a/crates/gateway/src/gossip_loop.rs
+++ b/crates/gateway/src/gossip_loop.rs
@@ -22,8 +22,8 @@
 /// Time between exchanges with a known host.
 const GOSSIP_PERIOD: Duration = Duration::from_millis(1000);
 
-/// Time between exchanges while no other host is known.
-const SEED_PERIOD: Duration = Duration::from_millis(250);
+/// Time between exchanges of a process that has just started or knows no other host.
+const YOUNG_PERIOD: Duration = Duration::from_millis(250);
 
 /// Time in which an answer must come.
 const ANSWER_LIMIT: Duration = Duration::from_millis(500);
@@ -74,8 +74,8 @@
         }
         state.peers.sweep_idle();
         let is_alone = state.gossip.known_count() == 1;
-        let period = match is_alone {
-            true => SEED_PERIOD,
+        let period = match is_alone || state.is_young(state.now()) {
+            true => YOUNG_PERIOD,
             false => GOSSIP_PERIOD,
         };
         tokio::time::sleep(period).await;
--- a/crates/gateway/src/peer_service.rs
+++ b/crates/gateway/src/peer_service.rs
@@ -5,6 +5,7 @@
     time::Duration, //
 };
 
+use chicorycroft_dispatch::prelude::*;
 use chicorycroft_peer::prelude::*;
 
 use crate::{
@@ -15,6 +16,9 @@
 /// Longest time for which an answer to a follower is held back.
 const HOLD_MAX: Duration = Duration::from_secs(1);
 
+/// Hosts of a zone, the dispatcher included, that know what teams have spent.
+const HEIR_COUNT: usize = 3;
+
 /// Answers a message.
 pub async fn on_message(state: Arc<GatewayState>, message: PeerMessage) -> PeerMessage {
     let PeerMessage::Gateway(message) = message else {
@@ -73,10 +77,21 @@
         config: config.map(|config| (*config).clone()),
         as_of: directory.as_of,
         directory: (directory.content != request.content).then(|| (*directory).clone()),
-        usage: match request.is_dispatcher {
-            true => state.dispatcher.usage(),
-            false => Vec::new(),
-        },
+        usage: usage_for(state, &request),
         follower_count: state.follower_count(),
     })))
 }
+
+/// Returns what teams have spent, for those that need it: other dispatchers, and the hosts that would take
+/// over from this one.
+fn usage_for(state: &GatewayState, request: &FollowRequest) -> Vec<TeamUsage> {
+    if request.member.zone != state.settings.zone {
+        return state.dispatcher.usage();
+    }
+    let ranked = state.gossip.ranked(&state.settings.zone, state.now());
+    let mut heirs = ranked.iter().take(HEIR_COUNT);
+    match heirs.any(|heir| heir.host == request.member.host) {
+        true => state.dispatcher.total_usage(),
+        false => Vec::new(),
+    }
+}
--- a/crates/gateway/src/permit_service.rs
+++ b/crates/gateway/src/permit_service.rs
@@ -67,15 +67,40 @@
         .dispatcher
         .admit(request, config, &directory, share, now);
     match answer {
-        PoolAnswer::Granted(grant) => AdmitAnswer::Granted(grant),
+        PoolAnswer::Granted(grant) => {
+            log_grant(request, &grant, share, Duration::ZERO);
+            AdmitAnswer::Granted(grant)
+        }
         PoolAnswer::NoTarget => AdmitAnswer::NoTarget,
         PoolAnswer::Busy(drain) => AdmitAnswer::Busy {
             retry_millis: millis(drain),
         },
-        PoolAnswer::Waiting(ticket) => wait(state, request, ticket).await,
+        PoolAnswer::Waiting(ticket) => {
+            let answer = wait(state, request, ticket).await;
+            if let AdmitAnswer::Granted(grant) = &answer {
+                log_grant(request, grant, share, state.now().since(now));
+            }
+            answer
+        }
     }
 }
 
+fn log_grant(request: &AdmitRequest, grant: &DispatchGrant, share: FleetShare, waited: Duration) {
+    log::info!(
+        "event=permit_granted id={} permit={} target={} trust={} service={} team={} charged={} \
+         share={} waited_ms={}",
+        request.request,
+        grant.permit,
+        grant.target,
+        grant.trust,
+        request.service,
+        request.team.as_ref().map_or("-", TeamId::as_str),
+        request.charged.is_some(),
+        share.part,
+        waited.as_millis()
+    );
+}
+
 async fn wait(
     state: &Arc<GatewayState>,
     request: &AdmitRequest,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -34,6 +34,12 @@
 /// Time for which the use of rates that another dispatcher reported counts as known.
 const REPORT_FOR: Duration = Duration::from_millis(1500);
 
+/// Hosts that are assumed by one that has just started; the deployments have 32 or more.
+const HOSTS_ASSUMED: u32 = 32;
+
+/// Time in which a process hears of all hosts, also when the whole fleet starts at once.
+const YOUNG_FOR: Duration = Duration::from_secs(3);
+
 /// Bytes of request bodies that a process holds at once, in KiB: a third of a small host's memory.
 const BODY_KIB_MAX: usize = 80 << 10;
 
@@ -142,16 +148,32 @@
             }
         });
         let known = u32::try_from(self.gossip.known_count()).unwrap_or(u32::MAX);
+        // A host that has just started has yet to hear of most others.
+        let known = match self.is_young(now) && !self.is_only_host() {
+            true => known.max(HOSTS_ASSUMED),
+            false => known,
+        };
         let mille = match counted.saturating_mul(2) >= known {
             true => CapacityRatio::MAX_MILLE,
             false => u16::try_from(counted * 1000 / known.max(1)).unwrap_or(u16::MAX),
         };
         FleetShare {
             part: CapacityRatio::from_mille(mille),
-            is_followed: followers > 0 || known == 1,
+            is_followed: followers > 0 || self.is_only_host(),
         }
     }
 
+    /// Tells whether this process has just started and may not have heard of most hosts.
+    pub fn is_young(&self, now: MonoTime) -> bool {
+        now.since(MonoTime::START) < YOUNG_FOR
+    }
+
+    /// Tells whether the settings name no other host.
+    fn is_only_host(&self) -> bool {
+        let own = self.settings.peer_listen;
+        self.settings.seeds.iter().all(|seed| *seed == own)
+    }
+
     /// Tells whether this host is the dispatcher of its zone, as far as it knows.
     pub fn is_dispatcher(&self) -> bool {
         self.rank() == 0
