--- /dev/null
+++ b/crates/directory/tests/routing.rs
@@ -0,0 +1,150 @@
+//! The route, the team and the service of a request.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use chicorycroft_core::prelude::*;
+use chicorycroft_directory::{
+    prelude::*,
+    routing::destination_of, //
+};
+use indexmap::IndexMap;
+
+fn service(name: &str) -> ServiceId {
+    ServiceId::new(name).unwrap()
+}
+
+fn route(name: &str, prefix: &str, parts: &[(&str, u32)]) -> GatewayRoute {
+    let destination = |&(name, weight): &(&str, u32)| RouteDestination {
+        service: service(name),
+        weight,
+    };
+    GatewayRoute {
+        id: RouteId::new(name).unwrap(),
+        host: "shop.example".into(),
+        prefix: prefix.into(),
+        class: RequestClass::Idempotent,
+        timeout: Some(Duration::from_secs(1)),
+        objective: Duration::from_millis(800),
+        priority: 2,
+        destinations: parts.iter().map(destination).collect(),
+        attempts_max: 2,
+        is_public: false,
+    }
+}
+
+fn team(keys: &[&str]) -> TeamTerms {
+    TeamTerms {
+        keys: keys
+            .iter()
+            .map(|key| KeyDigest::of_key(key.as_bytes()))
+            .collect(),
+        priority: Some(1),
+        rate: None,
+        burst: BurstSize::ZERO,
+    }
+}
+
+fn config(
+    routes: Vec<GatewayRoute>,
+    teams: &[(&str, &[&str])],
+) -> Result<GatewayConfig, ConfigError> {
+    let terms = ServiceTerms {
+        connections_max: 1,
+        cold_rate: RequestRate::ZERO,
+    };
+    let services = ["rate", "docs"].map(|name| (service(name), terms.clone()));
+    let teams = teams
+        .iter()
+        .map(|(name, keys)| (TeamId::new(name).unwrap(), team(keys)));
+    let limits = CallerLimits {
+        head_bytes_max: 1,
+        body_bytes_max: 1,
+        head_timeout: Duration::ZERO,
+        idle_timeout: Duration::ZERO,
+    };
+    let version = ConfigVersion::new(1);
+    GatewayConfig::new(
+        version,
+        routes,
+        services.into(),
+        teams.collect::<IndexMap<_, _>>(),
+        limits,
+    )
+}
+
+fn index() -> RouteIndex {
+    let routes = vec![
+        route("short", "/a/", &[("rate", 1)]),
+        route("long", "/a/b/", &[("docs", 1)]),
+    ];
+    RouteIndex::new(Arc::new(
+        config(routes, &[("weavers", &["key-1"])]).unwrap(),
+    ))
+}
+
+/// Guards against a route that takes the requests of a longer prefix, of another host, or of a path that
+/// only begins with the same letters.
+#[test]
+fn longest_prefix_of_the_host_wins() {
+    let index = index();
+    let name = |host, path| index.route(host, path).map(|route| route.id.to_string());
+    assert_eq!(name("shop.example", "/a/b/c").unwrap(), "long");
+    assert_eq!(name("SHOP.example:8080", "/a/c").unwrap(), "short");
+    assert_eq!(name("shop.example", "/ab/"), Err(RoutingError::NoRoute));
+    assert_eq!(name("other.example", "/a/c"), Err(RoutingError::NoRoute));
+}
+
+/// Guards against requests that run without a key or with one that nobody holds.
+#[test]
+fn only_a_granted_key_opens_a_route() {
+    let index = index();
+    let route = index.route("shop.example", "/a/").unwrap();
+    assert_eq!(index.team(route, None), Err(RoutingError::BadKey));
+    assert_eq!(index.team(route, Some(b"key-2")), Err(RoutingError::BadKey));
+    let team = index.team(route, Some(b"key-1")).unwrap();
+    assert_eq!(team.map(TeamId::as_str), Some("weavers"));
+    assert_eq!(index.priority(route, team), 1);
+    assert_eq!(index.priority(route, None), 2);
+}
+
+/// Guards against a key that two teams hold, a route to a service that is not listed, and prefixes that
+/// match in the middle of a segment.
+#[test]
+fn contradictions_are_refused_as_a_whole() {
+    let shared = config(Vec::new(), &[("a", &["key"]), ("b", &["key"])]);
+    assert!(matches!(shared, Err(ConfigError::SharedKey { .. })));
+    let unknown = config(vec![route("r", "/a/", &[("gone", 1)])], &[]);
+    assert!(matches!(unknown, Err(ConfigError::UnknownService { .. })));
+    let open = config(vec![route("r", "/a", &[("rate", 1)])], &[]);
+    assert!(matches!(open, Err(ConfigError::BadPrefix { .. })));
+    let empty = config(vec![route("r", "/a/", &[("rate", 0)])], &[]);
+    assert!(matches!(empty, Err(ConfigError::NoDestination { .. })));
+}
+
+/// Guards against a split that hosts keep differently, or not at all.
+#[test]
+fn split_keeps_its_weights_over_many_requests() {
+    let route = route("r", "/a/", &[("rate", 90), ("docs", 10)]);
+    let count = (0..10_000)
+        .filter(|number| destination_of(&route, &format!("{number:x}")) == Some(&service("docs")))
+        .count();
+    assert!(
+        (800..1200).contains(&count),
+        "{count} of 10000 went to a tenth"
+    );
+}
+
+/// Guards against a key that works on a host that cannot know whether it was withdrawn.
+#[test]
+fn keys_are_trusted_only_while_the_store_was_heard_lately() {
+    let bound = Duration::from_secs(5);
+    let mut contact = StoreContact::new();
+    assert!(!contact.may_trust_keys(bound, MonoTime::START));
+    contact.confirm(MonoTime::from_millis(1000));
+    contact.confirm(MonoTime::from_millis(500));
+    assert!(contact.may_trust_keys(bound, MonoTime::from_millis(5500)));
+    assert!(!contact.may_trust_keys(bound, MonoTime::from_millis(5700)));
+}
--- /dev/null
+++ b/crates/dispatch/tests/dispatcher/placing.rs
@@ -0,0 +1,216 @@
+//! Which target a request goes to.
+
+use std::time::Duration;
+
+use crate::common::*;
+use chicorycroft_core::prelude::*;
+use chicorycroft_directory::prelude::*;
+use chicorycroft_dispatch::{
+    evidence::TargetTrust,
+    prelude::*, //
+};
+
+/// Guards against more requests at a target than it has slots.
+#[test]
+fn no_target_gets_more_requests_than_slots() {
+    let (dispatcher, directory) = (ZoneDispatcher::new(0), directory_of(3));
+    let mut counts = indexmap::IndexMap::new();
+    for number in 0..6 {
+        let grant = grant(
+            &dispatcher,
+            &directory,
+            &request(&number.to_string()),
+            at(0),
+        );
+        *counts.entry(grant.target).or_insert(0) += 1;
+    }
+    assert!(counts.values().all(|&count| count == 2));
+    let answer = admit(&dispatcher, &directory, &request("7"), at(0));
+    assert!(matches!(answer, PoolAnswer::Busy(_)));
+}
+
+/// Guards against slots that stay taken for ever when the host that held a permit was killed.
+#[test]
+fn permit_of_a_host_that_died_ends_with_its_request() {
+    let (dispatcher, directory) = (ZoneDispatcher::new(0), directory_of(1));
+    for number in 0..2 {
+        grant(
+            &dispatcher,
+            &directory,
+            &request(&number.to_string()),
+            at(0),
+        );
+    }
+    assert!(matches!(
+        admit(&dispatcher, &directory, &request("3"), at(3000)),
+        PoolAnswer::Busy(_)
+    ));
+    grant(&dispatcher, &directory, &request("4"), at(3400));
+}
+
+/// Guards against losing requests that must not run twice to targets that have turned gray: replays
+/// a load in which one target of four hangs, and counts the requests that it gets.
+#[test]
+fn work_that_must_not_run_twice_leaves_a_target_that_hangs() {
+    let (dispatcher, directory) = (ZoneDispatcher::new(0), directory_of(4));
+    let gray = target(0);
+    let mut lost = 0;
+    // One request each 100 ms; a good answer takes 250 ms, and the gray target never answers.
+    let mut open: Vec<(MonoTime, DispatchGrant)> = Vec::new();
+    for tick in 0..60 {
+        let now = at(100 * tick);
+        let (done, rest): (Vec<_>, Vec<_>) = open.into_iter().partition(|(end, _)| *end <= now);
+        open = rest;
+        for (_, grant) in done {
+            release(&dispatcher, &grant, AttemptResult::Good, now);
+        }
+        let grant = grant(&dispatcher, &directory, &request(&tick.to_string()), now);
+        match grant.target == gray {
+            true => lost += 1,
+            false => open.push((now.after(Duration::from_millis(250)), grant)),
+        }
+    }
+    assert!(lost <= 2, "{lost} requests went to the target that hangs");
+}
+
+/// Guards against trying targets that nothing is known about with requests that must not run twice.
+#[test]
+fn proven_targets_go_first_and_idempotent_requests_try_the_others() {
+    let (dispatcher, directory) = (ZoneDispatcher::new(0), directory_of(2));
+    let first = grant(&dispatcher, &directory, &request("1"), at(0));
+    release(&dispatcher, &first, AttemptResult::Good, at(200));
+    let second = grant(&dispatcher, &directory, &request("2"), at(300));
+    assert_eq!(second.target, first.target);
+    let trial = grant(&dispatcher, &directory, &idempotent("3"), at(310));
+    assert_ne!(trial.target, first.target);
+}
+
+/// Guards against a new connection for each request, which targets count and the platform prices.
+#[test]
+fn connected_target_goes_before_others_that_are_as_good() {
+    let (dispatcher, directory) = (ZoneDispatcher::new(0), directory_of(5));
+    let ask = |number: u64| {
+        grant(
+            &dispatcher,
+            &directory,
+            &request(&number.to_string()),
+            at(0),
+        )
+    };
+    let grants: Vec<_> = (0..5).map(ask).collect();
+    for grant in &grants {
+        release(&dispatcher, grant, AttemptResult::Good, at(100));
+    }
+    let asked = AdmitRequest {
+        connected: vec![target(3)],
+        ..request("6")
+    };
+    assert_eq!(
+        grant(&dispatcher, &directory, &asked, at(300)).target,
+        target(3)
+    );
+}
+
+/// Guards against a target that is sent the same request twice.
+#[test]
+fn repeat_goes_to_another_target() {
+    let (dispatcher, directory) = (ZoneDispatcher::new(0), directory_of(2));
+    let first = grant(&dispatcher, &directory, &idempotent("1"), at(0));
+    let repeat = AdmitRequest {
+        is_repeat: true,
+        tried: vec![first.target.clone()],
+        ..idempotent("1")
+    };
+    assert_ne!(
+        grant(&dispatcher, &directory, &repeat, at(10)).target,
+        first.target
+    );
+    let repeat = AdmitRequest {
+        tried: vec![target(0), target(1)],
+        ..repeat
+    };
+    let answer = admit(&dispatcher, &directory, &repeat, at(20));
+    assert!(matches!(answer, PoolAnswer::Busy(_)));
+}
+
+/// Guards against a service without service: all of its targets fail, and every one is blocked.
+#[test]
+fn blocked_targets_get_work_when_most_are_blocked() {
+    let (dispatcher, directory) = (ZoneDispatcher::new(0), directory_of(4));
+    for number in 0..40 {
+        let now = at(100 * number);
+        let grant = grant(&dispatcher, &directory, &request(&number.to_string()), now);
+        release(&dispatcher, &grant, AttemptResult::Hung, now);
+    }
+}
+
+/// Guards against crashing cold targets: two dispatchers that do not know of each other send as often
+/// as each may, and no span of a second has more than the target bears by the platform's rule.
+#[test]
+fn cold_target_is_paced_also_by_two_dispatchers() {
+    let cold = TargetEntry {
+        cold_left: Duration::from_secs(3),
+        ..entry(0)
+    };
+    let directory = directory(vec![cold]);
+    let dispatchers = [ZoneDispatcher::new(0), ZoneDispatcher::new(0)];
+    let mut sent: Vec<u64> = Vec::new();
+    for millis in (0..3000).step_by(10) {
+        for dispatcher in &dispatchers {
+            let asked = request(&millis.to_string());
+            if let PoolAnswer::Granted(grant) = admit(dispatcher, &directory, &asked, at(millis)) {
+                release(dispatcher, &grant, AttemptResult::Good, at(millis));
+                sent.push(millis);
+            }
+        }
+    }
+    let most = sent
+        .iter()
+        .map(|&from| {
+            sent.iter()
+                .filter(|&&at| (from..from + 1000).contains(&at))
+                .count()
+        })
+        .max()
+        .unwrap_or(0);
+    // warmupPerS x 1.5 + 5, the bound of the platform.
+    assert!(most as f64 <= COLD_RATE * 1.5 + 5.0, "{most} in a second");
+    assert!(sent.len() >= 6, "a cold target gets some work");
+}
+
+/// Guards against a host that nobody follows sending to cold targets beside the dispatcher.
+#[test]
+fn host_without_followers_leaves_cold_targets_alone() {
+    let cold = TargetEntry {
+        cold_left: Duration::from_secs(3),
+        ..entry(0)
+    };
+    let (dispatcher, directory) = (ZoneDispatcher::new(0), directory(vec![cold]));
+    let alone = FleetShare {
+        is_followed: false,
+        ..WHOLE
+    };
+    let answer = dispatcher.admit(&request("1"), &config(), &directory, alone, at(0));
+    assert!(matches!(answer, PoolAnswer::Busy(_)));
+}
+
+/// Guards against a target that restarts under its name and keeps the trust of the process before it.
+#[test]
+fn restarted_target_starts_cold_and_without_trust() {
+    let dispatcher = ZoneDispatcher::new(0);
+    let before = directory_of(1);
+    let first = grant(&dispatcher, &before, &request("1"), at(0));
+    release(&dispatcher, &first, AttemptResult::Good, at(100));
+    let after = directory(vec![TargetEntry {
+        born: 2,
+        cold_left: Duration::from_secs(3),
+        ..entry(0)
+    }]);
+    let second = grant(&dispatcher, &after, &request("2"), at(200));
+    assert_eq!(second.trust, TargetTrust::Unknown);
+    let third = admit(&dispatcher, &after, &request("3"), at(210));
+    assert!(
+        matches!(third, PoolAnswer::Busy(_)),
+        "one request at a time"
+    );
+}
--- /dev/null
+++ b/crates/dispatch/tests/dispatcher/waiting.rs
@@ -0,0 +1,137 @@
+//! Who waits, who is refused, and who is served first.
+
+use crate::common::*;
+use chicorycroft_core::prelude::*;
+use chicorycroft_directory::prelude::*;
+use chicorycroft_dispatch::prelude::*;
+
+fn patient(id: &str, team: &str, priority: u8) -> AdmitRequest {
+    AdmitRequest {
+        team: Some(TeamId::new(team).unwrap()),
+        priority,
+        wait_millis: 1500,
+        ..request(id)
+    }
+}
+
+fn fill(
+    dispatcher: &ZoneDispatcher,
+    directory: &TargetDirectory,
+    team: &str,
+) -> Vec<DispatchGrant> {
+    let ask = |number: usize| patient(&number.to_string(), team, 1);
+    (0..2)
+        .map(|number| grant(dispatcher, directory, &ask(number), at(0)))
+        .collect()
+}
+
+fn ticket(answer: PoolAnswer) -> TicketNumber {
+    match answer {
+        PoolAnswer::Waiting(ticket) => ticket,
+        other => panic!("does not wait: {other:?}"),
+    }
+}
+
+/// Guards against a request that waits until its deadline passes though it could be known from the start
+/// that no slot becomes free in time: replays a flash of 100 requests at 2 slots.
+#[test]
+fn request_that_cannot_be_served_within_its_wait_is_refused_at_once() {
+    let (dispatcher, directory) = (ZoneDispatcher::new(0), directory_of(1));
+    fill(&dispatcher, &directory, "crowd");
+    let mut waiting = 0;
+    for number in 0..100 {
+        let asked = patient(&format!("w{number}"), "crowd", 1);
+        match admit(&dispatcher, &directory, &asked, at(1)) {
+            PoolAnswer::Waiting(_) => waiting += 1,
+            PoolAnswer::Busy(drain) => assert!(drain > asked.wait()),
+            other => panic!("{other:?}"),
+        }
+    }
+    // 1.5 s at 2 slots of 250 ms serve 12 requests.
+    assert_eq!(waiting, 12);
+}
+
+/// Guards against a team that sends many times its usual taking all slots: replays ten requests of one
+/// team before a single one of another.
+#[test]
+fn team_with_fewer_requests_under_way_goes_first() {
+    let (dispatcher, directory) = (ZoneDispatcher::new(0), directory_of(1));
+    let held = fill(&dispatcher, &directory, "crowd");
+    for number in 0..5 {
+        let asked = patient(&format!("w{number}"), "crowd", 1);
+        ticket(admit(&dispatcher, &directory, &asked, at(1)));
+    }
+    let small = ticket(admit(
+        &dispatcher,
+        &directory,
+        &patient("small", "weaver", 1),
+        at(2),
+    ));
+    let change = release(&dispatcher, &held[0], AttemptResult::Good, at(100));
+    assert_eq!(change.granted.len(), 1);
+    assert_eq!(change.granted[0].0, small);
+}
+
+/// Guards against urgent requests that wait behind less urgent ones.
+#[test]
+fn higher_rank_goes_first() {
+    let (dispatcher, directory) = (ZoneDispatcher::new(0), directory_of(1));
+    let held = fill(&dispatcher, &directory, "crowd");
+    ticket(admit(
+        &dispatcher,
+        &directory,
+        &patient("low", "a", 2),
+        at(1),
+    ));
+    let high = ticket(admit(
+        &dispatcher,
+        &directory,
+        &patient("high", "b", 0),
+        at(2),
+    ));
+    let change = release(&dispatcher, &held[0], AttemptResult::Good, at(100));
+    assert_eq!(change.granted[0].0, high);
+}
+
+/// Guards against a wait that ends without an answer.
+#[test]
+fn wait_that_is_over_is_told() {
+    let (dispatcher, directory) = (ZoneDispatcher::new(0), directory_of(1));
+    fill(&dispatcher, &directory, "crowd");
+    let waiting = ticket(admit(&dispatcher, &directory, &patient("1", "a", 1), at(1)));
+    assert!(dispatcher.serve_lines(at(1400)).expired.is_empty());
+    let change = dispatcher.serve_lines(at(1501));
+    assert_eq!(change.expired[0].0, waiting);
+}
+
+/// Guards against granting a slot to a caller that has left.
+#[test]
+fn request_that_left_the_line_gets_nothing() {
+    let (dispatcher, directory) = (ZoneDispatcher::new(0), directory_of(1));
+    let held = fill(&dispatcher, &directory, "crowd");
+    let waiting = ticket(admit(&dispatcher, &directory, &patient("1", "a", 1), at(1)));
+    dispatcher.cancel(&service(), Some(&zone()), waiting);
+    let change = release(&dispatcher, &held[0], AttemptResult::Good, at(100));
+    assert!(change.granted.is_empty());
+}
+
+/// Guards against repeats that double the load of a service that fails as a whole.
+#[test]
+fn repeats_stop_at_the_budget() {
+    let (dispatcher, config) = (ZoneDispatcher::new(0), config());
+    let repeat = AdmitRequest {
+        is_repeat: true,
+        ..request("1")
+    };
+    for number in 0..200 {
+        let first = request(&number.to_string());
+        assert!(
+            dispatcher
+                .charge(&first, &config, WHOLE, at(number))
+                .is_ok()
+        );
+    }
+    let granted = (0..200).filter(|_| dispatcher.charge(&repeat, &config, WHOLE, at(300)).is_ok());
+    // A tenth of 200 requests and one a second of the window.
+    assert_eq!(granted.count(), 30);
+}
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -75,17 +75,19 @@
     let mut options = Options::new();
     options.optflag("h", "help", "print this help");
     options.optopt("s", "settings", "settings file of the platform", "FILE");
-    let brief = "Usage: chicorycroft-gateway [--settings FILE]\n\nRuns one gateway process. Without \
-                 --settings the file is named by CHICORYCROFT_SETTINGS.";
+    let brief = format!(
+        "Usage: chicorycroft-gateway [--settings FILE]\n\nRuns one gateway process. Without --settings the \
+         file is named by {PATH_VARIABLE}."
+    );
     let matches = match options.parse(std::env::args().skip(1)) {
         Ok(matches) => matches,
         Err(error) => {
-            eprintln!("chicorycroft-gateway: {error}\n\n{}", options.usage(brief));
+            eprintln!("chicorycroft-gateway: {error}\n\n{}", options.usage(&brief));
             return ExitCode::from(EXIT_USAGE);
         }
     };
     if matches.opt_present("h") {
-        println!("{}", options.usage(brief));
+        println!("{}", options.usage(&brief));
         return ExitCode::SUCCESS;
     }
     let path = matches
