--- /dev/null
+++ b/crates/gateway/tests/gateway/setting.rs
@@ -0,0 +1,155 @@
+//! A gateway with its store, targets and callers.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use chicorycroft_adapter::prelude::*;
+use chicorycroft_core::prelude::*;
+use chicorycroft_gateway::prelude::*;
+use chicorycroft_platform_standin::prelude::*;
+use serde_json::{
+    Value,
+    json, //
+};
+use tokio::{
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::TcpStream,
+    time::{
+        Instant,
+        sleep,
+        timeout, //
+    },
+};
+
+/// Longest time that a test waits for something that must come.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// A gateway with a store and targets of one service.
+pub(crate) struct TestSetting {
+    pub(crate) store: StoreStandIn,
+    pub(crate) targets: Vec<TargetStandIn>,
+    pub(crate) host: GatewayHost,
+}
+
+/// An answer as a caller reads it.
+#[derive(Debug)]
+pub(crate) struct CallerAnswer {
+    pub(crate) status: u16,
+    pub(crate) head: String,
+    pub(crate) body: String,
+}
+
+/// Returns a configuration with a route for each kind of request.
+pub(crate) fn config(version: u64, keys: &[&str]) -> Value {
+    let route = |prefix: &str, kind: &str, is_public: bool| {
+        json!({"host": "shop.example", "prefix": prefix, "kind": kind, "timeoutS": 1.0,
+               "targetLatencyS": 0.8, "priority": 1, "service": "rate", "maxAttempts": 2, "public": is_public})
+    };
+    json!({
+        "version": version,
+        "routes": {
+            "look": route("/look/", "safe", false),
+            "buy": route("/buy/", "unsafe", false),
+            "open": route("/open/", "safe", true),
+        },
+        "services": {"rate": {"healthPath": "/healthz", "maxConns": 390, "warmupS": 3.0, "warmupPerS": 2.5}},
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1000000, "headerTimeoutS": 3, "idleTimeoutS": 15},
+        "tenants": {"weavers": {"apiKeys": keys, "priority": 1, "ratePerS": 0, "burst": 0}},
+    })
+}
+
+impl TestSetting {
+    /// Starts a gateway before a number of targets, and waits until it serves.
+    pub(crate) async fn new(target_count: usize) -> Self {
+        Self::with_revoke_bound(target_count, Duration::from_secs(5)).await
+    }
+
+    /// Starts a gateway with another bound for withdrawn keys.
+    pub(crate) async fn with_revoke_bound(target_count: usize, revoke_bound: Duration) -> Self {
+        let store = StoreStandIn::start().await.unwrap();
+        store.put("op/config", &config(1, &["key-1"]));
+        let mut targets = Vec::new();
+        for number in 0..target_count {
+            let target = TargetStandIn::start(&format!("t-{number}")).await.unwrap();
+            store.put(&target.key(), &target.entry("rate", "a", "ready"));
+            targets.push(target);
+        }
+        let free: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        let settings = GatewaySettings {
+            host: HostId::new("edge-1").unwrap(),
+            zone: ZoneId::new("a").unwrap(),
+            zone_count: 1,
+            seeds: Vec::new(),
+            caller_listen: free,
+            ready_listen: free,
+            peer_listen: free,
+            store: store.address(),
+            stop_limit: Duration::from_secs(6),
+            revoke_bound,
+        };
+        let host = GatewayHost::start(settings, GatewayClock::new())
+            .await
+            .unwrap();
+        let setting = Self {
+            store,
+            targets,
+            host,
+        };
+        setting
+            .until(|host| {
+                let directory = host.state().knowledge.directory();
+                host.state().is_ready() && directory.targets.len() == target_count
+            })
+            .await;
+        setting
+    }
+
+    /// Waits until the gateway has come to a state.
+    pub(crate) async fn until(&self, is_there: impl Fn(&GatewayHost) -> bool) {
+        let end = Instant::now() + PATIENCE;
+        while !is_there(&self.host) {
+            assert!(
+                Instant::now() < end,
+                "the gateway does not come to this state"
+            );
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Sends a request and reads the answer.
+    pub(crate) async fn call(&self, line: &str, key: &str, body: &str) -> CallerAnswer {
+        call(self.host.caller_address(), line, key, body).await
+    }
+
+    /// Returns all requests that reached a target.
+    pub(crate) fn seen(&self) -> Vec<SeenRequest> {
+        self.targets.iter().flat_map(TargetStandIn::seen).collect()
+    }
+}
+
+/// Sends a request over a connection of its own.
+pub(crate) async fn call(address: SocketAddr, line: &str, key: &str, body: &str) -> CallerAnswer {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let head = format!(
+        "{line} HTTP/1.1\r\nhost: shop.example\r\nx-request-id: id-1\r\nx-deadline-ms: 3000\r\n\
+         authorization: Bearer {key}\r\nx-tenant: admin\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream.write_all(body.as_bytes()).await.unwrap();
+    let mut text = Vec::new();
+    let read = timeout(PATIENCE, stream.read_to_end(&mut text)).await;
+    read.expect("an answer comes in time").unwrap();
+    let text = String::from_utf8(text).unwrap();
+    let (head, body) = text.split_once("\r\n\r\n").expect("a whole head");
+    CallerAnswer {
+        status: head[9..12].parse().unwrap(),
+        head: head.to_owned(),
+        body: body.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/stops.rs
@@ -0,0 +1,30 @@
+//! Planned stops.
+
+use std::time::Duration;
+
+use chicorycroft_platform_standin::prelude::*;
+
+use crate::setting::{
+    TestSetting,
+    call, //
+};
+
+/// Guards against a planned stop that cuts a request under way or one that comes before the balancer has
+/// noticed.
+#[tokio::test]
+async fn planned_stop_cuts_no_request() {
+    let setting = TestSetting::new(1).await;
+    let work = Duration::from_millis(600);
+    setting.targets[0].set_acts(vec![TargetAct::Answer(work); 2]);
+    let address = setting.host.caller_address();
+    let state = setting.host.state().clone();
+    let under_way = tokio::spawn(call(address, "POST /buy/1", "key-1", "x"));
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let stop = tokio::spawn(setting.host.stop());
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert!(!state.is_ready());
+    let late = call(address, "POST /buy/2", "key-1", "x").await;
+    assert_eq!((late.status, under_way.await.unwrap().status), (200, 200));
+    assert!(late.head.contains("connection: close"));
+    assert!(stop.await.unwrap(), "all requests ended within the limit");
+}
