--- a/crates/dispatch/tests/dispatcher/placing.rs
+++ b/crates/dispatch/tests/dispatcher/placing.rs
@@ -173,7 +173,7 @@
         })
         .max()
         .unwrap_or(0);
-    // warmupPerS x 1.5 + 5, the bound of the platform.
+    // The platform allows its cold rate x 1.5 + 5 in a second.
     assert!(most as f64 <= COLD_RATE * 1.5 + 5.0, "{most} in a second");
     assert!(sent.len() >= 6, "a cold target gets some work");
 }
