Send one request at a time after a target closed a kept connection

Change: the connections to a target call back when the target closes one that was kept, and the slots go back to one request until a later one is answered.

--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -61,7 +61,7 @@
     /// Who owns which target.
     pub owners: OwnerTable,
     /// Slots of owned targets.
-    pub slots: SlotPool,
+    pub slots: Arc<SlotPool>,
     /// Requests that wait for a slot.
     pub desk: SlotDesk,
     /// Load of targets as their owners report it.
@@ -128,7 +128,7 @@
             ledger: TokenLedger::new(host, incarnation, now),
             broker: TokenBroker::new(zone, SMALL_FLEET, now),
             draws: DrawBell::new(),
-            slots: SlotPool::new(),
+            slots: Arc::new(SlotPool::new()),
             desk: SlotDesk::new(),
             chooser: TargetChooser::new(),
             health: HealthDesk::new(),
@@ -347,7 +347,9 @@
         let slots = service.map_or(0, |service| usize::from(service.slots.get()));
         let most = service.map_or(usize::MAX, |service| service.connections as usize);
         let wanted = (slots + SPARE_CONNECTIONS).min(most);
-        Arc::new(TargetClient::new(target.address, wanted))
+        let (pool, id) = (self.slots.clone(), target.id.clone());
+        let client = TargetClient::new(target.address, wanted);
+        Arc::new(client.with_on_lost(move || pool.on_connection_lost(&id)))
     }
 
     /// Returns a number that no other request of this process has, and with a high probability none
--- a/crates/placement/src/slots.rs
+++ b/crates/placement/src/slots.rs
@@ -291,6 +291,13 @@
         });
     }
 
+    /// Notes that a target closed a connection that was kept for later requests. It may have restarted,
+    /// and gets one request at once until a later one is answered.
+    pub fn on_connection_lost(&self, target: &TargetId) {
+        self.targets
+            .with(target, |slots| slots.lost_at = Some(slots.last_number));
+    }
+
     /// Gives a slot back and learns from the outcome. The outcome of a permit from before the last
     /// cold start tells nothing about the target as it is now.
     pub fn release(&self, permit: SlotPermit, outcome: AttemptOutcome, now: MonoTime) {
--- a/crates/placement/tests/slots.rs
+++ b/crates/placement/tests/slots.rs
@@ -125,6 +125,22 @@
     assert_eq!(limit(&pool), 2);
 }
 
+/// Guards against two requests at once at a target that restarted between two requests: its port was open
+/// again before the next one, so that only the kept connections tell of the restart.
+#[test]
+fn lost_kept_connection_leaves_one_request_until_an_answer() {
+    let pool = warmed(2);
+    let older = pool
+        .try_acquire(&target(), DEADLINE, MonoTime::START)
+        .unwrap();
+    pool.on_connection_lost(&target());
+    assert_eq!(limit(&pool), 1);
+    pool.release(older, AttemptOutcome::Good, MonoTime::START);
+    assert_eq!(limit(&pool), 1);
+    run(&pool, AttemptOutcome::Good);
+    assert_eq!(limit(&pool), 2);
+}
+
 /// Guards against two requests at once at a target that says that it is cold: good answers in a row
 /// raised its limit before it was warm.
 #[test]
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -5,6 +5,7 @@
 //! the next request, and the target would go on with work that nobody waits for.
 
 use std::{
+    fmt,
     net::SocketAddr,
     sync::{
         Arc,
@@ -218,13 +219,25 @@
     }
 }
 
+/// Is called when the target closes a kept connection.
+type LostCall = Arc<dyn Fn() + Send + Sync>;
+
 /// Connections to one target.
-#[derive(Debug)]
 pub struct TargetClient {
     address: SocketAddr,
     protocol: TargetProtocol,
     permits: Arc<Semaphore>,
     idle: Mutex<Vec<TargetConnection>>,
+    on_lost: Option<LostCall>,
+}
+
+impl fmt::Debug for TargetClient {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("TargetClient")
+            .field("address", &self.address)
+            .field("protocol", &self.protocol)
+            .finish_non_exhaustive()
+    }
 }
 
 impl TargetClient {
@@ -235,9 +248,16 @@
             protocol: TargetProtocol::Http1,
             permits: Arc::new(Semaphore::new(connections_max)),
             idle: Mutex::new(Vec::new()),
+            on_lost: None,
         }
     }
 
+    /// Calls a closure when the target closes a connection that was kept for later requests.
+    pub fn with_on_lost(mut self, on_lost: impl Fn() + Send + Sync + 'static) -> Self {
+        self.on_lost = Some(Arc::new(on_lost));
+        self
+    }
+
     /// Makes the client speak another protocol than HTTP/1.1.
     ///
     /// An HTTP/2 connection too carries one request at a time: closing it must hit no other one.
@@ -290,7 +310,16 @@
         let tasks = TaskGroup::new(permit);
         let idle_since = watch::Sender::new(None);
         let expired = idle_expired(idle_since.subscribe());
-        let sender = TargetSender::start(self.protocol, stream, &tasks, expired)
+        let (is_kept, on_lost) = (idle_since.subscribe(), self.on_lost.clone());
+        let on_ended = move || {
+            if is_kept.borrow().is_some()
+                && let Some(on_lost) = on_lost
+            {
+                on_lost();
+            }
+        };
+        let ends = (expired, on_ended);
+        let sender = TargetSender::start(self.protocol, stream, &tasks, ends)
             .await
             .map_err(|_| AttemptError::NotWritten)?;
         Ok(TargetConnection {
--- a/crates/proxy/src/target_sender.rs
+++ b/crates/proxy/src/target_sender.rs
@@ -57,12 +57,16 @@
 }
 
 impl TargetSender {
-    /// Starts a protocol on a socket. It runs in `tasks` and ends with `expired`.
+    /// Starts a protocol on a socket. It runs in `tasks` and ends with `expired`; when the target ends
+    /// it, `on_ended` is called.
     pub(crate) async fn start(
         protocol: TargetProtocol,
         stream: MeteredStream,
         tasks: &TaskGroup,
-        expired: impl Future<Output = ()> + Send + 'static,
+        ends: (
+            impl Future<Output = ()> + Send + 'static,
+            impl FnOnce() + Send + 'static,
+        ),
     ) -> hyper::Result<Self> {
         let stream = TokioIo::new(stream);
         Ok(match protocol {
@@ -70,7 +74,7 @@
                 let mut builder = http1::Builder::new();
                 let handshake = builder.max_buf_size(BUFFER_MAX).handshake(stream);
                 let (sender, connection) = handshake.await?;
-                tasks.spawn(run(connection, expired));
+                tasks.spawn(run(connection, ends));
                 Self::Http1(sender)
             }
             TargetProtocol::Http2 => {
@@ -81,7 +85,7 @@
                     .max_header_list_size(HEAD_BYTES_MAX)
                     .max_send_buf_size(BUFFER_MAX);
                 let (sender, connection) = builder.handshake(stream).await?;
-                tasks.spawn(run(connection, expired));
+                tasks.spawn(run(connection, ends));
                 Self::Http2(sender)
             }
         })
@@ -110,12 +114,15 @@
 
 async fn run<E: std::error::Error>(
     connection: impl Future<Output = Result<(), E>>,
-    expired: impl Future<Output = ()>,
+    (expired, on_ended): (impl Future<Output = ()>, impl FnOnce()),
 ) {
     tokio::select! {
-        ended = connection => if let Err(error) = ended {
-            log::debug!("event=target_connection_ended error=\"{error}\"");
-        },
+        ended = connection => {
+            on_ended();
+            if let Err(error) = ended {
+                log::debug!("event=target_connection_ended error=\"{error}\"");
+            }
+        }
         () = expired => {}
     }
 }
