Let a host that lost its path to a target go round it alone

Change: a host leaves a target out for 3 s after no connection came about, two reports block it, a connection may take 150 ms, and an attempt that reached nobody does not count as sent.

--- a/crates/dispatch/src/evidence.rs
+++ b/crates/dispatch/src/evidence.rs
@@ -22,8 +22,8 @@
 /// older answer says little.
 const PROVEN_FOR: Duration = Duration::from_millis(3000);
 
-/// Suspicion, in hundredths, from which a target is blocked: a hang, a refused connection, or two
-/// broken answers without good ones between them.
+/// Suspicion, in hundredths, from which a target is blocked: a hang, or two failures of
+/// another kind without good answers between them.
 const BLOCK_AT: u32 = 150;
 
 /// Part of the suspicion, in hundredths, that stays after a good answer.
@@ -80,7 +80,9 @@
         AttemptResult::Failed => 70,
         AttemptResult::Shed => 50,
         AttemptResult::Broken => 90,
-        AttemptResult::Hung | AttemptResult::Unreachable | AttemptResult::Misdirected => BLOCK_AT,
+        // One host may have lost its path; two that fail to connect speak against the target.
+        AttemptResult::Unreachable => 80,
+        AttemptResult::Hung | AttemptResult::Misdirected => BLOCK_AT,
     }
 }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`messages`]: what hosts ask a dispatcher and what it answers.
 //! - [`evidence`]: what the answers of a target say about it.
 //! - [`pacer`]: how often a cold target gets a request.
+//! - [`path_memory`]: targets that one host could not reach.
 //! - [`target_slots`]: the slots of one target.
 //! - [`waiting_line`]: requests that wait for a slot.
 //! - [`service_pool`]: the targets of a service in a zone, and the choice among them.
@@ -17,6 +18,7 @@
 pub mod evidence;
 pub mod messages;
 pub mod pacer;
+pub mod path_memory;
 pub mod service_pool;
 pub mod target_slots;
 pub mod team_bucket;
@@ -43,6 +45,7 @@
             TeamUsage,
             TicketNumber, //
         },
+        path_memory::PathMemory,
         service_pool::{
             LineChange,
             PoolAnswer, //
--- a/crates/dispatch/tests/dispatcher/placing.rs
+++ b/crates/dispatch/tests/dispatcher/placing.rs
@@ -214,3 +214,25 @@
         "one request at a time"
     );
 }
+
+/// Guards against a target that no host uses any more because one host lost its path to it.
+#[test]
+fn lost_path_of_one_host_blocks_no_target() {
+    let (dispatcher, directory) = (ZoneDispatcher::new(0), directory_of(1));
+    let first = grant(&dispatcher, &directory, &request("1"), at(0));
+    release(&dispatcher, &first, AttemptResult::Unreachable, at(150));
+    let second = grant(&dispatcher, &directory, &request("2"), at(200));
+    assert_eq!(second.trust, TargetTrust::Doubtful);
+    release(&dispatcher, &second, AttemptResult::Unreachable, at(350));
+    let third = admit(&dispatcher, &directory, &request("3"), at(400));
+    assert!(matches!(third, PoolAnswer::Busy(_)), "two reports block it");
+}
+
+/// Guards against a host that tries a target again and again that it cannot reach.
+#[test]
+fn host_leaves_out_targets_that_it_could_not_reach() {
+    let paths = PathMemory::new();
+    paths.on_unreachable(&target(1), at(0));
+    assert_eq!(paths.avoided(at(2900)), [target(1)]);
+    assert!(paths.avoided(at(3000)).is_empty());
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -38,9 +38,9 @@
     target_connections::TargetConnection, //
 };
 
-/// Longest time that a new connection may take; one takes about 1 ms, and a lost opening packet is sent
-/// again only after a second.
-const CONNECT_MAX: Duration = Duration::from_millis(400);
+/// Longest time that a new connection may take. One takes about 1 ms and a crossing of zones 3 ms; a lost
+/// opening packet is sent again only after a second, and the request is better sent elsewhere.
+const CONNECT_MAX: Duration = Duration::from_millis(150);
 
 /// Longest wait for the rest of a request whose answer came early; after it the connection is closed.
 const KEEP_WAIT: Duration = Duration::from_secs(2);
--- a/crates/gateway/src/permit_service.rs
+++ b/crates/gateway/src/permit_service.rs
@@ -6,6 +6,7 @@
 };
 
 use chicorycroft_core::prelude::*;
+use chicorycroft_directory::prelude::*;
 use chicorycroft_dispatch::{
     dispatcher::AdmitRefusal,
     prelude::*, //
@@ -49,11 +50,12 @@
     let charged = state.dispatcher.charge(request, config, share, now);
     if let Err(refusal) = charged {
         log::info!(
-            "event=permit_refused id={} service={} team={} reason={refusal:?} share={}",
+            "event=permit_refused id={} service={} team={} reason={refusal:?} share={} {}",
             request.request,
             request.service,
             request.team.as_ref().map_or("-", TeamId::as_str),
-            share.part
+            share.part,
+            describe_limit(config, request)
         );
         return match refusal {
             AdmitRefusal::OverRate(wait) => AdmitAnswer::OverRate {
@@ -85,6 +87,14 @@
     }
 }
 
+/// Returns the limit of a request's team as pairs for a log line.
+fn describe_limit(config: &GatewayConfig, request: &AdmitRequest) -> String {
+    let terms = request.team.as_ref().and_then(|team| config.team(team));
+    let rate = terms.and_then(|terms| terms.rate).unwrap_or_default();
+    let burst = terms.map(|terms| terms.burst).unwrap_or_default();
+    format!("version={} rate={rate} burst={burst}", config.version())
+}
+
 fn log_grant(request: &AdmitRequest, grant: &DispatchGrant, share: FleetShare, waited: Duration) {
     log::info!(
         "event=permit_granted id={} permit={} target={} trust={} service={} team={} charged={} \
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -29,6 +29,9 @@
     state::GatewayState,
 };
 
+/// Most targets that are tried for one request, those included that could not be reached.
+const PLACED_MAX: u32 = 5;
+
 /// What is fixed about a request before its first attempt.
 #[derive(Clone, Debug)]
 pub struct RequestPlan {
@@ -66,6 +69,7 @@
     plan: RequestPlan,
     tried: Vec<TargetId>,
     sent_count: u32,
+    placed_count: u32,
     open_count: u32,
     is_charged: bool,
     proof: RunProof,
@@ -83,6 +87,7 @@
             plan,
             tried: Vec::new(),
             sent_count: 0,
+            placed_count: 0,
             open_count: 0,
             is_charged: false,
             proof: RunProof::NotRun,
@@ -100,6 +105,10 @@
 
     fn close(&mut self, outcome: &ExchangeOutcome) {
         self.open_count -= 1;
+        // Nothing reached the target.
+        if outcome.result == AttemptResult::Unreachable {
+            self.sent_count -= 1;
+        }
         self.proof = self.proof.join(outcome.proof);
     }
 
@@ -123,10 +132,17 @@
             wait_millis: millis(wait),
             left_millis: millis(self.budget().left),
             connected: self.state.connections.connected(self.state.now()),
-            tried: self.tried.clone(),
+            tried: self.left_out(),
         }
     }
 
+    /// Returns the targets that this request does not go to.
+    fn left_out(&self) -> Vec<TargetId> {
+        let mut left_out = self.state.paths.avoided(self.state.now());
+        left_out.extend(self.tried.iter().cloned());
+        left_out
+    }
+
     /// Finds a target: in the own zone, in the others, after a wait in the own zone, and last by the
     /// rules of this host alone.
     async fn place(&mut self, may_wait: bool) -> Result<Placement, AdmitAnswer> {
@@ -222,7 +238,7 @@
     /// Runs the request to its end.
     pub async fn run(&mut self) -> RunEnd {
         loop {
-            let is_first = self.sent_count == 0;
+            let is_first = self.placed_count == 0;
             let (permit, entry) = match self.place(is_first).await {
                 Ok(placement) => placement,
                 Err(refusal) => return self.give_up(&refusal),
@@ -237,7 +253,8 @@
                 self.last_response = outcome.response;
             }
             let is_repeatable = self.plan.is_idempotent || self.proof() == RunProof::NotRun;
-            let has_more = self.sent_count < self.plan.attempts_max;
+            let has_more =
+                self.sent_count < self.plan.attempts_max && self.placed_count < PLACED_MAX;
             if is_final || !is_repeatable || !has_more {
                 return self.finish();
             }
@@ -295,6 +312,7 @@
         entry: TargetEntry,
     ) -> impl Future<Output = ExchangeOutcome> + use<> {
         self.sent_count += 1;
+        self.placed_count += 1;
         self.open_count += 1;
         self.tried.push(entry.id.clone());
         let (state, plan) = (self.state.clone(), self.plan.clone());
@@ -311,6 +329,9 @@
                 permit.elapsed().as_millis(),
                 left().as_millis()
             );
+            if outcome.result == AttemptResult::Unreachable {
+                state.paths.on_unreachable(&entry.id, state.now());
+            }
             permit.settle(outcome.result);
             outcome
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -74,6 +74,8 @@
     pub peers: PeerClient,
     /// Connections to targets.
     pub connections: TargetConnections,
+    /// Targets that this host could not reach lately.
+    pub paths: PathMemory,
     /// Counters and histograms.
     pub metrics: GatewayMetrics,
     /// Room for request bodies, in KiB.
@@ -105,6 +107,7 @@
             tickets: ShardMap::new(),
             peers: PeerClient::new(),
             connections: TargetConnections::new(),
+            paths: PathMemory::new(),
             metrics,
             body_room: Arc::new(Semaphore::new(BODY_KIB_MAX)),
             followers: ShardMap::new(),
