Ask all zones for trusted targets before taking a doubtful one

Change: a request first asks for targets that are proven or unknown, in its own zone and then in the others; repeats and requests count when a permit is granted; repeats have terms of the platform.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,8 +1,11 @@
 //! Joins pools, buckets and budgets for all services and teams.
 
-use std::sync::atomic::{
-    AtomicU64,
-    Ordering, //
+use std::{
+    sync::atomic::{
+        AtomicU64,
+        Ordering, //
+    },
+    time::Duration,
 };
 
 use chicorycroft_core::prelude::*;
@@ -12,6 +15,7 @@
 use crate::{
     messages::{
         AdmitRequest,
+        AttemptResult,
         ReleaseNotice,
         TeamUsage,
         TicketNumber, //
@@ -33,14 +37,12 @@
     pub is_followed: bool,
 }
 
-/// Why a dispatcher refuses a request before it looks for a target.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum AdmitRefusal {
-    /// The team is over its rate.
-    OverRate(std::time::Duration),
-    /// The service was sent as many repeats as its budget allows.
-    NoBudget,
-}
+/// Repeats of a service at one dispatcher: with three zones, 15 in a hundred and 39 in ten seconds, below the
+/// fifth and the 56 that the platform allows.
+const REPEAT_TERMS: BudgetTerms = BudgetTerms {
+    requests_per_retry: 7,
+    free_retries: 13,
+};
 
 type PoolKey = (ServiceId, Option<ZoneId>);
 
@@ -59,6 +61,7 @@
     pub fn new(seed: u64) -> Self {
         Self {
             numbers: AtomicU64::new(seed),
+            repeats: RetryBudget::new().with_terms(REPEAT_TERMS),
             ..Self::default()
         }
     }
@@ -67,34 +70,29 @@
         self.numbers.fetch_add(1, Ordering::Relaxed)
     }
 
-    /// Charges a team for a request, and the service for a repeat.
+    /// Charges a team for a request.
     ///
     /// # Errors
     ///
-    /// Fails when the team is over its rate or the service over its budget.
+    /// Fails with the time to come back when the team is over its rate.
     pub fn charge(
         &self,
         request: &AdmitRequest,
         config: &GatewayConfig,
         share: FleetShare,
         now: MonoTime,
-    ) -> Result<(), AdmitRefusal> {
-        if let Some(team) = &request.charged
-            && let Some(terms) = config.team(team)
-            && let Some(rate) = terms.rate
-        {
-            let take =
-                |bucket: &mut TeamBucket| bucket.try_take(rate, terms.burst, share.part, now);
-            self.buckets
-                .with_or_insert(team, TeamBucket::new, take)
-                .map_err(AdmitRefusal::OverRate)?;
-        }
-        if !request.is_repeat {
-            self.repeats.record_request(&request.service, now);
-        } else if !self.repeats.try_spend(&request.service, now) {
-            return Err(AdmitRefusal::NoBudget);
-        }
-        Ok(())
+    ) -> Result<(), Duration> {
+        let Some(team) = &request.charged else {
+            return Ok(());
+        };
+        let terms = config.team(team);
+        let Some((rate, burst)) = terms.and_then(|terms| Some((terms.rate?, terms.burst))) else {
+            return Ok(());
+        };
+        self.buckets
+            .with_or_insert(team, TeamBucket::new, |bucket| {
+                bucket.try_take(rate, burst, share.part, now)
+            })
     }
 
     /// Finds a target for a request, or lets it wait.
@@ -109,11 +107,36 @@
         let terms = config.service(&request.service);
         let cold_rate = terms.map_or(RequestRate::ZERO, |terms| terms.cold_rate);
         let key = (request.service.clone(), request.zone.clone());
-        self.pools.with_or_insert(&key, ServicePool::new, |pool| {
+        let answer = self.pools.with_or_insert(&key, ServicePool::new, |pool| {
             let scope = (&request.service, request.zone.as_ref());
             pool.update(directory, scope, (cold_rate, share.is_followed), now);
             pool.admit(request, || self.next_number(), now)
-        })
+        });
+        self.count(request, answer, now)
+    }
+
+    /// Counts a request that is sent, and takes a repeat back that the budget does not allow.
+    fn count(&self, request: &AdmitRequest, answer: PoolAnswer, now: MonoTime) -> PoolAnswer {
+        let PoolAnswer::Granted(grant) = &answer else {
+            return answer;
+        };
+        if !request.is_repeat {
+            self.repeats.record_request(&request.service, now);
+            return answer;
+        }
+        if self.repeats.try_spend(&request.service, now) {
+            return answer;
+        }
+        let notice = ReleaseNotice {
+            service: request.service.clone(),
+            zone: request.zone.clone(),
+            target: grant.target.clone(),
+            permit: grant.permit,
+            result: AttemptResult::Cancelled,
+            elapsed_millis: 0,
+        };
+        self.release(&notice, now);
+        PoolAnswer::NoBudget
     }
 
     /// Takes a permit back and serves those that wait; tells whether the target is newly blocked.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -35,6 +35,7 @@
             FleetShare,
             ZoneDispatcher, //
         },
+        evidence::TargetTrust,
         messages::{
             AdmitAnswer,
             AdmitRequest,
--- a/crates/dispatch/src/messages.rs
+++ b/crates/dispatch/src/messages.rs
@@ -86,6 +86,8 @@
     pub left_millis: u32,
     /// Targets to which the host holds an idle connection.
     pub connected: Vec<TargetId>,
+    /// Least trust that a target must have.
+    pub trust: TargetTrust,
     /// Targets that the request was sent to before.
     pub tried: Vec<TargetId>,
 }
@@ -129,6 +131,8 @@
     Busy {
         /// Time after which a repeat may pass, in milliseconds.
         retry_millis: u32,
+        /// Whether a target of less trust than asked for has a slot.
+        has_lesser: bool,
     },
     /// The service has no target here that takes work.
     NoTarget,
--- a/crates/dispatch/src/service_pool.rs
+++ b/crates/dispatch/src/service_pool.rs
@@ -47,8 +47,15 @@
     Granted(DispatchGrant),
     /// It waits.
     Waiting(TicketNumber),
-    /// No slot becomes free in time; one may be free after this time.
-    Busy(Duration),
+    /// No slot becomes free in time.
+    Busy {
+        /// Time after which one may be free.
+        drain: Duration,
+        /// Whether a target of less trust than asked for has a slot.
+        has_lesser: bool,
+    },
+    /// The service was sent as many repeats as its budget allows.
+    NoBudget,
     /// No target takes work.
     NoTarget,
 }
@@ -146,7 +153,14 @@
         }
         let drain = self.drain_time(request.priority);
         if request.wait_millis == 0 || drain > request.wait() {
-            return PoolAnswer::Busy(drain);
+            let lesser = AdmitRequest {
+                trust: TargetTrust::Blocked,
+                ..request.clone()
+            };
+            return PoolAnswer::Busy {
+                drain,
+                has_lesser: self.choose(&lesser, now).is_some(),
+            };
         }
         let ticket = TicketNumber::new(next_number());
         self.line.push(ticket, request.clone(), now);
@@ -196,7 +210,8 @@
                 && (self.may_use_cold || !target.is_cold(now))
                 && !request.tried.contains(id);
             let trust = target.trust(stuck_after, now);
-            let is_allowed = trust != TargetTrust::Blocked || may_use_blocked;
+            let is_allowed =
+                trust <= request.trust && (trust != TargetTrust::Blocked || may_use_blocked);
             let rank = self.rank(request, (id, target), trust, now);
             (is_usable && is_allowed).then_some((rank, id, trust))
         });
--- a/crates/dispatch/tests/dispatcher/common.rs
+++ b/crates/dispatch/tests/dispatcher/common.rs
@@ -94,6 +94,7 @@
         wait_millis: 0,
         left_millis: 3000,
         connected: Vec::new(),
+        trust: TargetTrust::Blocked,
         tried: Vec::new(),
     }
 }
--- a/crates/gateway/src/permit_service.rs
+++ b/crates/gateway/src/permit_service.rs
@@ -7,10 +7,7 @@
 
 use chicorycroft_core::prelude::*;
 use chicorycroft_directory::prelude::*;
-use chicorycroft_dispatch::{
-    dispatcher::AdmitRefusal,
-    prelude::*, //
-};
+use chicorycroft_dispatch::prelude::*;
 use tokio::sync::oneshot;
 
 use crate::state::GatewayState;
@@ -47,21 +44,10 @@
         return AdmitAnswer::NoTarget;
     };
     let (now, share, config) = (state.now(), state.share(), index.config());
-    let charged = state.dispatcher.charge(request, config, share, now);
-    if let Err(refusal) = charged {
-        log::info!(
-            "event=permit_refused id={} service={} team={} reason={refusal:?} share={} {}",
-            request.request,
-            request.service,
-            request.team.as_ref().map_or("-", TeamId::as_str),
-            share.part,
-            describe_limit(config, request)
-        );
-        return match refusal {
-            AdmitRefusal::OverRate(wait) => AdmitAnswer::OverRate {
-                retry_millis: millis(wait),
-            },
-            AdmitRefusal::NoBudget => AdmitAnswer::NoBudget,
+    if let Err(wait) = state.dispatcher.charge(request, config, share, now) {
+        log_refusal(request, config, share, "over-rate");
+        return AdmitAnswer::OverRate {
+            retry_millis: millis(wait),
         };
     }
     let directory = state.knowledge.directory();
@@ -74,9 +60,14 @@
             AdmitAnswer::Granted(grant)
         }
         PoolAnswer::NoTarget => AdmitAnswer::NoTarget,
-        PoolAnswer::Busy(drain) => AdmitAnswer::Busy {
+        PoolAnswer::Busy { drain, has_lesser } => AdmitAnswer::Busy {
             retry_millis: millis(drain),
+            has_lesser,
         },
+        PoolAnswer::NoBudget => {
+            log_refusal(request, config, share, "no-budget");
+            AdmitAnswer::NoBudget
+        }
         PoolAnswer::Waiting(ticket) => {
             let answer = wait(state, request, ticket).await;
             if let AdmitAnswer::Granted(grant) = &answer {
@@ -87,12 +78,18 @@
     }
 }
 
-/// Returns the limit of a request's team as pairs for a log line.
-fn describe_limit(config: &GatewayConfig, request: &AdmitRequest) -> String {
+fn log_refusal(request: &AdmitRequest, config: &GatewayConfig, share: FleetShare, reason: &str) {
     let terms = request.team.as_ref().and_then(|team| config.team(team));
-    let rate = terms.and_then(|terms| terms.rate).unwrap_or_default();
-    let burst = terms.map(|terms| terms.burst).unwrap_or_default();
-    format!("version={} rate={rate} burst={burst}", config.version())
+    log::info!(
+        "event=permit_refused id={} service={} team={} reason={reason} share={} version={} rate={} burst={}",
+        request.request,
+        request.service,
+        request.team.as_ref().map_or("-", TeamId::as_str),
+        share.part,
+        config.version(),
+        terms.and_then(|terms| terms.rate).unwrap_or_default(),
+        terms.map(|terms| terms.burst).unwrap_or_default()
+    );
 }
 
 fn log_grant(request: &AdmitRequest, grant: &DispatchGrant, share: FleetShare, waited: Duration) {
@@ -129,6 +126,7 @@
         Ok(Ok(answer)) => answer,
         _ => AdmitAnswer::Busy {
             retry_millis: request.wait_millis,
+            has_lesser: false,
         },
     }
 }
@@ -147,7 +145,10 @@
         let retry_millis = millis(drain);
         if let Some(sender) = state.tickets.remove(&ticket) {
             // The host may have left meanwhile.
-            let _ = sender.send(AdmitAnswer::Busy { retry_millis });
+            let _ = sender.send(AdmitAnswer::Busy {
+                retry_millis,
+                has_lesser: false,
+            });
         }
     }
 }
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -62,6 +62,52 @@
     Refused(RefusalAnswer, Option<Duration>, &'static str),
 }
 
+/// What the zones have answered while a request looks for a target.
+#[derive(Debug)]
+struct ZoneSearch {
+    /// Zones to ask, the own one first.
+    zones: Vec<ZoneId>,
+    /// Zones whose targets with a slot have less trust than asked for.
+    lesser_zones: Vec<ZoneId>,
+    /// First zone that had no slot.
+    busy_zone: Option<ZoneId>,
+    /// Whether no dispatcher has answered.
+    is_silent: bool,
+    refusal: AdmitAnswer,
+}
+
+impl ZoneSearch {
+    /// Begins a search. The dispatcher of the own zone keeps the rates, so that it is asked first, whether
+    /// its zone has targets or not.
+    fn new(run: &RequestRun) -> Self {
+        let own = &run.state.settings.zone;
+        let mut others = run.state.knowledge.directory().zones_of(&run.plan.service);
+        let has_own = others.shift_remove(own);
+        let own = (has_own || !run.is_charged).then(|| own.clone());
+        Self {
+            zones: own.into_iter().chain(others).collect(),
+            lesser_zones: Vec::new(),
+            busy_zone: None,
+            is_silent: true,
+            refusal: AdmitAnswer::NoTarget,
+        }
+    }
+
+    fn note(&mut self, zone: &ZoneId, answer: &PermitAnswer) {
+        self.is_silent &= matches!(answer, PermitAnswer::Silent);
+        let PermitAnswer::Refused(busy @ AdmitAnswer::Busy { has_lesser, .. }) = answer else {
+            return;
+        };
+        if self.busy_zone.is_none() {
+            self.busy_zone = Some(zone.clone());
+            self.refusal = busy.clone();
+        }
+        if *has_lesser && !self.lesser_zones.contains(zone) {
+            self.lesser_zones.push(zone.clone());
+        }
+    }
+}
+
 /// The progress of one request.
 #[derive(Debug)]
 pub struct RequestRun {
@@ -76,6 +122,12 @@
     last_response: Option<Response<Bytes>>,
 }
 
+/// The answer to a request whose permit is of no use to it.
+const BUSY_NOW: AdmitAnswer = AdmitAnswer::Busy {
+    retry_millis: 0,
+    has_lesser: false,
+};
+
 /// A permit with the entry of its target.
 type Placement = (HeldPermit, TargetEntry);
 
@@ -117,7 +169,7 @@
         RequestBudget { left }
     }
 
-    fn ask(&self, zone: Option<&ZoneId>, wait: Duration) -> AdmitRequest {
+    fn ask(&self, zone: Option<&ZoneId>, wait: Duration, trust: TargetTrust) -> AdmitRequest {
         let millis = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
         let charged = self.plan.team.clone().filter(|_| !self.is_charged);
         AdmitRequest {
@@ -132,6 +184,7 @@
             wait_millis: millis(wait),
             left_millis: millis(self.budget().left),
             connected: self.state.connections.connected(self.state.now()),
+            trust,
             tried: self.left_out(),
         }
     }
@@ -143,71 +196,50 @@
         left_out
     }
 
-    /// Finds a target: in the own zone, in the others, after a wait in the own zone, and last by the
-    /// rules of this host alone.
+    /// Finds a target: a trusted one in the own zone or in the others, then any, then after a wait in the
+    /// own zone, and last by the rules of this host alone.
     async fn place(&mut self, may_wait: bool) -> Result<Placement, AdmitAnswer> {
-        let own = self.state.settings.zone.clone();
-        let mut zones = self
-            .state
-            .knowledge
-            .directory()
-            .zones_of(&self.plan.service);
-        let has_own = zones.shift_remove(&own);
-        let mut refusal = AdmitAnswer::NoTarget;
-        let mut is_silent = true;
-        // The dispatcher of the own zone keeps the rates, whether it has targets or not.
-        if has_own || !self.is_charged {
-            match self.ask_in(&own, Duration::ZERO, &mut is_silent).await {
-                Ok(placement) => return Ok(placement),
-                Err(answer @ (AdmitAnswer::OverRate { .. } | AdmitAnswer::NoBudget)) => {
-                    return Err(answer);
-                }
-                Err(answer) => refusal = answer,
+        let mut search = ZoneSearch::new(self);
+        let trusted = TargetTrust::Unknown;
+        for zone in search.zones.clone() {
+            let asked = self.ask(Some(&zone), Duration::ZERO, trusted);
+            match self.ask_in(&zone, asked, &mut search).await {
+                Err(AdmitAnswer::Busy { .. } | AdmitAnswer::NoTarget) => {}
+                found_or_refused => return found_or_refused,
             }
         }
-        for zone in zones {
-            match self.ask_in(&zone, Duration::ZERO, &mut is_silent).await {
-                Ok(placement) => return Ok(placement),
-                Err(answer @ AdmitAnswer::Busy { .. }) if !has_own => refusal = answer,
-                Err(_) => {}
+        for zone in search.lesser_zones.clone() {
+            let asked = self.ask(Some(&zone), Duration::ZERO, TargetTrust::Blocked);
+            match self.ask_in(&zone, asked, &mut search).await {
+                Err(AdmitAnswer::Busy { .. } | AdmitAnswer::NoTarget) => {}
+                found_or_refused => return found_or_refused,
             }
         }
-        let wait = self.budget().wait_max();
-        if may_wait && !is_silent && matches!(refusal, AdmitAnswer::Busy { .. }) {
-            let zone = match has_own {
-                true => Some(own),
-                false => self.first_zone(),
-            };
-            if let Some(zone) = zone {
-                return self.ask_in(&zone, wait, &mut is_silent).await;
-            }
+        if let Some(zone) = search.busy_zone.clone().filter(|_| may_wait) {
+            let wait = self.budget().wait_max();
+            let asked = self.ask(Some(&zone), wait, TargetTrust::Blocked);
+            return self.ask_in(&zone, asked, &mut search).await;
         }
-        match is_silent {
+        match search.is_silent {
             true => self.place_alone().await,
-            false => Err(refusal),
+            false => Err(search.refusal),
         }
     }
 
-    fn first_zone(&self) -> Option<ZoneId> {
-        let zones = self.state.knowledge.directory();
-        zones.zones_of(&self.plan.service).into_iter().next()
-    }
-
     async fn ask_in(
         &mut self,
         zone: &ZoneId,
-        wait: Duration,
-        is_silent: &mut bool,
+        request: AdmitRequest,
+        search: &mut ZoneSearch,
     ) -> Result<Placement, AdmitAnswer> {
-        let request = self.ask(Some(zone), wait);
         let answer = ask_zone(&self.state, zone, &request).await;
-        *is_silent &= matches!(answer, PermitAnswer::Silent);
+        search.note(zone, &answer);
         self.take(answer)
     }
 
     /// Decides by the rules of this host alone, where no dispatcher answers.
     async fn place_alone(&mut self) -> Result<Placement, AdmitAnswer> {
-        let request = self.ask(None, Duration::ZERO);
+        let request = self.ask(None, Duration::ZERO, TargetTrust::Blocked);
         let answer = ask_self(&self.state, &request).await;
         self.take(answer)
     }
@@ -230,7 +262,7 @@
             None => {
                 self.tried.push(permit.target().clone());
                 permit.settle(AttemptResult::Cancelled);
-                Err(AdmitAnswer::Busy { retry_millis: 0 })
+                Err(BUSY_NOW)
             }
         }
     }
@@ -245,7 +277,7 @@
             };
             if !self.budget().is_sendable() {
                 permit.settle(AttemptResult::Cancelled);
-                return self.give_up(&AdmitAnswer::Busy { retry_millis: 0 });
+                return self.give_up(&BUSY_NOW);
             }
             let outcome = self.attempt(permit, entry).await;
             let is_final = outcome.result == AttemptResult::Good;
@@ -356,7 +388,7 @@
             AdmitAnswer::OverRate { retry_millis } => {
                 RunEnd::Refused(RefusalAnswer::OverRate, wait(retry_millis), "over-rate")
             }
-            AdmitAnswer::Busy { retry_millis } => {
+            AdmitAnswer::Busy { retry_millis, .. } => {
                 RunEnd::Refused(RefusalAnswer::Unavailable, wait(retry_millis), "busy")
             }
             AdmitAnswer::NoBudget => RunEnd::Refused(RefusalAnswer::Unavailable, None, "no-budget"),
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -24,7 +24,6 @@
 use chicorycroft_placement::prelude::*;
 use chicorycroft_proxy::prelude::*;
 use chicorycroft_retry::prelude::*;
-use indexmap::IndexMap;
 use smol_str::SmolStr;
 
 use crate::{
@@ -387,15 +386,4 @@
         });
         loads.collect()
     }
-
-    /// Returns the standing of all targets for reports, by name.
-    pub fn standings(&self) -> IndexMap<TargetId, TargetStanding> {
-        let Some(view) = self.view() else {
-            return IndexMap::new();
-        };
-        let targets = view.snapshot().targets();
-        let standing =
-            |target: &Arc<TargetRecord>| (target.id.clone(), view.standing_of(&target.id));
-        targets.map(standing).collect()
-    }
 }
--- a/crates/retry/src/budget.rs
+++ b/crates/retry/src/budget.rs
@@ -18,12 +18,24 @@
 /// Seconds that count as recent.
 const WINDOW_SECONDS: usize = 10;
 
-/// Requests for each retry. One in ten bounds the load on a service that fails as a whole to 1.1
-/// times its usual load.
-const REQUESTS_PER_RETRY: u64 = 10;
+/// How many retries a number of requests allows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct BudgetTerms {
+    /// Requests for each retry.
+    pub requests_per_retry: u64,
+    /// Retries in ten seconds that are free, for services with few requests.
+    pub free_retries: u64,
+}
 
-/// Retries a second that are free, for services with few requests.
-const FREE_PER_SECOND: u64 = 1;
+impl Default for BudgetTerms {
+    /// One in ten bounds the load on a service that fails as a whole to 1.1 times its usual load.
+    fn default() -> Self {
+        Self {
+            requests_per_retry: 10,
+            free_retries: 10,
+        }
+    }
+}
 
 /// Most attempts of one request.
 const ATTEMPTS_MAX: usize = 3;
@@ -55,7 +67,7 @@
         count
     }
 
-    fn try_spend(&mut self, now: MonoTime) -> bool {
+    fn try_spend(&mut self, terms: BudgetTerms, now: MonoTime) -> bool {
         let second = self.count_at(now).second;
         let is_recent = |count: &&SecondCount| count.second + WINDOW_SECONDS as u64 > second;
         let (requests, retries) = self
@@ -65,7 +77,7 @@
             .fold((0, 0), |(requests, retries), count| {
                 (requests + count.requests, retries + count.retries)
             });
-        let allowed = requests / REQUESTS_PER_RETRY + FREE_PER_SECOND * WINDOW_SECONDS as u64;
+        let allowed = requests / terms.requests_per_retry.max(1) + terms.free_retries;
         let is_allowed = retries < allowed;
         if is_allowed {
             self.count_at(now).retries += 1;
@@ -77,6 +89,7 @@
 /// Retries and hedges of each service on this host.
 #[derive(Debug, Default)]
 pub struct RetryBudget {
+    terms: BudgetTerms,
     services: ShardMap<ServiceId, ServiceBudget>,
 }
 
@@ -86,6 +99,12 @@
         Self::default()
     }
 
+    /// Uses other terms.
+    pub fn with_terms(mut self, terms: BudgetTerms) -> Self {
+        self.terms = terms;
+        self
+    }
+
     /// Counts a request, once however often it is sent.
     pub fn record_request(&self, service: &ServiceId, now: MonoTime) {
         self.services
@@ -98,7 +117,7 @@
     pub fn try_spend(&self, service: &ServiceId, now: MonoTime) -> bool {
         self.services
             .with_or_insert(service, ServiceBudget::default, |budget| {
-                budget.try_spend(now)
+                budget.try_spend(self.terms, now)
             })
     }
 
--- a/crates/retry/src/lib.rs
+++ b/crates/retry/src/lib.rs
@@ -15,7 +15,10 @@
 /// The names that most users of the crate need.
 pub mod prelude {
     pub use crate::{
-        budget::RetryBudget,
+        budget::{
+            BudgetTerms,
+            RetryBudget, //
+        },
         deadline::DeadlineClock,
         decision::{
             GiveUpReason,
