Pace targets that fail at once, and try idle and doubtful ones each second

Change: a blocked target that fails nearly all requests gets one each 0.3 s; a request that may run twice tries a target without work for 1 s (1.6 s without a connection), doubtful ones too; blocks end after 2 s at most.

--- a/crates/dispatch/src/evidence.rs
+++ b/crates/dispatch/src/evidence.rs
@@ -30,14 +30,19 @@
 const KEPT_AFTER_GOOD: u32 = 40;
 
 /// First time for which a target is blocked; each relapse doubles it.
-const BLOCK_BASE: Duration = Duration::from_millis(1500);
+const BLOCK_BASE: Duration = Duration::from_millis(1200);
 
-/// Longest time for which a target is blocked: the usual length of a gray failure.
-const BLOCK_MAX: Duration = Duration::from_millis(6000);
+/// Longest time for which a target is blocked. The platform counts a target that failed by itself as sound
+/// after two seconds; from then on requests that may run twice try it.
+const BLOCK_MAX: Duration = Duration::from_millis(2000);
 
 /// Good answers in a row after which earlier blocks are forgotten.
 const FORGIVEN_AFTER: u32 = 6;
 
+/// Part of good answers, in thousandths, below which a target counts as failing: three failures after good
+/// ones still pass, five do not.
+const FAILING_BELOW: u32 = 300;
+
 /// How far a target is trusted; a lower value is preferred.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum TargetTrust {
@@ -63,13 +68,15 @@
 }
 
 /// What is known about one target.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct TargetEvidence {
     good_at: Option<MonoTime>,
     suspicion: u32,
     blocked_until: Option<MonoTime>,
     block_count: u32,
     good_row: u32,
+    /// Part of good ones among the latest good and failed answers, in thousandths.
+    good_mille: u32,
 }
 
 /// Suspicion that a result adds, in hundredths.
@@ -77,7 +84,7 @@
     match result {
         AttemptResult::Good | AttemptResult::Cancelled => 0,
         // Targets fail about one request in a hundred in ordinary operation.
-        AttemptResult::Failed => 70,
+        AttemptResult::Failed => 80,
         AttemptResult::Shed => 50,
         AttemptResult::Broken => 90,
         // One host may have lost its path; two that fail to connect speak against the target.
@@ -86,14 +93,33 @@
     }
 }
 
+impl Default for TargetEvidence {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl TargetEvidence {
     /// Makes the evidence of a target without answers.
     pub fn new() -> Self {
-        Self::default()
+        Self {
+            good_at: None,
+            suspicion: 0,
+            blocked_until: None,
+            block_count: 0,
+            good_row: 0,
+            good_mille: 1000,
+        }
     }
 
     /// Takes the result of an attempt; returns whether the target is newly blocked.
     pub fn record(&mut self, result: AttemptResult, now: MonoTime) -> bool {
+        // A shed request costs its target nothing, and one that hangs holds a slot; neither draws work.
+        match result {
+            AttemptResult::Good => self.good_mille = (self.good_mille * 3 + 1000) / 4,
+            AttemptResult::Failed => self.good_mille = self.good_mille * 3 / 4,
+            _ => {}
+        }
         match result {
             AttemptResult::Cancelled => return false,
             AttemptResult::Good => {
@@ -141,6 +167,11 @@
         self.good_at
     }
 
+    /// Tells whether hardly any of the latest answers were good.
+    pub fn is_failing(&self) -> bool {
+        self.good_mille < FAILING_BELOW
+    }
+
     /// Returns how far the target is trusted.
     pub fn trust(&self, now: MonoTime) -> TargetTrust {
         if self.is_blocked(now) {
--- a/crates/dispatch/src/service_pool.rs
+++ b/crates/dispatch/src/service_pool.rs
@@ -33,8 +33,10 @@
 /// of ordinary work, fewer than one request in a hundred takes longer.
 const STUCK_FACTOR: u32 = 3;
 
-/// Time without a request after which a target is tried with one that may be repeated.
-const TRY_AFTER: Duration = Duration::from_millis(2500);
+/// Time without a request after which a target is tried by a host that is connected to it, and by any host.
+/// The platform asks that most sound targets get a request within two seconds while others fail.
+const TRY_DUE: Duration = Duration::from_millis(1000);
+const TRY_OVERDUE: Duration = Duration::from_millis(1600);
 
 /// Part of a pool that may be blocked; beyond it, blocked targets get work again, so that the rest
 /// does not carry all of it.
@@ -79,10 +81,19 @@
     cold_rate: RequestRate,
     may_use_cold: bool,
     seen: Option<ContentDigest>,
+    idempotent_at: Option<MonoTime>,
 }
 
 /// How a target is ranked for a request; the lowest goes first.
-type TargetRank = (TargetTrust, bool, usize, u64);
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+struct TargetRank {
+    /// None for a target that is to be tried.
+    trust: Option<TargetTrust>,
+    is_far: bool,
+    open_count: usize,
+    /// Time since the last good answer.
+    evidence_age: Duration,
+}
 
 impl Default for ServicePool {
     fn default() -> Self {
@@ -101,6 +112,7 @@
             cold_rate: RequestRate::ZERO,
             may_use_cold: true,
             seen: None,
+            idempotent_at: None,
         }
     }
 
@@ -146,6 +158,9 @@
         if self.targets.is_empty() {
             return PoolAnswer::NoTarget;
         }
+        if request.is_idempotent {
+            self.idempotent_at = Some(now);
+        }
         // Those that wait already go first, unless this one ranks above them.
         let is_first = self.line.ahead_of(request.priority) == 0;
         if is_first && let Some(grant) = self.try_grant(request, next_number(), now) {
@@ -210,10 +225,15 @@
                 && (self.may_use_cold || !target.is_cold(now))
                 && !request.tried.contains(id);
             let trust = target.trust(stuck_after, now);
-            let is_allowed =
-                trust <= request.trust && (trust != TargetTrust::Blocked || may_use_blocked);
-            let rank = self.rank(request, (id, target), trust, now);
-            (is_usable && is_allowed).then_some((rank, id, trust))
+            let is_trial = self.is_trial(request, (id, target), trust, now);
+            let is_shut =
+                trust == TargetTrust::Blocked && !(may_use_blocked && target.may_be_tried(now));
+            let rank = match is_trial {
+                true => TargetRank::default(),
+                false => self.rank(request, (id, target), trust, now),
+            };
+            let is_wanted = trust <= request.trust || is_trial;
+            (is_usable && is_wanted && !is_shut).then_some((rank, id, trust))
         });
         let (_, id, trust) = candidates.min()?;
         Some((trust, id))
@@ -226,22 +246,42 @@
         trust: TargetTrust,
         now: MonoTime,
     ) -> TargetRank {
-        let is_due = target
-            .granted_at()
-            .is_none_or(|at| now.since(at) > TRY_AFTER);
-        let is_trial = request.is_idempotent
-            && !request.is_repeat
-            && trust != TargetTrust::Blocked
-            && target.open_count() == 0
-            && is_due;
-        let trust = match is_trial {
+        let is_spread = !self.has_idempotent(now) && trust == TargetTrust::Unknown;
+        let trust = match is_spread {
             true => TargetTrust::Proven,
             false => trust,
         };
-        let is_far = !is_trial && !request.connected.contains(id);
-        // The target with the latest good answer goes first.
-        let good_at = target.evidence().good_at().map_or(0, MonoTime::as_micros);
-        (trust, is_far, target.open_count(), u64::MAX - good_at)
+        let evidence_age = target.evidence().good_at().map(|at| now.since(at));
+        TargetRank {
+            trust: Some(trust),
+            is_far: !request.connected.contains(id),
+            open_count: target.open_count(),
+            evidence_age: evidence_age.unwrap_or(Duration::MAX),
+        }
+    }
+
+    /// Tells whether requests that may run twice come often enough to try targets with them.
+    fn has_idempotent(&self, now: MonoTime) -> bool {
+        self.idempotent_at
+            .is_some_and(|at| now.since(at) < TRY_OVERDUE)
+    }
+
+    /// Tells whether a request tries a target that got none for a while. A host that is connected to the
+    /// target tries it earlier, because that costs no connection.
+    fn is_trial(
+        &self,
+        request: &AdmitRequest,
+        (id, target): (&TargetId, &TargetSlots),
+        trust: TargetTrust,
+        now: MonoTime,
+    ) -> bool {
+        let wait = match request.connected.contains(id) {
+            true => TRY_DUE,
+            false => TRY_OVERDUE,
+        };
+        let is_due = target.granted_at().is_none_or(|at| now.since(at) > wait);
+        let may_try = request.is_idempotent && !request.is_repeat;
+        may_try && is_due && trust != TargetTrust::Blocked && target.open_count() == 0
     }
 
     /// Gives a slot back and serves those that wait; returns whether the target is newly blocked.
--- a/crates/dispatch/src/target_slots.rs
+++ b/crates/dispatch/src/target_slots.rs
@@ -21,6 +21,9 @@
 /// Time that a permit outlives its request, for a release that is on its way.
 const PERMIT_MARGIN: Duration = Duration::from_millis(300);
 
+/// Time between requests to a target that fails nearly all of them.
+const TRY_PAUSE: Duration = Duration::from_millis(300);
+
 /// A request under way.
 #[derive(Clone, Copy, Debug)]
 struct OpenPermit {
@@ -97,6 +100,13 @@
         !self.is_misdirected && self.permits.len() < limit && self.pacer.may_send(now)
     }
 
+    /// Tells whether a blocked target may get a request now. One that fails nearly all of them at once has a
+    /// free slot all the time and would draw the work of the whole pool; it gets one now and then.
+    pub fn may_be_tried(&self, now: MonoTime) -> bool {
+        let is_due = self.granted_at.is_none_or(|at| now.since(at) >= TRY_PAUSE);
+        !self.evidence.is_failing() || is_due && self.permits.is_empty()
+    }
+
     /// Returns how far the target is trusted. A request that has been under way for much longer than
     /// usual speaks against it before its outcome is known.
     pub fn trust(&self, stuck_after: Duration, now: MonoTime) -> TargetTrust {
