Leave blocked and cold targets out of the expected wait

Cause: the expected wait for a slot counted the slots of blocked and cold targets, so that requests waited that could not be served. Change: only targets that take work count.

--- a/crates/dispatch/src/service_pool.rs
+++ b/crates/dispatch/src/service_pool.rs
@@ -166,7 +166,7 @@
         if is_first && let Some(grant) = self.try_grant(request, next_number(), now) {
             return PoolAnswer::Granted(grant);
         }
-        let drain = self.drain_time(request.priority);
+        let drain = self.drain_time(request.priority, now);
         if request.wait_millis == 0 || drain > request.wait() {
             let lesser = AdmitRequest {
                 trust: TargetTrust::Blocked,
@@ -182,11 +182,13 @@
         PoolAnswer::Waiting(ticket)
     }
 
-    /// Returns the time until a slot is free for a request of this rank.
-    fn drain_time(&self, priority: u8) -> Duration {
-        let slots: u32 = self
-            .targets
-            .values()
+    /// Returns the time until a slot is free for a request of this rank. Blocked and cold targets serve next
+    /// to nothing and do not count.
+    fn drain_time(&self, priority: u8, now: MonoTime) -> Duration {
+        let serving = self.targets.values().filter(|target| {
+            !target.is_cold(now) && target.evidence().trust(now) != TargetTrust::Blocked
+        });
+        let slots: u32 = serving
             .map(|target| u32::from(target.entry().slots.get()))
             .sum();
         let ahead = u32::try_from(self.line.ahead_of(priority)).unwrap_or(u32::MAX);
@@ -309,7 +311,7 @@
         }
         self.expire(now);
         for ticket in self.line.take_expired(now) {
-            change.expired.push((ticket, self.drain_time(u8::MAX)));
+            change.expired.push((ticket, self.drain_time(u8::MAX, now)));
         }
         let holders = &self.holders;
         let open_of = |team: Option<&TeamId>| {
--- a/crates/dispatch/tests/dispatcher/waiting.rs
+++ b/crates/dispatch/tests/dispatcher/waiting.rs
@@ -163,3 +163,33 @@
     ));
     grant(&dispatcher, &directory, &request("3"), at(30));
 }
+
+/// Guards against requests that wait for slots of targets that are blocked: one of two targets hangs, and half
+/// as many requests can be served within the wait.
+#[test]
+fn slots_of_blocked_targets_are_not_waited_for() {
+    let (dispatcher, directory) = (ZoneDispatcher::new(0), directory_of(2));
+    let held: Vec<_> = (0..4)
+        .map(|number| {
+            grant(
+                &dispatcher,
+                &directory,
+                &request(&number.to_string()),
+                at(0),
+            )
+        })
+        .collect();
+    let gray: Vec<_> = held
+        .iter()
+        .filter(|grant| grant.target == target(0))
+        .collect();
+    for grant in gray {
+        release(&dispatcher, grant, AttemptResult::Hung, at(10));
+    }
+    let waiting = (0..100).filter(|number| {
+        let asked = patient(&format!("w{number}"), "crowd", 1);
+        let answer = admit(&dispatcher, &directory, &asked, at(20));
+        matches!(answer, PoolAnswer::Waiting(_))
+    });
+    assert_eq!(waiting.count(), 12);
+}
