Reckon waits by the requests that end, and bound them by the objective

Change: the expected wait goes by the requests that ended in the last second; a wait takes at most 0.6 of the objective and half of the time left.

--- a/crates/dispatch/src/conduct.rs
+++ b/crates/dispatch/src/conduct.rs
@@ -9,9 +9,13 @@
 /// Shortest time before a second target is asked.
 const HEDGE_MIN: Duration = Duration::from_millis(80);
 
-/// Part of the time left that a wait may take, in tenths; the rest is for the work.
+/// Part of the objective that a wait may take, in tenths; the rest is for the work. An answer after the
+/// objective is worth little, and a request that is refused after a long wait was held for nothing.
 const WAIT_TENTHS: u32 = 6;
 
+/// Part of the time left that a wait may take, in tenths, where the objective allows more.
+const LEFT_TENTHS: u32 = 5;
+
 /// Time of a request for which neither its caller nor its route states one.
 const TIME_DEFAULT: Duration = Duration::from_secs(30);
 
@@ -41,9 +45,15 @@
         }
     }
 
-    /// Returns how long the request may wait for a slot.
-    pub fn wait_max(self) -> Duration {
-        self.left * WAIT_TENTHS / 10
+    /// Returns how long a request with this objective may wait for a slot.
+    ///
+    /// Load pattern: more requests come for some seconds than all slots bear.
+    pub fn wait_max(self, objective: Duration) -> Duration {
+        let by_time = self.left * LEFT_TENTHS / 10;
+        match objective.is_zero() {
+            true => by_time,
+            false => by_time.min(objective * WAIT_TENTHS / 10),
+        }
     }
 
     /// Tells whether the request is still worth sending.
--- a/crates/dispatch/src/service_pool.rs
+++ b/crates/dispatch/src/service_pool.rs
@@ -6,7 +6,10 @@
 //! may be repeated also tries the targets that nothing is known about. When all slots are taken, work
 //! waits in a line.
 
-use std::time::Duration;
+use std::{
+    collections::VecDeque,
+    time::Duration, //
+};
 
 use chicorycroft_core::prelude::*;
 use chicorycroft_directory::prelude::*;
@@ -42,6 +45,13 @@
 /// does not carry all of it.
 const BLOCKED_PART_MAX: CapacityRatio = CapacityRatio::from_mille(400);
 
+/// Time over which ended requests are counted.
+const RATE_SPAN: Duration = Duration::from_secs(1);
+
+/// Fewest ended requests that tell a rate, and most that are kept.
+const ENDED_MIN: u32 = 8;
+const ENDED_MAX: usize = 256;
+
 /// What a pool answers to a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum PoolAnswer {
@@ -82,6 +92,8 @@
     may_use_cold: bool,
     seen: Option<ContentDigest>,
     idempotent_at: Option<MonoTime>,
+    /// Times at which requests ended, the latest ones.
+    ended: VecDeque<MonoTime>,
 }
 
 /// How a target is ranked for a request; the lowest goes first.
@@ -113,6 +125,7 @@
             may_use_cold: true,
             seen: None,
             idempotent_at: None,
+            ended: VecDeque::new(),
         }
     }
 
@@ -182,8 +195,8 @@
         PoolAnswer::Waiting(ticket)
     }
 
-    /// Returns the time until a slot is free for a request of this rank. Blocked and cold targets serve next
-    /// to nothing and do not count.
+    /// Returns the time until a slot is free for a request of this rank, by the requests that ended in the
+    /// last second, or by the slots where too few did. Blocked and cold targets serve next to nothing.
     fn drain_time(&self, priority: u8, now: MonoTime) -> Duration {
         let serving = self.targets.values().filter(|target| {
             !target.is_cold(now) && target.evidence().trust(now) != TargetTrust::Blocked
@@ -191,8 +204,15 @@
         let slots: u32 = serving
             .map(|target| u32::from(target.entry().slots.get()))
             .sum();
+        let pause = self.usual_time / slots.max(1);
+        let ended = self.ended.iter().filter(|at| now.since(**at) < RATE_SPAN);
+        let ended = u32::try_from(ended.count()).unwrap_or(u32::MAX);
+        let pause = match ended >= ENDED_MIN {
+            true => pause.max(RATE_SPAN / ended),
+            false => pause,
+        };
         let ahead = u32::try_from(self.line.ahead_of(priority)).unwrap_or(u32::MAX);
-        self.usual_time.saturating_mul(ahead.saturating_add(1)) / slots.max(1)
+        pause.saturating_mul(ahead.saturating_add(1))
     }
 
     fn try_grant(
@@ -289,6 +309,10 @@
     /// Gives a slot back and serves those that wait; returns whether the target is newly blocked.
     pub fn release(&mut self, notice: &ReleaseNotice, now: MonoTime) -> bool {
         self.holders.swap_remove(&notice.permit);
+        self.ended.push_back(now);
+        if self.ended.len() > ENDED_MAX {
+            self.ended.pop_front();
+        }
         if notice.result == AttemptResult::Good {
             let elapsed = Duration::from_millis(notice.elapsed_millis.into());
             self.usual_time = (self.usual_time * 15 + elapsed) / 16;
--- a/crates/dispatch/tests/dispatcher/waiting.rs
+++ b/crates/dispatch/tests/dispatcher/waiting.rs
@@ -193,3 +193,37 @@
     });
     assert_eq!(waiting.count(), 12);
 }
+
+/// Guards against waits that are reckoned by slots though requests hang and hold them: replays two seconds in
+/// which ten requests end each second at four slots.
+#[test]
+fn expected_wait_follows_the_requests_that_end() {
+    let (dispatcher, directory) = (ZoneDispatcher::new(0), directory_of(2));
+    let mut held: Vec<_> = (0..4)
+        .map(|number| {
+            grant(
+                &dispatcher,
+                &directory,
+                &request(&number.to_string()),
+                at(0),
+            )
+        })
+        .collect();
+    for step in 1..=20 {
+        let done = held.remove(0);
+        release(&dispatcher, &done, AttemptResult::Good, at(100 * step));
+        held.push(grant(
+            &dispatcher,
+            &directory,
+            &request(&step.to_string()),
+            at(100 * step),
+        ));
+    }
+    let waiting = (0..100).filter(|number| {
+        let asked = patient(&format!("w{number}"), "crowd", 1);
+        let answer = admit(&dispatcher, &directory, &asked, at(2010));
+        matches!(answer, PoolAnswer::Waiting(_))
+    });
+    // Ten a second for 1.5 s; four slots of 250 ms would serve 24.
+    assert_eq!(waiting.count(), 15);
+}
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -217,6 +217,7 @@
             priority,
             is_idempotent: route.class == RequestClass::Idempotent,
             attempts_max: route.attempts_max,
+            objective: route.objective,
             ends_at,
             outgoing: outgoing(parts, body, team),
         },
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -47,6 +47,8 @@
     pub is_idempotent: bool,
     /// Most targets that it may be sent to.
     pub attempts_max: u32,
+    /// Time within which an answer is of full use.
+    pub objective: Duration,
     /// Time at which it is given up.
     pub ends_at: MonoTime,
     /// The request as it goes to targets.
@@ -216,7 +218,7 @@
             }
         }
         if let Some(zone) = search.busy_zone.clone().filter(|_| may_wait) {
-            let wait = self.budget().wait_max();
+            let wait = self.budget().wait_max(self.plan.objective);
             let asked = self.ask(Some(&zone), wait, TargetTrust::Blocked);
             return self.ask_in(&zone, asked, &mut search).await;
         }
