--- a/crates/gateway/src/store_loop.rs
+++ b/crates/gateway/src/store_loop.rs
@@ -37,6 +37,9 @@
 const READ_AFTER: Duration = Duration::from_millis(1200);
 const READ_STEP: Duration = Duration::from_millis(500);
 
+/// Time from its start after which a host that knows nothing reads: enough for a peer to answer first.
+const FIRST_READ_AFTER: Duration = Duration::from_millis(100);
+
 /// Most steps that are added.
 const READ_STEPS_MAX: u32 = 4;
 
@@ -136,13 +139,15 @@
     }
 }
 
-/// Tells whether what this host knows is old enough to read by itself.
+/// Tells whether what this host knows is old enough to read by itself. A host that knows nothing can serve
+/// nobody and reads soon after its start.
 fn has_to_read(state: &GatewayState, started_at: MonoTime) -> bool {
     let now = state.now();
-    let age = state.knowledge.age(now).map(ContactAge::get);
-    let age = age.unwrap_or_else(|| now.since(started_at));
+    let Some(age) = state.knowledge.age(now) else {
+        return now.since(started_at) > FIRST_READ_AFTER;
+    };
     let rank = u32::try_from(state.rank()).unwrap_or(u32::MAX);
-    age > READ_AFTER + READ_STEP * rank.min(READ_STEPS_MAX)
+    age.get() > READ_AFTER + READ_STEP * rank.min(READ_STEPS_MAX)
 }
 
 /// Reads the store for as long as the process runs.
@@ -158,7 +163,12 @@
         } else if has_to_read(&state, started_at) {
             read_all(&state, &store).await.map(|_| ())
         } else {
-            tokio::time::sleep(LOOK_PERIOD).await;
+            let is_new = state.knowledge.index().is_none();
+            let period = match is_new {
+                true => FIRST_READ_AFTER / 2,
+                false => LOOK_PERIOD,
+            };
+            tokio::time::sleep(period).await;
             continue;
         };
         match result {
--- a/crates/gateway/tests/gateway/configuration.rs
+++ b/crates/gateway/tests/gateway/configuration.rs
@@ -87,3 +87,14 @@
     setting.until(|host| open_count(host) == 1).await;
     assert_eq!(setting.call("GET /look/1", "key-1", "").await.status, 200);
 }
+
+/// Guards against a fleet that lost power and refuses callers for longer than their deadlines, because its
+/// hosts wait for each other before they read the store.
+#[tokio::test]
+async fn host_that_knows_nothing_reads_the_store_at_once() {
+    let start = tokio::time::Instant::now();
+    let setting = TestSetting::new(1).await;
+    // The shortest deadline of a caller is 1.2 s.
+    assert!(start.elapsed() < Duration::from_millis(1200));
+    assert_eq!(setting.call("GET /look/1", "key-1", "").await.status, 200);
+}
