Prefer fresh evidence to a kept connection for work that must not run twice

Cause: a third of the targets turn gray within nine seconds, so that a target whose last good answer is 3 s old fails one request in three; the choice took any proven target that the host was connected to. Change: for requests that must not run twice the age of the last good answer counts in doubling steps from 0.4 s, before the connection.

--- a/crates/dispatch/src/service_pool.rs
+++ b/crates/dispatch/src/service_pool.rs
@@ -45,6 +45,10 @@
 /// does not carry all of it.
 const BLOCKED_PART_MAX: CapacityRatio = CapacityRatio::from_mille(400);
 
+/// Age up to which a good answer is fresh. A third of the targets turn gray within nine seconds, so that an
+/// answer of this age is wrong once in twenty times, and one of three seconds once in three.
+const FRESH_FOR: Duration = Duration::from_millis(400);
+
 /// Time over which ended requests are counted.
 const RATE_SPAN: Duration = Duration::from_secs(1);
 
@@ -101,12 +105,21 @@
 struct TargetRank {
     /// None for a target that is to be tried.
     trust: Option<TargetTrust>,
+    /// Steps of the age of the last good answer, for requests that must not run twice.
+    staleness: u32,
     is_far: bool,
     open_count: usize,
     /// Time since the last good answer.
     evidence_age: Duration,
 }
 
+/// Returns the step that an age is in; the first ends at [`FRESH_FOR`], and each further one takes twice as
+/// long.
+fn staleness_of(age: Duration) -> u32 {
+    let steps = age.as_millis() / FRESH_FOR.as_millis();
+    steps.checked_ilog2().map_or(0, |step| step + 1)
+}
+
 impl Default for ServicePool {
     fn default() -> Self {
         Self::new()
@@ -274,11 +287,17 @@
             false => trust,
         };
         let evidence_age = target.evidence().good_at().map(|at| now.since(at));
+        let evidence_age = evidence_age.unwrap_or(Duration::MAX);
+        let staleness = match request.is_idempotent {
+            true => 0,
+            false => staleness_of(evidence_age),
+        };
         TargetRank {
             trust: Some(trust),
+            staleness,
             is_far: !request.connected.contains(id),
             open_count: target.open_count(),
-            evidence_age: evidence_age.unwrap_or(Duration::MAX),
+            evidence_age,
         }
     }
 
--- a/crates/dispatch/tests/dispatcher/placing.rs
+++ b/crates/dispatch/tests/dispatcher/placing.rs
@@ -320,3 +320,31 @@
         first.target
     );
 }
+
+/// Guards against losing requests that must not run twice to a target that answered well seconds ago and has
+/// turned gray since, though another one answered well just now.
+#[test]
+fn fresh_evidence_goes_before_a_connection_for_work_that_must_not_run_twice() {
+    let (dispatcher, directory) = (ZoneDispatcher::new(0), directory_of(2));
+    let first = grant(&dispatcher, &directory, &request("1"), at(0));
+    let second = grant(&dispatcher, &directory, &request("2"), at(0));
+    release(&dispatcher, &first, AttemptResult::Good, at(100));
+    release(&dispatcher, &second, AttemptResult::Good, at(1900));
+    let connected = vec![first.target.clone()];
+    let asked = AdmitRequest {
+        connected: connected.clone(),
+        ..request("3")
+    };
+    assert_eq!(
+        grant(&dispatcher, &directory, &asked, at(2000)).target,
+        second.target
+    );
+    let asked = AdmitRequest {
+        connected,
+        ..idempotent("4")
+    };
+    assert_eq!(
+        grant(&dispatcher, &directory, &asked, at(2000)).target,
+        first.target
+    );
+}
