Give new team buckets half a second of their rate

Change: a bucket starts as if its process had begun half a second earlier; an answer 504 of a target counts as a hang.

--- a/crates/dispatch/src/team_bucket.rs
+++ b/crates/dispatch/src/team_bucket.rs
@@ -3,8 +3,8 @@
 //! Load pattern: one team sends many times its rate through all zones at once, while hosts are cut off
 //! from each other. Each dispatcher fills a bucket of the whole rate and takes out what it spends and
 //! what the others report; one that does not hear the others fills its share only. The bucket goes below
-//! zero when reports come late, so that a burst is paid back and the sum stays at the rate. It is empty when
-//! its process starts, because a process before it may have spent the burst; the host that would take over
+//! zero when reports come late, so that a burst is paid back and the sum stays at the rate. It is nearly
+//! empty when its process starts, because a process before it may have spent the burst; the host that would take over
 //! from a dispatcher hears of its spending for the same reason.
 
 use std::time::Duration;
@@ -18,6 +18,10 @@
 /// Longest time that a caller is told to stay away.
 const RETRY_MAX: Duration = Duration::from_secs(2);
 
+/// Time by which a bucket is ahead of the start of its process. A team may exceed its rate by a quarter of five
+/// seconds in a window; callers that a restart sent away come back within this time.
+const HEAD_START: Duration = Duration::from_millis(500);
+
 /// The tokens of a team at one dispatcher.
 #[derive(Clone, Debug, Default)]
 pub struct TeamBucket {
@@ -36,7 +40,7 @@
 }
 
 impl TeamBucket {
-    /// Makes a bucket that is empty at the start of the process and fills from then on.
+    /// Makes a bucket that is nearly empty at the start of the process and fills from then on.
     pub fn new() -> Self {
         Self::default()
     }
@@ -50,8 +54,11 @@
     ) -> i128 {
         let capacity = part_of(burst.as_micros(), share).max(MICROS);
         let rate = part_of(rate.as_micros(), share);
-        let filled_at = self.filled_at.replace(now).unwrap_or(MonoTime::START);
-        let micros = u64::try_from(now.since(filled_at).as_micros()).unwrap_or(u64::MAX);
+        let time = match self.filled_at.replace(now) {
+            Some(at) => now.since(at),
+            None => now.since(MonoTime::START) + HEAD_START,
+        };
+        let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
         self.tokens += rate.saturating_mul(i128::from(micros)) / MICROS;
         self.tokens = self.tokens.min(capacity);
         rate
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -219,9 +219,11 @@
         let result = AttemptResult::Broken;
         return ExchangeOutcome::failed(result, RunProof::Unknown, "unsigned");
     }
-    let result = match status.is_server_error() {
-        true => AttemptResult::Failed,
-        false => AttemptResult::Good,
+    let result = match status {
+        // The target ended its work at the deadline that it was given.
+        StatusCode::GATEWAY_TIMEOUT => AttemptResult::Hung,
+        status if status.is_server_error() => AttemptResult::Failed,
+        _ => AttemptResult::Good,
     };
     ExchangeOutcome {
         result,
