Call a host once more when the connection to it breaks

Change: a call whose connection breaks is made once more; calls to other hosts stand in one module. Conclusion: a reset says nothing about the host; a host that does not answer the second call is suspected as before.

--- a/crates/directory/tests/keeper.rs
+++ b/crates/directory/tests/keeper.rs
@@ -1,5 +1,11 @@
 //! The directory of a host that reads the store.
 
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "helpers of tests may panic"
+)]
+
 use std::time::Duration;
 
 use chicorycroft_core::prelude::*;
--- a/crates/directory/tests/routing.rs
+++ b/crates/directory/tests/routing.rs
@@ -1,5 +1,11 @@
 //! The route, the team and the service of a request.
 
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "helpers of tests may panic"
+)]
+
 use std::{
     sync::Arc,
     time::Duration, //
--- a/crates/dispatch/tests/dispatcher/main.rs
+++ b/crates/dispatch/tests/dispatcher/main.rs
@@ -1,5 +1,11 @@
 //! The decisions of a dispatcher, replayed without I/O.
 
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "helpers of tests may panic"
+)]
+
 mod common;
 mod placing;
 mod team_bucket;
--- a/crates/gateway/src/follow_loop.rs
+++ b/crates/gateway/src/follow_loop.rs
@@ -13,14 +13,14 @@
 use chicorycroft_membership::prelude::*;
 use chicorycroft_peer::prelude::*;
 use indexmap::IndexMap;
-use tokio::{
-    task::JoinHandle,
-    time::Instant, //
-};
+use tokio::task::JoinHandle;
 
-use crate::state::{
-    DispatcherReport,
-    GatewayState, //
+use crate::{
+    peer_calls::call_member,
+    state::{
+        DispatcherReport,
+        GatewayState, //
+    },
 };
 
 /// Time for which a dispatcher holds an answer to a follower back while nothing changes.
@@ -99,20 +99,15 @@
             is_dispatcher,
         };
         let sent_at = state.now();
-        let message = PeerMessage::Gateway(GatewayMessage::Follow(request));
-        let deadline = Instant::now() + wait + ANSWER_LIMIT;
-        match state.peers.call(leader.address, message, deadline).await {
-            Ok(PeerMessage::Gateway(GatewayMessage::News(news))) => take(&state, *news, sent_at),
+        let message = GatewayMessage::Follow(request);
+        match call_member(&state, &leader, message, wait + ANSWER_LIMIT).await {
+            Ok(GatewayMessage::News(news)) => take(&state, *news, sent_at),
             Ok(_) => {
                 log::warn!("event=peer_answer_unexpected host={}", leader.host);
                 tokio::time::sleep(FAILURE_PAUSE).await;
             }
-            Err(error) => {
-                if state.gossip.suspect(&leader.host, state.now()) {
-                    log::warn!("event=peer_lost host={} error=\"{error}\"", leader.host);
-                }
-                tokio::time::sleep(FAILURE_PAUSE).await;
-            }
+            // The loss has been logged.
+            Err(_) => tokio::time::sleep(FAILURE_PAUSE).await,
         }
     }
 }
--- a/crates/gateway/src/gossip_loop.rs
+++ b/crates/gateway/src/gossip_loop.rs
@@ -15,9 +15,11 @@
         SliceRandom, //
     },
 };
-use tokio::time::Instant;
 
-use crate::state::GatewayState;
+use crate::{
+    peer_calls::call,
+    state::GatewayState, //
+};
 
 /// Time between exchanges with a known host.
 const GOSSIP_PERIOD: Duration = Duration::from_millis(1000);
@@ -84,10 +86,9 @@
 
 /// Exchanges records with one host.
 pub async fn exchange(state: &GatewayState, address: SocketAddr) {
-    let message = PeerMessage::Gateway(GatewayMessage::Gossip(sample(state)));
-    let deadline = Instant::now() + ANSWER_LIMIT;
-    match state.peers.call(address, message, deadline).await {
-        Ok(PeerMessage::Gateway(GatewayMessage::Gossip(records))) => {
+    let message = GatewayMessage::Gossip(sample(state));
+    match call(state, address, message, ANSWER_LIMIT).await {
+        Ok(GatewayMessage::Gossip(records)) => {
             let now = state.now();
             for record in records {
                 state.gossip.merge(record, now);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //!
 //! The dispatcher's path:
 //! - [`permit_service`]: grants permits on this host, and lets requests wait.
+//! - [`peer_calls`]: calls to other hosts.
 //! - [`peer_service`]: answers the messages of other hosts.
 //!
 //! The configuration's path:
@@ -34,6 +35,7 @@
 pub mod ingress;
 pub mod knowledge;
 pub mod metrics;
+pub mod peer_calls;
 pub mod peer_service;
 pub mod permit_client;
 pub mod permit_service;
--- a/crates/gateway/src/permit_client.rs
+++ b/crates/gateway/src/permit_client.rs
@@ -9,9 +9,12 @@
 use chicorycroft_dispatch::prelude::*;
 use chicorycroft_membership::prelude::*;
 use chicorycroft_peer::prelude::*;
-use tokio::time::Instant;
 
 use crate::{
+    peer_calls::{
+        call,
+        call_member, //
+    },
     permit_service,
     state::GatewayState, //
 };
@@ -93,9 +96,8 @@
 
 async fn send_release(state: &GatewayState, member: &MemberRecord, notice: ReleaseNotice) {
     let permit = notice.permit;
-    let message = PeerMessage::Gateway(GatewayMessage::Release(notice));
-    let deadline = Instant::now() + RELEASE_LIMIT;
-    if let Err(error) = state.peers.call(member.address, message, deadline).await {
+    let message = GatewayMessage::Release(notice);
+    if let Err(error) = call(state, member.address, message, RELEASE_LIMIT).await {
         // The permit ends by itself with the deadline of its request.
         log::info!(
             "event=release_lost permit={permit} dispatcher={} error=\"{error}\"",
@@ -168,18 +170,15 @@
         if member.host == state.settings.host {
             return ask_self(state, request).await;
         }
-        let deadline = Instant::now() + request.wait() + ANSWER_LIMIT;
-        let message = PeerMessage::Gateway(GatewayMessage::Admit(request.clone()));
-        match state.peers.call(member.address, message, deadline).await {
-            Ok(PeerMessage::Gateway(GatewayMessage::Admitted(answer))) => {
+        let message = GatewayMessage::Admit(request.clone());
+        let limit = request.wait() + ANSWER_LIMIT;
+        match call_member(state, &member, message, limit).await {
+            Ok(GatewayMessage::Admitted(answer)) => {
                 return hold(state, request, PermitSource::Remote(member), answer);
             }
             Ok(_) => log::warn!("event=peer_answer_unexpected host={}", member.host),
-            Err(error) => {
-                if state.gossip.suspect(&member.host, state.now()) {
-                    log::warn!("event=peer_lost host={} error=\"{error}\"", member.host);
-                }
-            }
+            // The next host is asked; the loss has been logged.
+            Err(_) => {}
         }
     }
     PermitAnswer::Silent
--- a/crates/membership/tests/host_gossip.rs
+++ b/crates/membership/tests/host_gossip.rs
@@ -1,5 +1,11 @@
 //! What hosts tell each other where no list of hosts is published.
 
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "helpers of tests may panic"
+)]
+
 use chicorycroft_core::prelude::*;
 use chicorycroft_membership::prelude::*;
 
