Log refusals of dispatchers and attempts that are given up, and take changed seeds

Cause: a request that ended at its time limit or without a slot left no line that says where; a settings file that changes without a signal was not read, so that a host whose seeds are all down stays alone. Change: one line for each refusal of a dispatcher and each attempt that is given up, with version and age of what decided; the settings file is looked at every 2 s and its seeds are taken; the search through zones has a module of its own.

--- a/crates/gateway/src/gossip_loop.rs
+++ b/crates/gateway/src/gossip_loop.rs
@@ -57,9 +57,7 @@
         .map(|record| record.address)
         .collect();
     let mut random = rand::rng();
-    let own = state.settings.peer_listen;
-    let seeds = state.settings.seeds.iter().filter(|seed| **seed != own);
-    let seeds: Vec<SocketAddr> = seeds.copied().collect();
+    let seeds = state.seeds();
     let asks_seed = known.is_empty() || random.random_range(0..100) < SEED_PERCENT;
     match asks_seed {
         true => seeds.choose(&mut random).copied(),
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -97,14 +97,17 @@
     let id = headers::request_id(&parts.headers).map(SmolStr::new);
     let end = serve(&state, &mut parts, body, id.as_ref(), arrival).await;
     let elapsed = state.now().since(arrival);
+    let (index, age) = (state.knowledge.index(), state.knowledge.age(state.now()));
     state.metrics.on_request(&end.outcome, elapsed);
     log::info!(
-        "event=request id={} path={} outcome={} status={} reason={} elapsed_ms={}",
+        "event=request id={} path={} outcome={} status={} reason={} config={} age_ms={} elapsed_ms={}",
         id.as_deref().unwrap_or("-"),
         parts.uri.path(),
         end.outcome,
         end.response.status().as_u16(),
         end.reason,
+        index.map_or(0, |index| index.config().version().get()),
+        age.map_or(0, |age| age.get().as_millis()),
         elapsed.as_millis()
     );
     let mut response = end.response.map(full_body);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //! A request's path:
 //! - [`ingress`]: answers callers: route, key, body, and the answer.
 //! - [`request_run`]: the attempts of one request, their order and their end.
+//! - `zone_search`: what the zones answer while a request looks for a target.
 //! - [`permit_client`]: asks dispatchers for permits and gives them back.
 //! - [`exchange`]: one attempt at a target.
 //! - [`target_connections`]: kept connections to targets.
@@ -44,6 +45,7 @@
 pub mod state;
 pub mod store_loop;
 pub mod target_connections;
+mod zone_search;
 
 /// The names that most users of the crate need.
 pub mod prelude {
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,6 +1,12 @@
 //! The gateway process on each entry host of the users' platform.
 
-use std::process::ExitCode;
+use std::{
+    process::ExitCode,
+    time::{
+        Duration,
+        SystemTime, //
+    },
+};
 
 use chicorycroft_adapter::{
     prelude::*,
@@ -21,6 +27,9 @@
 /// Exit status for a command line that is not valid, as `sysexits` has it.
 const EXIT_USAGE: u8 = 64;
 
+/// Time between looks at the settings file.
+const SETTINGS_PERIOD: Duration = Duration::from_secs(2);
+
 /// Threads of the runtime. An entry host has a part of one core; a second thread lets the readiness
 /// question pass a long computation.
 const WORKER_THREADS: usize = 2;
@@ -37,11 +46,20 @@
         "event=started host={name} callers={}",
         host.caller_address()
     );
+    let mut modified_at = modified(path);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = reload.recv() => reload_settings(path, &host),
+            _ = reload.recv() => {}
+            // The file may also change without a signal.
+            () = tokio::time::sleep(SETTINGS_PERIOD) => {
+                if modified(path) == modified_at {
+                    continue;
+                }
+            }
         }
+        modified_at = modified(path);
+        reload_settings(path, &host);
     }
     log::info!("event=stop_begun host={name}");
     let is_drained = host.stop().await;
@@ -49,12 +67,21 @@
     Ok(is_drained)
 }
 
-/// Reads the settings again. Addresses and bounds stay as they are until the next start.
+/// Returns when the settings file was last written, as far as the system tells.
+fn modified(path: &str) -> Option<SystemTime> {
+    std::fs::metadata(path)
+        .and_then(|file| file.modified())
+        .ok()
+}
+
+/// Reads the settings again and takes their seeds. Addresses and bounds stay as they are until the next
+/// start, and settings that are not valid change nothing.
 fn reload_settings(path: &str, host: &GatewayHost) {
     match GatewaySettings::with_file(path) {
         Ok(settings) => {
-            let is_same = settings == host.state().settings;
-            log::info!("event=settings_reloaded unchanged={is_same}");
+            let count = settings.seeds.len();
+            let is_changed = host.state().set_seeds(settings.seeds);
+            log::info!("event=settings_reloaded seeds={count} seeds_changed={is_changed}");
         }
         Err(error) => log::warn!("event=settings_refused error=\"{error}\""),
     }
--- a/crates/gateway/src/permit_client.rs
+++ b/crates/gateway/src/permit_client.rs
@@ -9,6 +9,7 @@
 use chicorycroft_dispatch::prelude::*;
 use chicorycroft_membership::prelude::*;
 use chicorycroft_peer::prelude::*;
+use smol_str::SmolStr;
 
 use crate::{
     peer_calls::{
@@ -38,11 +39,22 @@
     Remote(MemberRecord),
 }
 
+impl PermitSource {
+    /// Returns the host whose dispatcher answered.
+    fn host<'a>(&'a self, own: &'a HostId) -> &'a HostId {
+        match self {
+            Self::Local => own,
+            Self::Remote(member) => &member.host,
+        }
+    }
+}
+
 /// A permit, which goes back to its dispatcher when it is dropped.
 #[derive(Debug)]
 pub struct HeldPermit {
     state: Arc<GatewayState>,
     source: PermitSource,
+    request: SmolStr,
     notice: ReleaseNotice,
     granted_at: MonoTime,
     hung_after: Duration,
@@ -77,8 +89,18 @@
         let elapsed = self.elapsed();
         self.notice.elapsed_millis = u32::try_from(elapsed.as_millis()).unwrap_or(u32::MAX);
         // An attempt that was given up says something about its target only when it took long.
-        if !self.is_settled && elapsed >= self.hung_after {
-            self.notice.result = AttemptResult::Hung;
+        if !self.is_settled {
+            if elapsed >= self.hung_after {
+                self.notice.result = AttemptResult::Hung;
+            }
+            log::info!(
+                "event=attempt_given_up id={} target={} permit={} result={} elapsed_ms={}",
+                self.request,
+                self.notice.target,
+                self.notice.permit,
+                self.notice.result,
+                elapsed.as_millis()
+            );
         }
         self.state
             .metrics
@@ -110,7 +132,7 @@
 #[derive(Debug)]
 pub enum PermitAnswer {
     /// The request may be sent.
-    Held(HeldPermit),
+    Held(Box<HeldPermit>),
     /// It may not.
     Refused(AdmitAnswer),
     /// No dispatcher of the zone answered.
@@ -133,12 +155,26 @@
     state.metrics.on_permit(name);
     let grant = match answer {
         AdmitAnswer::Granted(grant) => grant,
-        refusal => return PermitAnswer::Refused(refusal),
+        refusal => {
+            log::info!(
+                "event=permit_answer id={} zone={} dispatcher={} answer={name} wait_ms={} left_ms={} \
+                 least_trust={} tried={}",
+                request.request,
+                request.zone.as_ref().map_or("any", ZoneId::as_str),
+                source.host(&state.settings.host),
+                request.wait_millis,
+                request.left_millis,
+                request.trust,
+                request.tried.len()
+            );
+            return PermitAnswer::Refused(refusal);
+        }
     };
     let usual = Duration::from_millis(grant.usual_millis.into());
-    PermitAnswer::Held(HeldPermit {
+    PermitAnswer::Held(Box::new(HeldPermit {
         state: state.clone(),
         source,
+        request: request.request.clone(),
         notice: ReleaseNotice {
             service: request.service.clone(),
             zone: request.zone.clone(),
@@ -150,7 +186,7 @@
         granted_at: state.now(),
         hung_after: hedge_delay(usual),
         is_settled: false,
-    })
+    }))
 }
 
 /// Asks the dispatcher of this process.
--- a/crates/gateway/src/permit_service.rs
+++ b/crates/gateway/src/permit_service.rs
@@ -56,7 +56,7 @@
         .admit(request, config, &directory, share, now);
     match answer {
         PoolAnswer::Granted(grant) => {
-            log_grant(request, &grant, share, Duration::ZERO);
+            log_grant(request, &grant, (share, directory.as_of), Duration::ZERO);
             AdmitAnswer::Granted(grant)
         }
         PoolAnswer::NoTarget => AdmitAnswer::NoTarget,
@@ -71,7 +71,12 @@
         PoolAnswer::Waiting(ticket) => {
             let answer = wait(state, request, ticket).await;
             if let AdmitAnswer::Granted(grant) = &answer {
-                log_grant(request, grant, share, state.now().since(now));
+                log_grant(
+                    request,
+                    grant,
+                    (share, directory.as_of),
+                    state.now().since(now),
+                );
             }
             answer
         }
@@ -92,10 +97,15 @@
     );
 }
 
-fn log_grant(request: &AdmitRequest, grant: &DispatchGrant, share: FleetShare, waited: Duration) {
+fn log_grant(
+    request: &AdmitRequest,
+    grant: &DispatchGrant,
+    (share, as_of): (FleetShare, StoreRevision),
+    waited: Duration,
+) {
     log::info!(
         "event=permit_granted id={} permit={} target={} trust={} service={} team={} charged={} \
-         share={} waited_ms={}",
+         share={} as_of={as_of} waited_ms={}",
         request.request,
         grant.permit,
         grant.target,
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -27,6 +27,7 @@
         ask_zone, //
     },
     state::GatewayState,
+    zone_search::ZoneSearch, //
 };
 
 /// Most targets that are tried for one request, those included that could not be reached.
@@ -64,52 +65,6 @@
     Refused(RefusalAnswer, Option<Duration>, &'static str),
 }
 
-/// What the zones have answered while a request looks for a target.
-#[derive(Debug)]
-struct ZoneSearch {
-    /// Zones to ask, the own one first.
-    zones: Vec<ZoneId>,
-    /// Zones whose targets with a slot have less trust than asked for.
-    lesser_zones: Vec<ZoneId>,
-    /// First zone that had no slot.
-    busy_zone: Option<ZoneId>,
-    /// Whether no dispatcher has answered.
-    is_silent: bool,
-    refusal: AdmitAnswer,
-}
-
-impl ZoneSearch {
-    /// Begins a search. The dispatcher of the own zone keeps the rates, so that it is asked first, whether
-    /// its zone has targets or not.
-    fn new(run: &RequestRun) -> Self {
-        let own = &run.state.settings.zone;
-        let mut others = run.state.knowledge.directory().zones_of(&run.plan.service);
-        let has_own = others.shift_remove(own);
-        let own = (has_own || !run.is_charged).then(|| own.clone());
-        Self {
-            zones: own.into_iter().chain(others).collect(),
-            lesser_zones: Vec::new(),
-            busy_zone: None,
-            is_silent: true,
-            refusal: AdmitAnswer::NoTarget,
-        }
-    }
-
-    fn note(&mut self, zone: &ZoneId, answer: &PermitAnswer) {
-        self.is_silent &= matches!(answer, PermitAnswer::Silent);
-        let PermitAnswer::Refused(busy @ AdmitAnswer::Busy { has_lesser, .. }) = answer else {
-            return;
-        };
-        if self.busy_zone.is_none() {
-            self.busy_zone = Some(zone.clone());
-            self.refusal = busy.clone();
-        }
-        if *has_lesser && !self.lesser_zones.contains(zone) {
-            self.lesser_zones.push(zone.clone());
-        }
-    }
-}
-
 /// The progress of one request.
 #[derive(Debug)]
 pub struct RequestRun {
@@ -198,10 +153,21 @@
         left_out
     }
 
+    /// Returns the zones to ask. The dispatcher of the own zone keeps the rates, so that it is asked first,
+    /// whether its zone has targets or not.
+    fn zones(&self) -> Vec<ZoneId> {
+        let own = &self.state.settings.zone;
+        let directory = self.state.knowledge.directory();
+        let mut others = directory.zones_of(&self.plan.service);
+        let has_own = others.shift_remove(own);
+        let own = (has_own || !self.is_charged).then(|| own.clone());
+        own.into_iter().chain(others).collect()
+    }
+
     /// Finds a target: a trusted one in the own zone or in the others, then any, then after a wait in the
     /// own zone, and last by the rules of this host alone.
     async fn place(&mut self, may_wait: bool) -> Result<Placement, AdmitAnswer> {
-        let mut search = ZoneSearch::new(self);
+        let mut search = ZoneSearch::new(self.zones());
         let trusted = TargetTrust::Unknown;
         for zone in search.zones.clone() {
             let asked = self.ask(Some(&zone), Duration::ZERO, trusted);
@@ -248,7 +214,7 @@
 
     fn take(&mut self, answer: PermitAnswer) -> Result<Placement, AdmitAnswer> {
         let permit = match answer {
-            PermitAnswer::Held(permit) => permit,
+            PermitAnswer::Held(permit) => *permit,
             PermitAnswer::Refused(refusal) => {
                 self.is_charged |= !matches!(refusal, AdmitAnswer::OverRate { .. });
                 return Err(refusal);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,8 +1,9 @@
 //! What all tasks of a gateway process share.
 
 use std::{
+    net::SocketAddr,
     sync::{
-        Arc,
+        Arc, PoisonError, RwLock,
         atomic::{
             AtomicBool,
             Ordering, //
@@ -80,6 +81,7 @@
     pub metrics: GatewayMetrics,
     /// Room for request bodies, in KiB.
     pub body_room: Arc<Semaphore>,
+    seeds: RwLock<Vec<SocketAddr>>,
     followers: ShardMap<HostId, MonoTime>,
     reports: ShardMap<HostId, DispatcherReport>,
     is_stopping: AtomicBool,
@@ -110,6 +112,7 @@
             paths: PathMemory::new(),
             metrics,
             body_room: Arc::new(Semaphore::new(BODY_KIB_MAX)),
+            seeds: RwLock::new(settings.seeds.clone()),
             followers: ShardMap::new(),
             reports: ShardMap::new(),
             is_stopping: AtomicBool::new(false),
@@ -173,8 +176,22 @@
 
     /// Tells whether the settings name no other host.
     fn is_only_host(&self) -> bool {
+        self.seeds().is_empty()
+    }
+
+    /// Returns the addresses of other hosts that the settings name.
+    pub fn seeds(&self) -> Vec<SocketAddr> {
         let own = self.settings.peer_listen;
-        self.settings.seeds.iter().all(|seed| *seed == own)
+        let seeds = self.seeds.read().unwrap_or_else(PoisonError::into_inner);
+        seeds.iter().copied().filter(|seed| *seed != own).collect()
+    }
+
+    /// Takes the seeds of changed settings; returns whether they differ.
+    pub fn set_seeds(&self, new_seeds: Vec<SocketAddr>) -> bool {
+        let mut seeds = self.seeds.write().unwrap_or_else(PoisonError::into_inner);
+        let is_changed = *seeds != new_seeds;
+        *seeds = new_seeds;
+        is_changed
     }
 
     /// Tells whether this host is the dispatcher of its zone, as far as it knows.
