Let bodies of unknown length take room as they come

Cause: a chunked body reserved 512 KiB of the room for bodies whatever its size, so that large ones could exceed the memory of a small host.

--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -34,12 +34,6 @@
     },
     request,
 };
-use http_body::Body;
-use http_body_util::{
-    BodyExt,
-    LengthLimitError,
-    Limited, //
-};
 use hyper::body::Incoming;
 use rand::RngExt;
 use smol_str::SmolStr;
@@ -47,6 +41,7 @@
 
 use crate::{
     exchange::OutgoingRequest,
+    request_body::read_body,
     request_run::{
         RequestPlan,
         RequestRun,
@@ -62,9 +57,6 @@
 /// Part of the time to come back that is random, in percent, so that callers do not return together.
 const RETRY_SPREAD_PERCENT: u64 = 50;
 
-/// Size that is reserved for a body without a stated length, in KiB.
-const UNKNOWN_BODY_KIB: u32 = 512;
-
 /// An answer with the reason for it.
 struct IngressEnd {
     response: Response<Bytes>,
@@ -210,7 +202,9 @@
     let service = service.ok_or_else(|| refuse(RefusalAnswer::Unavailable, "no-destination"))?;
     let (priority, team) = (index.priority(route, team), team.cloned());
     let limits = index.config().limits();
-    let (body, room) = read_body(state, body, limits, budget.left).await?;
+    let body_max = limits.body_bytes_max;
+    let read = read_body(&state.body_room, body, body_max, budget.left).await;
+    let (body, room) = read.map_err(|error| refuse(error.answer(), error.name()))?;
     let ends_at = arrival.after(budget.left);
     Ok((
         RequestPlan {
@@ -228,35 +222,6 @@
     ))
 }
 
-/// Reads a whole body. A slot of a target is taken only afterwards, so that slow callers hold none.
-async fn read_body(
-    state: &GatewayState,
-    body: Incoming,
-    limits: CallerLimits,
-    left: Duration,
-) -> Result<(Bytes, OwnedSemaphorePermit), EarlyRefusal> {
-    let refuse = EarlyRefusal::new;
-    let hint = body.size_hint();
-    if hint.lower() > limits.body_bytes_max {
-        return Err(refuse(RefusalAnswer::BodyTooLarge, "body-too-large"));
-    }
-    let kib = hint.exact().map_or(UNKNOWN_BODY_KIB, |length| {
-        u32::try_from(length.div_ceil(1024)).unwrap_or(u32::MAX)
-    });
-    let room = state.body_room.clone().try_acquire_many_owned(kib);
-    let room = room.map_err(|_| refuse(RefusalAnswer::Unavailable, "no-room-for-body"))?;
-    let length_max = usize::try_from(limits.body_bytes_max).unwrap_or(usize::MAX);
-    let read = Limited::new(body, length_max).collect();
-    match tokio::time::timeout(left, read).await {
-        Ok(Ok(body)) => Ok((body.to_bytes(), room)),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(refuse(RefusalAnswer::BodyTooLarge, "body-too-large"))
-        }
-        Ok(Err(_)) => Err(refuse(RefusalAnswer::SlowBody, "body-cut")),
-        Err(_) => Err(refuse(RefusalAnswer::SlowBody, "body-too-slow")),
-    }
-}
-
 /// Makes the request that goes to targets.
 fn outgoing(parts: &request::Parts, body: Bytes, team: Option<TeamId>) -> OutgoingRequest {
     let mut head = parts.clone();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! A request's path:
 //! - [`ingress`]: answers callers: route, key, body, and the answer.
+//! - [`request_body`]: reads a whole body into bounded room.
 //! - [`request_run`]: the attempts of one request, their order and their end.
 //! - `zone_search`: what the zones answer while a request looks for a target.
 //! - [`permit_client`]: asks dispatchers for permits and gives them back.
@@ -41,6 +42,7 @@
 pub mod permit_client;
 pub mod permit_service;
 pub mod ready_service;
+pub mod request_body;
 pub mod request_run;
 pub mod state;
 pub mod store_loop;
