Keep names of the platform in platform/ for tests too, and one macro for counting newtypes

Cause: read-through: the gateway's tests spelled fields and headers of the platform, and two crates defined the same newtypes. Change: documents and headers of tests stand in platform/standin; core exports define_counter. Conclusion: behaviour is unchanged.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`ids`]: names of hosts, zones, teams, targets and the rest.
 //! - [`amounts`]: tokens, rates, bursts, slots and ratios.
+//! - [`counters`]: newtypes of whole numbers.
 //! - [`digest`]: digests of keys and documents.
 //! - [`time`]: points in time that callers pass into every decision.
 //! - [`versions`]: configuration versions and host incarnations.
@@ -11,6 +12,7 @@
 //! Nothing here performs I/O or reads a clock.
 
 pub mod amounts;
+pub mod counters;
 pub mod digest;
 pub mod ids;
 pub mod rendezvous;
--- a/crates/directory/src/targets.rs
+++ b/crates/directory/src/targets.rs
@@ -12,7 +12,10 @@
     time::Duration, //
 };
 
-use chicorycroft_core::prelude::*;
+use chicorycroft_core::{
+    define_counter,
+    prelude::*, //
+};
 use indexmap::{
     IndexMap,
     IndexSet, //
@@ -23,37 +26,10 @@
 };
 use xxhash_rust::xxh3::Xxh3;
 
-/// Revision of the store; a higher one is later.
-#[derive(
-    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
-)]
-pub struct StoreRevision(u64);
-
-impl StoreRevision {
-    /// Wraps a number.
-    pub const fn new(number: u64) -> Self {
-        Self(number)
-    }
-
-    /// Returns the number.
-    pub const fn get(self) -> u64 {
-        self.0
-    }
-}
-
-impl fmt::Display for StoreRevision {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
-    }
-}
-
-impl FromStr for StoreRevision {
-    type Err = ParseIntError;
-
-    fn from_str(text: &str) -> Result<Self, ParseIntError> {
-        text.parse().map(Self)
-    }
-}
+define_counter!(
+    /// Revision of the store; a higher one is later.
+    StoreRevision
+);
 
 /// Digest of a directory's content, so that hosts see without comparing whether they hold the same.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
--- a/crates/dispatch/src/messages.rs
+++ b/crates/dispatch/src/messages.rs
@@ -2,12 +2,13 @@
 
 use std::{
     fmt,
-    num::ParseIntError,
-    str::FromStr,
     time::Duration, //
 };
 
-use chicorycroft_core::prelude::*;
+use chicorycroft_core::{
+    define_counter,
+    prelude::*, //
+};
 use serde::{
     Deserialize,
     Serialize, //
@@ -16,47 +17,11 @@
 
 use crate::evidence::TargetTrust;
 
-macro_rules! define_number {
-    ($(#[$doc:meta])* $name:ident) => {
-        $(#[$doc])*
-        #[derive(
-            Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
-        )]
-        pub struct $name(u64);
-
-        impl $name {
-            /// Wraps a number.
-            pub const fn new(number: u64) -> Self {
-                Self(number)
-            }
-
-            /// Returns the number.
-            pub const fn get(self) -> u64 {
-                self.0
-            }
-        }
-
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                write!(f, "{}", self.0)
-            }
-        }
-
-        impl FromStr for $name {
-            type Err = ParseIntError;
-
-            fn from_str(text: &str) -> Result<Self, ParseIntError> {
-                text.parse().map(Self)
-            }
-        }
-    };
-}
-
-define_number!(
+define_counter!(
     /// Number of a permit at its dispatcher.
     PermitNumber
 );
-define_number!(
+define_counter!(
     /// Number of a waiting request at its dispatcher.
     TicketNumber
 );
--- a/crates/gateway/tests/gateway/configuration.rs
+++ b/crates/gateway/tests/gateway/configuration.rs
@@ -4,11 +4,9 @@
 
 use chicorycroft_core::prelude::*;
 use chicorycroft_gateway::prelude::*;
+use chicorycroft_platform_standin::prelude::*;
 
-use crate::setting::{
-    TestSetting,
-    config, //
-};
+use crate::setting::TestSetting;
 
 fn version(host: &GatewayHost) -> u64 {
     let index = host.state().knowledge.index();
@@ -20,11 +18,11 @@
 async fn withdrawn_key_stops_working_and_stays_withdrawn() {
     let setting = TestSetting::new(1).await;
     assert_eq!(setting.call("GET /look/1", "key-1", "").await.status, 200);
-    setting.store.put("op/config", &config(3, &["key-2"]));
+    setting.store.put_config(&config(3, &["key-2"]));
     setting.until(|host| version(host) == 3).await;
     assert_eq!(setting.call("GET /look/1", "key-1", "").await.status, 401);
     assert_eq!(setting.call("GET /look/1", "key-2", "").await.status, 200);
-    setting.store.put("op/config", &config(2, &["key-1"]));
+    setting.store.put_config(&config(2, &["key-1"]));
     tokio::time::sleep(Duration::from_millis(300)).await;
     assert_eq!(setting.call("GET /look/1", "key-1", "").await.status, 401);
 }
@@ -33,10 +31,8 @@
 #[tokio::test]
 async fn version_with_a_mistake_leaves_the_last_one_in_force() {
     let setting = TestSetting::new(1).await;
-    let mut bad = config(2, &["key-2"]);
-    bad["routes"]["look"]["kind"] = "odd".into();
-    setting.store.put("op/config", &bad);
-    setting.store.put("op/config", &config(3, &["key-3"]));
+    setting.store.put_config(&config_with_mistake(2));
+    setting.store.put_config(&config(3, &["key-3"]));
     setting.until(|host| version(host) == 3).await;
     assert_eq!(setting.call("GET /look/1", "key-3", "").await.status, 200);
 }
@@ -80,10 +76,10 @@
         assert_eq!(setting.call("GET /look/1", "key-1", "").await.status, 200);
     }
     assert_eq!(last.seen().len(), 4);
-    setting.store.put("op/evacuate/a", &serde_json::json!({}));
+    setting.store.set_evacuated("a", true);
     setting.until(|host| open_count(host) == 0).await;
     assert_eq!(setting.call("GET /look/1", "key-1", "").await.status, 503);
-    setting.store.remove("op/evacuate/a");
+    setting.store.set_evacuated("a", false);
     setting.until(|host| open_count(host) == 1).await;
     assert_eq!(setting.call("GET /look/1", "key-1", "").await.status, 200);
 }
--- a/crates/gateway/tests/gateway/requests.rs
+++ b/crates/gateway/tests/gateway/requests.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use chicorycroft_platform_standin::prelude::*;
+use chicorycroft_platform_standin::{
+    prelude::*,
+    target::SIGNATURE, //
+};
 use tokio::time::Instant;
 
 use crate::setting::TestSetting;
@@ -17,7 +20,7 @@
         (answer.status, answer.body.as_str()),
         (200, "answer of t-0")
     );
-    assert!(answer.head.contains("x-response-signature: s.1"));
+    assert!(answer.head.contains(SIGNATURE));
     let seen = setting.seen();
     let [request] = &seen[..] else {
         panic!("one request, not {}", seen.len());
@@ -25,8 +28,8 @@
     assert!(request.head.starts_with("POST /buy/1?x=2 HTTP/1.1\r\n"));
     assert_eq!(request.body, b"two labels");
     assert!(!request.head.contains("key-1"));
-    assert_eq!(request.header("x-tenant"), Some("weavers"));
-    assert_eq!(request.header("x-target-instance"), Some("t-0"));
+    assert_eq!(request.team(), Some("weavers"));
+    assert_eq!(request.target(), Some("t-0"));
     assert_eq!(request.header("x-request-id"), Some("id-1"));
     let left: u64 = request.header("x-deadline-ms").unwrap().parse().unwrap();
     assert!(
--- a/crates/gateway/tests/gateway/setting.rs
+++ b/crates/gateway/tests/gateway/setting.rs
@@ -8,10 +8,9 @@
 use chicorycroft_adapter::prelude::*;
 use chicorycroft_core::prelude::*;
 use chicorycroft_gateway::prelude::*;
-use chicorycroft_platform_standin::prelude::*;
-use serde_json::{
-    Value,
-    json, //
+use chicorycroft_platform_standin::{
+    prelude::*,
+    target::FORGED_TEAM, //
 };
 use tokio::{
     io::{
@@ -44,25 +43,6 @@
     pub(crate) body: String,
 }
 
-/// Returns a configuration with a route for each kind of request.
-pub(crate) fn config(version: u64, keys: &[&str]) -> Value {
-    let route = |prefix: &str, kind: &str, is_public: bool| {
-        json!({"host": "shop.example", "prefix": prefix, "kind": kind, "timeoutS": 1.0,
-               "targetLatencyS": 0.8, "priority": 1, "service": "rate", "maxAttempts": 2, "public": is_public})
-    };
-    json!({
-        "version": version,
-        "routes": {
-            "look": route("/look/", "safe", false),
-            "buy": route("/buy/", "unsafe", false),
-            "open": route("/open/", "safe", true),
-        },
-        "services": {"rate": {"healthPath": "/healthz", "maxConns": 390, "warmupS": 3.0, "warmupPerS": 2.5}},
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1000000, "headerTimeoutS": 3, "idleTimeoutS": 15},
-        "tenants": {"weavers": {"apiKeys": keys, "priority": 1, "ratePerS": 0, "burst": 0}},
-    })
-}
-
 impl TestSetting {
     /// Starts a gateway before a number of targets, and waits until it serves.
     pub(crate) async fn new(target_count: usize) -> Self {
@@ -72,7 +52,7 @@
     /// Starts a gateway with another bound for withdrawn keys.
     pub(crate) async fn with_revoke_bound(target_count: usize, revoke_bound: Duration) -> Self {
         let store = StoreStandIn::start().await.unwrap();
-        store.put("op/config", &config(1, &["key-1"]));
+        store.put_config(&config(1, &["key-1"]));
         let mut targets = Vec::new();
         for number in 0..target_count {
             let target = TargetStandIn::start(&format!("t-{number}")).await.unwrap();
@@ -137,7 +117,7 @@
     let mut stream = TcpStream::connect(address).await.unwrap();
     let head = format!(
         "{line} HTTP/1.1\r\nhost: shop.example\r\nx-request-id: id-1\r\nx-deadline-ms: 3000\r\n\
-         authorization: Bearer {key}\r\nx-tenant: admin\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+         authorization: Bearer {key}\r\n{FORGED_TEAM}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
         body.len()
     );
     stream.write_all(head.as_bytes()).await.unwrap();
