--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -82,6 +82,11 @@
         }
     }
 
+    /// Returns the number of lines that were left out and not yet told of.
+    pub fn left_out(&self) -> u64 {
+        self.left_out.load(Ordering::Relaxed)
+    }
+
     /// Makes this the log of the process.
     ///
     /// # Errors
