Convert times for messages in one place, and drop names that nothing uses

Change: dispatch::messages::whole_millis serves all; the unused items are gone. Behaviour is the same.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -45,6 +45,7 @@
             ReleaseNotice,
             TeamUsage,
             TicketNumber, //
+            whole_millis,
         },
         path_memory::PathMemory,
         service_pool::{
--- a/crates/dispatch/src/messages.rs
+++ b/crates/dispatch/src/messages.rs
@@ -26,6 +26,11 @@
     TicketNumber
 );
 
+/// Returns a time as messages carry it, in milliseconds and limited to the largest value.
+pub fn whole_millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// A host asks for a target.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct AdmitRequest {
--- a/crates/dispatch/src/service_pool.rs
+++ b/crates/dispatch/src/service_pool.rs
@@ -24,6 +24,7 @@
         PermitNumber,
         ReleaseNotice,
         TicketNumber, //
+        whole_millis,
     },
     target_slots::TargetSlots,
     waiting_line::WaitingLine,
@@ -243,7 +244,7 @@
         Some(DispatchGrant {
             permit,
             target: id,
-            usual_millis: u32::try_from(self.usual_time.as_millis()).unwrap_or(u32::MAX),
+            usual_millis: whole_millis(self.usual_time),
             trust,
         })
     }
@@ -368,7 +369,7 @@
                 continue;
             };
             let mut request = waiting.request.clone();
-            let waited = u32::try_from(now.since(waiting.since).as_millis()).unwrap_or(u32::MAX);
+            let waited = whole_millis(now.since(waiting.since));
             request.left_millis = request.left_millis.saturating_sub(waited);
             let Some(grant) = self.try_grant(&request, next_number(), now) else {
                 break;
@@ -383,9 +384,4 @@
     pub fn cancel(&mut self, ticket: TicketNumber) {
         self.line.remove(ticket);
     }
-
-    /// Returns the number of requests that wait.
-    pub fn waiting_count(&self) -> usize {
-        self.line.len()
-    }
 }
--- a/crates/gateway/src/follow_loop.rs
+++ b/crates/gateway/src/follow_loop.rs
@@ -10,6 +10,7 @@
 };
 
 use chicorycroft_core::prelude::*;
+use chicorycroft_dispatch::prelude::*;
 use chicorycroft_membership::prelude::*;
 use chicorycroft_peer::prelude::*;
 use indexmap::IndexMap;
@@ -95,7 +96,7 @@
             member: state.gossip.own(),
             config: index.map(|index| index.config().version()),
             content: state.knowledge.directory().content,
-            wait_millis: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+            wait_millis: whole_millis(wait),
             is_dispatcher,
         };
         let sent_at = state.now();
--- a/crates/gateway/src/peer_service.rs
+++ b/crates/gateway/src/peer_service.rs
@@ -69,11 +69,10 @@
     let (index, directory) = (state.knowledge.index(), state.knowledge.directory());
     let config = index.map(|index| index.config().clone());
     let config = config.filter(|config| Some(config.version()) > request.config);
-    let millis = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
     PeerMessage::Gateway(GatewayMessage::News(Box::new(FollowAnswer {
         member: state.gossip.own(),
-        held_millis: millis(now.since(arrival)),
-        age_millis: state.knowledge.age(now).map(|age| millis(age.get())),
+        held_millis: whole_millis(now.since(arrival)),
+        age_millis: state.knowledge.age(now).map(|age| whole_millis(age.get())),
         config: config.map(|config| (*config).clone()),
         as_of: directory.as_of,
         directory: (directory.content != request.content).then(|| (*directory).clone()),
--- a/crates/gateway/src/permit_client.rs
+++ b/crates/gateway/src/permit_client.rs
@@ -87,7 +87,7 @@
 impl Drop for HeldPermit {
     fn drop(&mut self) {
         let elapsed = self.elapsed();
-        self.notice.elapsed_millis = u32::try_from(elapsed.as_millis()).unwrap_or(u32::MAX);
+        self.notice.elapsed_millis = whole_millis(elapsed);
         // An attempt that was given up says something about its target only when it took long.
         if !self.is_settled {
             if elapsed >= self.hung_after {
--- a/crates/gateway/src/permit_service.rs
+++ b/crates/gateway/src/permit_service.rs
@@ -34,10 +34,6 @@
     }
 }
 
-fn millis(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
-}
-
 /// Answers a request for a permit, after a wait where there is no slot.
 pub async fn admit(state: &Arc<GatewayState>, request: &AdmitRequest) -> AdmitAnswer {
     let Some(index) = state.knowledge.index() else {
@@ -47,7 +43,7 @@
     if let Err(wait) = state.dispatcher.charge(request, config, share, now) {
         log_refusal(request, config, share, "over-rate");
         return AdmitAnswer::OverRate {
-            retry_millis: millis(wait),
+            retry_millis: whole_millis(wait),
         };
     }
     let directory = state.knowledge.directory();
@@ -61,7 +57,7 @@
         }
         PoolAnswer::NoTarget => AdmitAnswer::NoTarget,
         PoolAnswer::Busy { drain, has_lesser } => AdmitAnswer::Busy {
-            retry_millis: millis(drain),
+            retry_millis: whole_millis(drain),
             has_lesser,
         },
         PoolAnswer::NoBudget => {
@@ -152,7 +148,7 @@
         }
     }
     for (ticket, drain) in change.expired {
-        let retry_millis = millis(drain);
+        let retry_millis = whole_millis(drain);
         if let Some(sender) = state.tickets.remove(&ticket) {
             // The host may have left meanwhile.
             let _ = sender.send(AdmitAnswer::Busy {
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -127,7 +127,6 @@
     }
 
     fn ask(&self, zone: Option<&ZoneId>, wait: Duration, trust: TargetTrust) -> AdmitRequest {
-        let millis = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
         let charged = self.plan.team.clone().filter(|_| !self.is_charged);
         AdmitRequest {
             request: self.plan.id.clone(),
@@ -138,8 +137,8 @@
             priority: self.plan.priority,
             is_idempotent: self.plan.is_idempotent,
             is_repeat: self.sent_count > 0,
-            wait_millis: millis(wait),
-            left_millis: millis(self.budget().left),
+            wait_millis: whole_millis(wait),
+            left_millis: whole_millis(self.budget().left),
             connected: self.state.connections.connected(self.state.now()),
             trust,
             tried: self.left_out(),
