Take the acknowledgement of a permit that is given back as one

Change: notify() for messages that are only acknowledged, beside call() for those that are answered.

--- a/crates/gateway/src/peer_calls.rs
+++ b/crates/gateway/src/peer_calls.rs
@@ -11,20 +11,16 @@
 
 use crate::state::GatewayState;
 
-/// Sends a message and returns the answer.
+/// Sends a message and returns what comes back.
 ///
 /// Open connections may be reset while new ones work, and say nothing about the host then. A call whose
 /// connection breaks is therefore made once more; all messages between gateway hosts may come twice.
-///
-/// # Errors
-///
-/// Fails when no answer comes within the limit, or when the second connection fails too.
-pub async fn call(
+async fn exchange(
     state: &GatewayState,
     address: SocketAddr,
     message: GatewayMessage,
     limit: Duration,
-) -> Result<GatewayMessage, PeerError> {
+) -> Result<PeerMessage, PeerError> {
     let deadline = Instant::now() + limit;
     let message = PeerMessage::Gateway(message);
     let answer = match state.peers.call(address, message.clone(), deadline).await {
@@ -32,8 +28,41 @@
         answer => answer?,
     };
     match answer {
-        PeerMessage::Gateway(answer) => Ok(answer),
         PeerMessage::Refused(reason) => Err(PeerError::Refused(reason)),
+        answer => Ok(answer),
+    }
+}
+
+/// Sends a message and returns the answer.
+///
+/// # Errors
+///
+/// Fails when no answer comes within the limit, or when the second connection fails too.
+pub async fn call(
+    state: &GatewayState,
+    address: SocketAddr,
+    message: GatewayMessage,
+    limit: Duration,
+) -> Result<GatewayMessage, PeerError> {
+    match exchange(state, address, message, limit).await? {
+        PeerMessage::Gateway(answer) => Ok(answer),
+        _ => Err(PeerError::Refused(RefusalReason::NotARequest)),
+    }
+}
+
+/// Sends a message that is only acknowledged.
+///
+/// # Errors
+///
+/// Fails like [`call`].
+pub async fn notify(
+    state: &GatewayState,
+    address: SocketAddr,
+    message: GatewayMessage,
+    limit: Duration,
+) -> Result<(), PeerError> {
+    match exchange(state, address, message, limit).await? {
+        PeerMessage::Accepted => Ok(()),
         _ => Err(PeerError::Refused(RefusalReason::NotARequest)),
     }
 }
--- a/crates/gateway/src/permit_client.rs
+++ b/crates/gateway/src/permit_client.rs
@@ -13,8 +13,8 @@
 
 use crate::{
     peer_calls::{
-        call,
-        call_member, //
+        call_member,
+        notify, //
     },
     permit_service,
     state::GatewayState, //
@@ -119,7 +119,7 @@
 async fn send_release(state: &GatewayState, member: &MemberRecord, notice: ReleaseNotice) {
     let permit = notice.permit;
     let message = GatewayMessage::Release(notice);
-    if let Err(error) = call(state, member.address, message, RELEASE_LIMIT).await {
+    if let Err(error) = notify(state, member.address, message, RELEASE_LIMIT).await {
         // The permit ends by itself with the deadline of its request.
         log::info!(
             "event=release_lost permit={permit} dispatcher={} error=\"{error}\"",
