--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -144,6 +144,26 @@
         })
     }
 
+    /// Serves the metrics at an address of their own besides the readiness address.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address is not free.
+    pub async fn serve_metrics(&mut self, address: SocketAddr) -> Result<SocketAddr, HostError> {
+        let listener = TcpListener::bind(address).await;
+        let listener = listener.map_err(listen_error("metrics", address))?;
+        let bound = listener
+            .local_addr()
+            .map_err(listen_error("metrics", address))?;
+        let state = self.state.clone();
+        self.loops.spawn(async move {
+            if let Err(error) = ready_service::serve_metrics(state, listener).await {
+                log::error!("event=metrics_service_ended error=\"{error}\"");
+            }
+        });
+        Ok(bound)
+    }
+
     /// Returns the address that callers connect to.
     pub fn caller_address(&self) -> SocketAddr {
         self.caller_address
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,6 +1,7 @@
 //! The gateway process on each entry host of the users' platform.
 
 use std::{
+    net::SocketAddr,
     process::ExitCode,
     time::{
         Duration,
@@ -37,11 +38,25 @@
 /// Stack of a thread of the runtime, in bytes.
 const STACK_BYTES: usize = 512 << 10;
 
-async fn run(path: &str, settings: GatewaySettings) -> Result<bool> {
+/// What the command line says.
+struct LaunchOptions {
+    settings_path: String,
+    metrics_port: Option<u16>,
+}
+
+async fn run(options: &LaunchOptions, settings: GatewaySettings) -> Result<bool> {
+    let path = options.settings_path.as_str();
     let mut terminate = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
     let name = settings.host.clone();
-    let host = GatewayHost::start(settings, GatewayClock::with_suspension()).await?;
+    let ip = settings.ready_listen.ip();
+    let mut host = GatewayHost::start(settings, GatewayClock::with_suspension()).await?;
+    if let Some(port) = options.metrics_port {
+        // Requests are served also where the metrics cannot be.
+        if let Err(error) = host.serve_metrics(SocketAddr::new(ip, port)).await {
+            log::warn!("event=metrics_unavailable error=\"{error}\"");
+        }
+    }
     log::info!(
         "event=started host={name} callers={}",
         host.caller_address()
@@ -87,23 +102,29 @@
     }
 }
 
-fn start(path: &str) -> Result<bool> {
-    let settings = GatewaySettings::with_file(path)?;
+fn start(options: &LaunchOptions) -> Result<bool> {
+    let settings = GatewaySettings::with_file(&options.settings_path)?;
     EventLog::new(std::io::stdout())?.install(LevelFilter::Info)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(WORKER_THREADS)
         .thread_stack_size(STACK_BYTES)
         .enable_all()
         .build()?;
-    runtime.block_on(run(path, settings))
+    runtime.block_on(run(options, settings))
 }
 
 fn main() -> ExitCode {
     let mut options = Options::new();
     options.optflag("h", "help", "print this help");
     options.optopt("s", "settings", "settings file of the platform", "FILE");
+    options.optopt(
+        "",
+        "metrics-port",
+        "port at the ready address that serves the metrics alone",
+        "PORT",
+    );
     let brief = format!(
-        "Usage: chicorycroft-gateway [--settings FILE]\n\nRuns one gateway process. Without --settings the \
+        "Usage: chicorycroft-gateway [--settings FILE] [--metrics-port PORT]\n\nRuns one gateway process. Without --settings the \
          file is named by {PATH_VARIABLE}."
     );
     let matches = match options.parse(std::env::args().skip(1)) {
@@ -117,11 +138,22 @@
         println!("{}", options.usage(&brief));
         return ExitCode::SUCCESS;
     }
-    let path = matches
+    let metrics_port = match matches.opt_get("metrics-port") {
+        Ok(port) => port,
+        Err(error) => {
+            eprintln!("chicorycroft-gateway: --metrics-port takes a port number: {error}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    let settings_path = matches
         .opt_str("s")
         .or_else(|| std::env::var(PATH_VARIABLE).ok())
         .unwrap_or_else(|| PATH_DEFAULT.to_owned());
-    match start(&path) {
+    let launch = LaunchOptions {
+        settings_path,
+        metrics_port,
+    };
+    match start(&launch) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(error) => {
--- a/crates/gateway/src/ready_service.rs
+++ b/crates/gateway/src/ready_service.rs
@@ -40,3 +40,13 @@
         .with_state(state);
     axum::serve(listener, router).await
 }
+
+/// Serves the metrics alone.
+///
+/// # Errors
+///
+/// Fails when the listening socket does.
+pub async fn serve_metrics(state: Arc<GatewayState>, listener: TcpListener) -> std::io::Result<()> {
+    let router = Router::new().route(METRICS_PATH, get(metrics));
+    axum::serve(listener, router.with_state(state)).await
+}
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 )]
 
 mod configuration;
+mod metrics;
 mod peers;
 mod requests;
 mod setting;
