Count late reports of spending after a cut as past

Change: a report that comes more than 1.5 s after the one before it, the time for which reports count as known, is news for the total but is not paid back.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -188,11 +188,17 @@
     }
 
     /// Takes what another dispatcher's teams have spent.
-    pub fn on_usage(&self, host: &HostId, incarnation: HostIncarnation, usage: &[TeamUsage]) {
+    pub fn on_usage(
+        &self,
+        host: &HostId,
+        incarnation: HostIncarnation,
+        usage: &[TeamUsage],
+        now: MonoTime,
+    ) {
         for report in usage {
             self.buckets
                 .with_or_insert(&report.team, TeamBucket::new, |bucket| {
-                    bucket.on_report(host, incarnation, report.spent);
+                    bucket.on_report(host, incarnation, report.spent, now);
                 });
         }
     }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -54,5 +54,6 @@
             LineChange,
             PoolAnswer, //
         },
+        team_bucket::REPORT_FOR,
     };
 }
--- a/crates/dispatch/src/team_bucket.rs
+++ b/crates/dispatch/src/team_bucket.rs
@@ -18,6 +18,10 @@
 /// Longest time that a caller is told to stay away.
 const RETRY_MAX: Duration = Duration::from_secs(2);
 
+/// Time for which what another dispatcher reported counts as known. After a longer silence the two were parted:
+/// the smaller part kept to its share of the rate meanwhile, and what the other one spent is past.
+pub const REPORT_FOR: Duration = Duration::from_millis(1500);
+
 /// Time by which a bucket is ahead of the start of its process. A team may exceed its rate by a quarter of five
 /// seconds in a window; callers that a restart sent away come back within this time.
 const HEAD_START: Duration = Duration::from_millis(500);
@@ -31,8 +35,15 @@
     spent: u64,
     /// What was spent here and what was reported.
     total: u64,
-    /// What each other dispatcher has spent since its start, by host and incarnation.
-    reported: IndexMap<(HostId, HostIncarnation), u64>,
+    /// What each other dispatcher has reported, by host and incarnation.
+    reported: IndexMap<(HostId, HostIncarnation), SpendingReport>,
+}
+
+/// What a dispatcher has spent since its start, as it last reported.
+#[derive(Clone, Copy, Debug)]
+struct SpendingReport {
+    spent: u64,
+    at: MonoTime,
 }
 
 fn part_of(micros: u64, share: CapacityRatio) -> i128 {
@@ -101,15 +112,28 @@
     }
 
     /// Takes what another dispatcher has spent since its start.
-    pub fn on_report(&mut self, host: &HostId, incarnation: HostIncarnation, spent: u64) {
+    pub fn on_report(
+        &mut self,
+        host: &HostId,
+        incarnation: HostIncarnation,
+        spent: u64,
+        now: MonoTime,
+    ) {
         let key = (host.clone(), incarnation);
         let known = self.reported.get(&key).copied();
         // The first report of a dispatcher may cover hours; only what follows it is news.
-        let news = known.map_or(0, |known| spent.saturating_sub(known));
+        let news = known.map_or(0, |known| spent.saturating_sub(known.spent));
+        let is_timely = known.is_some_and(|known| now.since(known.at) <= REPORT_FOR);
+        let report = SpendingReport {
+            spent: spent.max(known.map_or(0, |known| known.spent)),
+            at: now,
+        };
         self.reported
             .retain(|(name, start), _| name != host || *start == incarnation);
-        self.reported.insert(key, spent.max(known.unwrap_or(0)));
-        self.tokens -= i128::from(news) * MICROS;
+        self.reported.insert(key, report);
         self.total += news;
+        if is_timely {
+            self.tokens -= i128::from(news) * MICROS;
+        }
     }
 }
--- a/crates/dispatch/tests/dispatcher/team_bucket.rs
+++ b/crates/dispatch/tests/dispatcher/team_bucket.rs
@@ -43,8 +43,8 @@
     let mut bucket = TeamBucket::new();
     let start = HostIncarnation::new(7);
     assert_eq!(take_all(&mut bucket, WHOLE, at(10_000)), 20);
-    bucket.on_report(&host("other"), start, 100);
-    bucket.on_report(&host("other"), start, 120);
+    bucket.on_report(&host("other"), start, 100, at(10_000));
+    bucket.on_report(&host("other"), start, 120, at(10_500));
     // The 20 reported since the first report are owed before anything is granted again.
     assert_eq!(take_all(&mut bucket, WHOLE, at(11_000)), 0);
     assert_eq!(take_all(&mut bucket, WHOLE, at(12_000)), 20);
@@ -57,9 +57,9 @@
     let start = HostIncarnation::new(7);
     assert_eq!(take_all(&mut bucket, WHOLE, at(10_000)), 20);
     for spent in [5, 10, 10, 8] {
-        bucket.on_report(&host("other"), start, spent);
+        bucket.on_report(&host("other"), start, spent, at(10_000));
     }
-    bucket.on_report(&host("other"), HostIncarnation::new(8), 3);
+    bucket.on_report(&host("other"), HostIncarnation::new(8), 3, at(10_000));
     assert_eq!(bucket.total(), 25);
     assert_eq!(take_all(&mut bucket, WHOLE, at(11_000)), 15);
 }
@@ -106,3 +106,38 @@
         "{early} before and {late} after, of {allowed}"
     );
 }
+
+/// Guards against callers within the rate that are refused for seconds after a zone was cut off: a dispatcher
+/// that had kept to its share heard all at once what the others spent meanwhile, and owed it. Replays a cut of
+/// six seconds of a third of the fleet under a team that asks for half its rate, evenly from three zones.
+#[test]
+fn end_of_a_cut_refuses_nothing_within_the_rate() {
+    let mut buckets = [0; 3].map(|_| TeamBucket::new());
+    let names = ["a", "b", "c"].map(host);
+    let start = HostIncarnation::new(7);
+    let is_cut = |millis: u64| (10_000..16_000).contains(&millis);
+    let third = CapacityRatio::from_mille(333);
+    let (mut asked, mut refused) = (0, 0);
+    for millis in (2000..22_000).step_by(100) {
+        // Half of 20 a second is one in each 300 ms at each of three zones.
+        let zone = usize::try_from(millis / 100 % 3).unwrap();
+        let share = match is_cut(millis) && zone == 2 {
+            true => third,
+            false => WHOLE,
+        };
+        asked += 1;
+        let taken = buckets[zone].try_take(RATE, BURST, share, at(millis));
+        refused += u64::from(taken.is_err());
+        if millis % 500 > 0 {
+            continue;
+        }
+        for (from, to) in [(0, 1), (1, 0), (0, 2), (1, 2), (2, 0), (2, 1)] {
+            if is_cut(millis) && (from == 2 || to == 2) {
+                continue;
+            }
+            let spent = buckets[from].spent();
+            buckets[to].on_report(&names[from], start, spent, at(millis));
+        }
+    }
+    assert_eq!(refused, 0, "of {asked}");
+}
--- a/crates/gateway/src/follow_loop.rs
+++ b/crates/gateway/src/follow_loop.rs
@@ -138,7 +138,9 @@
     let is_own_zone = news.member.zone == state.settings.zone;
     let is_heir = !state.is_dispatcher();
     if is_heir || !is_own_zone {
-        state.dispatcher.on_usage(&host, incarnation, &news.usage);
+        state
+            .dispatcher
+            .on_usage(&host, incarnation, &news.usage, now);
     }
     if !is_own_zone {
         let host_count = news.follower_count + 1;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -32,9 +32,6 @@
 /// Time for which a host counts as a follower after its last call. Followers call at least each 0.5 s.
 const FOLLOWER_FOR: Duration = Duration::from_secs(2);
 
-/// Time for which the use of rates that another dispatcher reported counts as known.
-const REPORT_FOR: Duration = Duration::from_millis(1500);
-
 /// Hosts that are assumed by one that has just started; the deployments have 32 or more.
 const HOSTS_ASSUMED: u32 = 32;
 
