Give probes of a cold target its slot

Two refused connections of a target that restarts start probes each 100 ms, and these went beside the slots, so that one met a request when the port opened again.

Change: SlotPool::try_acquire_probe takes the slot of a target that is cold or may have restarted, and refuses while it works on a request, which tells as much; a warm target is probed beside its slots as before. A probe that another host makes waits for the slot too.

The test fails with probes beside the slots.

--- a/crates/node/src/health_loop.rs
+++ b/crates/node/src/health_loop.rs
@@ -90,6 +90,53 @@
     }
 }
 
+/// Probes an owned target; none while it is or may be cold and works on a request.
+async fn probe_in_slot(
+    state: &Arc<HostState>,
+    target: &TargetRecord,
+    limit: Duration,
+) -> Option<AttemptOutcome> {
+    let permit = take_probe_slot(state, target, limit).ok()?;
+    let outcome = probe(state, target, limit).await;
+    free_probe_slot(state, target, permit);
+    Some(outcome)
+}
+
+fn take_probe_slot(
+    state: &HostState,
+    target: &TargetRecord,
+    limit: Duration,
+) -> Result<Option<SlotPermit>, SlotRefusal> {
+    let now = state.clock.mono();
+    state
+        .slots
+        .try_acquire_probe(&target.id, now.after(limit), now)
+}
+
+/// Gives the slot of a probe to a request that waits. What a probe found is learned elsewhere.
+fn free_probe_slot(state: &Arc<HostState>, target: &TargetRecord, permit: Option<SlotPermit>) {
+    let Some(permit) = permit else {
+        return;
+    };
+    let now = state.clock.mono();
+    state.slots.release(permit, AttemptOutcome::Cancelled, now);
+    crate::slot_desk::hand_out(state, &target.service);
+}
+
+/// Takes the slot for a probe that another host makes, within the time in which it is of use.
+async fn wait_for_probe_slot(
+    state: &HostState,
+    target: &TargetRecord,
+) -> Result<Option<SlotPermit>, SlotRefusal> {
+    let end = Instant::now() + ASKED_PROBE_LIMIT;
+    loop {
+        match take_probe_slot(state, target, ASKED_PROBE_LIMIT) {
+            Err(_) if Instant::now() < end => tokio::time::sleep(PROBE_PERIOD).await,
+            taken => return taken,
+        }
+    }
+}
+
 /// Probes a target until the evidence no longer asks for it.
 async fn probe_while_in_doubt(state: Arc<HostState>, target: Arc<TargetRecord>) {
     while let Some(limit) = state.health.next_probe(&target.id, state.clock.mono()) {
@@ -97,7 +144,11 @@
             return;
         }
         let begun = Instant::now();
-        let outcome = probe(&state, &target, limit).await;
+        let Some(outcome) = probe_in_slot(&state, &target, limit).await else {
+            // The request that the target works on tells as much.
+            tokio::time::sleep_until(begun + PROBE_PERIOD).await;
+            continue;
+        };
         let now = state.clock.mono();
         match state.health.phase_of(&target.id) {
             Some(phase) if phase.is_out() => {
@@ -185,6 +236,16 @@
     let Some(address) = state.members.address_of(&helper) else {
         return;
     };
+    let permit = match wait_for_probe_slot(&state, &target).await {
+        Ok(permit) => permit,
+        Err(reason) => {
+            DecisionLine::new("second_opinion_skipped")
+                .with("target", &target.id)
+                .with("reason", reason)
+                .info();
+            return;
+        }
+    };
     let request = PeerMessage::ProbeRequest(ProbeRequest {
         target: target.id.clone(),
     });
@@ -192,6 +253,7 @@
         .peers
         .call(address, request, Instant::now() + CALL_WAIT)
         .await;
+    free_probe_slot(&state, &target, permit);
     if let Ok(PeerMessage::ProbeAnswer(answer)) = answer {
         let has_answered = answer.outcome == ProbeOutcome::Good;
         DecisionLine::new("second_opinion")
--- a/crates/placement/src/slots.rs
+++ b/crates/placement/src/slots.rs
@@ -140,6 +140,21 @@
         }
     }
 
+    /// Tells whether the target must not get two requests at once.
+    fn may_be_cold(&self) -> bool {
+        self.is_cold || self.says_cold || self.lost_at.is_some()
+    }
+
+    fn take(&mut self, target: &TargetId, deadline: MonoTime) -> SlotPermit {
+        self.last_number += 1;
+        self.in_flight.insert(self.last_number, deadline);
+        SlotPermit {
+            target: target.clone(),
+            epoch: self.epoch,
+            number: self.last_number,
+        }
+    }
+
     /// Notes whether the target may have restarted: a refused connection says so until a request that
     /// was sent after it is answered. One that breaks does not, because it may break for any reason.
     fn note_presence(&mut self, number: u64, outcome: AttemptOutcome) {
@@ -259,17 +274,37 @@
             if slots.in_flight.len() >= usize::from(limit) {
                 return Err(SlotRefusal::Full { limit });
             }
-            slots.last_number += 1;
-            slots.in_flight.insert(slots.last_number, deadline);
-            Ok(SlotPermit {
-                target: target.clone(),
-                epoch: slots.epoch,
-                number: slots.last_number,
-            })
+            Ok(slots.take(target, deadline))
         });
         taken.unwrap_or(Err(SlotRefusal::Unknown))
     }
 
+    /// Takes a slot for a probe of a target that is cold or may have restarted, because a probe is a
+    /// request to it like any other. A probe of a warm target goes beside its slots: one whose slots
+    /// are all taken is probed too.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the target already works on a request.
+    pub fn try_acquire_probe(
+        &self,
+        target: &TargetId,
+        deadline: MonoTime,
+        now: MonoTime,
+    ) -> Result<Option<SlotPermit>, SlotRefusal> {
+        let taken = self.targets.with(target, |slots| {
+            slots.reclaim(now);
+            if !slots.may_be_cold() {
+                return Ok(None);
+            }
+            if !slots.in_flight.is_empty() {
+                return Err(SlotRefusal::Full { limit: 1 });
+            }
+            Ok(Some(slots.take(target, deadline)))
+        });
+        taken.unwrap_or(Ok(None))
+    }
+
     /// Learns from what a target says about itself. A restart or a cold notice of a warm target
     /// takes it back to one request at once.
     pub fn on_notice(&self, target: &TargetId, notice: &TargetNotice) {
--- a/crates/placement/tests/slots.rs
+++ b/crates/placement/tests/slots.rs
@@ -141,6 +141,37 @@
     assert_eq!(limit(&pool), 2);
 }
 
+/// Guards against two requests at once at a cold target, one of them a probe: probes went beside the slots,
+/// and a target that restarts is probed while its port is closed and when it opens.
+#[test]
+fn probe_of_a_cold_target_takes_its_slot() {
+    let pool = started(2);
+    let now = MonoTime::START;
+    let full = Err(SlotRefusal::Full { limit: 1 });
+    let request = pool.try_acquire(&target(), DEADLINE, now).unwrap();
+    assert_eq!(pool.try_acquire_probe(&target(), DEADLINE, now), full);
+    pool.release(request, AttemptOutcome::Good, now);
+    let probe = pool.try_acquire_probe(&target(), DEADLINE, now).unwrap();
+    let probe = probe.expect("a slot is free");
+    assert!(pool.try_acquire(&target(), DEADLINE, now).is_err());
+    pool.release(probe, AttemptOutcome::Cancelled, now);
+
+    // A target whose connection was refused may come back cold.
+    let pool = warmed(2);
+    run(&pool, AttemptOutcome::Refused);
+    let request = pool.try_acquire(&target(), DEADLINE, now).unwrap();
+    assert_eq!(pool.try_acquire_probe(&target(), DEADLINE, now), full);
+    pool.release(request, AttemptOutcome::Refused, now);
+
+    // A warm target is probed also when its slots are taken.
+    let pool = warmed(2);
+    let taken = [(); 2].map(|()| pool.try_acquire(&target(), DEADLINE, now).unwrap());
+    assert_eq!(pool.try_acquire_probe(&target(), DEADLINE, now), Ok(None));
+    for permit in taken {
+        pool.release(permit, AttemptOutcome::Good, now);
+    }
+}
+
 /// Guards against two requests at once at a target that says that it is cold: good answers in a row
 /// raised its limit before it was warm.
 #[test]
