Hold a target to one request after a broken answer until the next one

Cause: a restart that cuts only connections in use leaves no kept connection to tell of it; the slots that the target had earned were used at once on its new process.

Change: a broken answer holds the target to one request until a request that was sent later is answered; then the earned slots count again. The line of signs_of_a_restart_turn_a_warm_target_cold that wanted four slots right after a broken answer was wrong for this restart; broken_answer_leaves_one_request_until_an_answer is as strict: one slot until the next answer, and all four right after it.

The new test fails without the change.

--- a/crates/placement/src/slots.rs
+++ b/crates/placement/src/slots.rs
@@ -107,7 +107,7 @@
     was_cut: bool,
     /// Whether the last answer said that the target is cold.
     says_cold: bool,
-    /// Last permit before a connection was refused. Until an answer to a later one, the target may
+    /// Last permit before a connection was refused or broke. Until an answer to a later one, the target may
     /// have restarted and gets one request at once.
     lost_at: Option<u64>,
     started_at: Option<SmolStr>,
@@ -155,12 +155,13 @@
         }
     }
 
-    /// Notes whether the target may have restarted: a refused connection says so until a request that
-    /// was sent after it is answered. One that breaks does not, because it may break for any reason.
+    /// Notes whether the target may have restarted: a refused or broken connection says so until a
+    /// request that was sent after it is answered. The earned limit stays, because a connection may
+    /// also break for other reasons.
     fn note_presence(&mut self, number: u64, outcome: AttemptOutcome) {
         use AttemptOutcome::*;
         match outcome {
-            Refused => self.lost_at = Some(self.last_number),
+            Refused | Cut => self.lost_at = Some(self.last_number),
             Good | Slow | Shed | Wrong if self.lost_at.is_some_and(|lost| number > lost) => {
                 self.lost_at = None;
             }
--- a/crates/placement/tests/slots.rs
+++ b/crates/placement/tests/slots.rs
@@ -102,7 +102,6 @@
     for sign in [AttemptOutcome::Slow, AttemptOutcome::Shed] {
         let pool = warmed(4);
         run(&pool, AttemptOutcome::Cut);
-        assert_eq!(limit(&pool), 4, "one broken connection is no restart");
         run(&pool, sign);
         assert_eq!(limit(&pool), 1, "broken connection, then {sign:?}");
     }
@@ -125,6 +124,29 @@
     assert_eq!(limit(&pool), 2);
 }
 
+/// Guards against two requests at once at a target whose restart cut only connections in use: nothing
+/// but the broken answers tells of it. A broken answer alone must not cost the slots already earned.
+#[test]
+fn broken_answer_leaves_one_request_until_an_answer() {
+    let pool = warmed(4);
+    let older = [(); 2].map(|()| {
+        pool.try_acquire(&target(), DEADLINE, MonoTime::START)
+            .unwrap()
+    });
+    run(&pool, AttemptOutcome::Cut);
+    assert_eq!(limit(&pool), 1);
+    // Requests from before the break tell nothing about the new process, however they end.
+    for (permit, outcome) in older
+        .into_iter()
+        .zip([AttemptOutcome::Cut, AttemptOutcome::Good])
+    {
+        pool.release(permit, outcome, MonoTime::START);
+        assert_eq!(limit(&pool), 1, "{outcome:?} of an older request");
+    }
+    run(&pool, AttemptOutcome::Good);
+    assert_eq!(limit(&pool), 4, "one broken connection is no restart");
+}
+
 /// Guards against two requests at once at a target that restarted between two requests: its port was open
 /// again before the next one, so that only the kept connections tell of the restart.
 #[test]
