Pass requests for permits on to the dispatcher of the zone

That host still followed the dispatcher, granted by its small part of each rate (0.014) and refused callers within it.

Change: a host that is asked for a permit and knows an older live host of its zone passes the request on once, and permits that are given back as well; it decides by itself where that host does not answer. Hosts also take an address that others are told (peer_address), which tests need as their ports are chosen by the system.

The test fails when the asked host decides.

--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -103,7 +103,10 @@
     /// # Errors
     ///
     /// Fails when one of its addresses is not free.
-    pub async fn start(settings: GatewaySettings, clock: GatewayClock) -> Result<Self, HostError> {
+    pub async fn start(
+        mut settings: GatewaySettings,
+        clock: GatewayClock,
+    ) -> Result<Self, HostError> {
         let caller = settings.caller_listen;
         let limits = ServerLimits {
             head_bytes_max: HEAD_BYTES_MAX,
@@ -122,6 +125,11 @@
         let peer = settings.peer_listen;
         let peer_server = PeerServer::new(peer).await;
         let peer_server = peer_server.map_err(listen_error("other hosts", peer))?;
+        if settings.peer_address.port() == 0 {
+            // The system chose the port.
+            let chosen = peer_server.address();
+            settings.peer_address = chosen.map_err(listen_error("other hosts", peer))?;
+        }
         let state = Arc::new(GatewayState::new(settings, clock, GatewayMetrics::new()?));
         let stop = watch::Sender::new(false);
         let handler_state = state.clone();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`target_connections`]: kept connections to targets.
 //!
 //! The dispatcher's path:
+//! - [`permit_relay`]: passes requests for permits on to the dispatcher of the zone.
 //! - [`permit_service`]: grants permits on this host, and lets requests wait.
 //! - [`peer_calls`]: calls to other hosts.
 //! - [`peer_service`]: answers the messages of other hosts.
@@ -40,6 +41,7 @@
 pub mod peer_calls;
 pub mod peer_service;
 pub mod permit_client;
+pub mod permit_relay;
 pub mod permit_service;
 pub mod ready_service;
 pub mod request_body;
--- a/crates/gateway/src/peer_service.rs
+++ b/crates/gateway/src/peer_service.rs
@@ -9,6 +9,7 @@
 use chicorycroft_peer::prelude::*;
 
 use crate::{
+    permit_relay,
     permit_service,
     state::GatewayState, //
 };
@@ -34,10 +35,18 @@
         }
         GatewayMessage::Follow(request) => on_follow(&state, request).await,
         GatewayMessage::Admit(request) => {
+            let answer = permit_relay::admit(&state, &request).await;
+            PeerMessage::Gateway(GatewayMessage::Admitted(answer))
+        }
+        GatewayMessage::Relayed(RelayedCall::Admit(request)) => {
             let answer = permit_service::admit(&state, &request).await;
             PeerMessage::Gateway(GatewayMessage::Admitted(answer))
         }
         GatewayMessage::Release(notice) => {
+            permit_relay::release(&state, notice);
+            PeerMessage::Accepted
+        }
+        GatewayMessage::Relayed(RelayedCall::Release(notice)) => {
             permit_service::release(&state, &notice);
             PeerMessage::Accepted
         }
--- a/crates/gateway/src/permit_client.rs
+++ b/crates/gateway/src/permit_client.rs
@@ -22,13 +22,13 @@
 
 /// Time beyond the wait for a slot in which a dispatcher answers: two crossings of zones, and late turns
 /// of two processes with a fifth of a core each.
-const ANSWER_LIMIT: Duration = Duration::from_millis(150);
+pub(crate) const ANSWER_LIMIT: Duration = Duration::from_millis(150);
 
 /// Hosts of a zone that are asked before this host decides by itself.
 const DISPATCHERS_ASKED: usize = 2;
 
 /// Time in which a permit given back must arrive.
-const RELEASE_LIMIT: Duration = Duration::from_millis(500);
+pub(crate) const RELEASE_LIMIT: Duration = Duration::from_millis(500);
 
 /// Where a permit came from.
 #[derive(Clone, Debug)]
@@ -202,12 +202,16 @@
     request: &AdmitRequest,
 ) -> PermitAnswer {
     let ranked = state.gossip.ranked(zone, state.now());
-    for member in ranked.into_iter().take(DISPATCHERS_ASKED) {
+    for (rank, member) in ranked.into_iter().take(DISPATCHERS_ASKED).enumerate() {
         if member.host == state.settings.host {
             return ask_self(state, request).await;
         }
         let message = GatewayMessage::Admit(request.clone());
-        let limit = request.wait() + ANSWER_LIMIT;
+        // A host that is not the dispatcher asks the one that it follows first.
+        let limit = match rank {
+            0 => request.wait() + ANSWER_LIMIT,
+            _ => request.wait() + 2 * ANSWER_LIMIT,
+        };
         match call_member(state, &member, message, limit).await {
             Ok(GatewayMessage::Admitted(answer)) => {
                 return hold(state, request, PermitSource::Remote(member), answer);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -91,7 +91,7 @@
         let own = MemberRecord {
             host: settings.host.clone(),
             zone: settings.zone.clone(),
-            address: settings.peer_listen,
+            address: settings.peer_address,
             incarnation,
             beat: 0,
             is_leaving: false,
@@ -178,7 +178,7 @@
 
     /// Returns the addresses of other hosts that the settings name.
     pub fn seeds(&self) -> Vec<SocketAddr> {
-        let own = self.settings.peer_listen;
+        let own = self.settings.peer_address;
         let seeds = self.seeds.read().unwrap_or_else(PoisonError::into_inner);
         seeds.iter().copied().filter(|seed| *seed != own).collect()
     }
@@ -191,6 +191,13 @@
         is_changed
     }
 
+    /// Returns the dispatcher of this host's zone, where that is another host.
+    pub fn dispatcher_ahead(&self) -> Option<MemberRecord> {
+        let ranked = self.gossip.ranked(&self.settings.zone, self.now());
+        let first = ranked.into_iter().next()?;
+        (first.host != self.settings.host).then_some(first)
+    }
+
     /// Tells whether this host is the dispatcher of its zone, as far as it knows.
     pub fn is_dispatcher(&self) -> bool {
         self.rank() == 0
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -5,6 +5,7 @@
     time::Duration, //
 };
 
+use chicorycroft_adapter::prelude::*;
 use chicorycroft_core::prelude::*;
 use chicorycroft_dispatch::prelude::*;
 use chicorycroft_gateway::{
@@ -13,8 +14,11 @@
         notify, //
     },
     peer_service,
+    prelude::*,
+    state::GatewayState,
 };
 use chicorycroft_peer::prelude::*;
+use chicorycroft_platform_standin::prelude::*;
 use tokio::{
     io::{
         AsyncReadExt,
@@ -26,7 +30,10 @@
     },
 };
 
-use crate::setting::TestSetting;
+use crate::setting::{
+    TestSetting,
+    settings_of, //
+};
 
 const LIMIT: Duration = Duration::from_secs(5);
 
@@ -97,3 +104,52 @@
     assert!(notify(&state, address, gossip, LIMIT).await.is_err());
     assert!(call(&state, address, release, LIMIT).await.is_err());
 }
+
+/// Guards against callers within their rate that are refused: a host that did not reach its dispatcher for a
+/// moment asked the next one, which decided by its small part of the rate instead of asking the dispatcher.
+#[tokio::test]
+async fn host_that_is_not_the_dispatcher_passes_permits_on() {
+    let first = TestSetting::new(1).await;
+    first
+        .store
+        .put_config(&config_with_rate(2, &["key-1"], 100.0));
+    let settings = GatewaySettings {
+        seeds: vec![first.host.state().settings.peer_address],
+        ..settings_of("edge-2", first.store.address())
+    };
+    let second = GatewayHost::start(settings, GatewayClock::new())
+        .await
+        .unwrap();
+    let (state, asked) = (first.host.state(), second.state());
+    let has_rates = |state: &GatewayState| {
+        let index = state.knowledge.index();
+        index.is_some_and(|index| index.config().version() == ConfigVersion::new(2))
+    };
+    first
+        .until(|_| asked.dispatcher_ahead().is_some() && has_rates(asked) && has_rates(state))
+        .await;
+    let request = AdmitRequest {
+        request: "id-1".into(),
+        service: ServiceId::new("rate").unwrap(),
+        zone: Some(ZoneId::new("a").unwrap()),
+        charged: Some(TeamId::new("weavers").unwrap()),
+        team: None,
+        priority: 1,
+        is_idempotent: true,
+        is_repeat: false,
+        wait_millis: 100,
+        left_millis: 1000,
+        connected: Vec::new(),
+        trust: TargetTrust::Blocked,
+        tried: Vec::new(),
+    };
+    let admit = GatewayMessage::Admit(request);
+    let address = asked.settings.peer_address;
+    let answer = call(state, address, admit, LIMIT).await.unwrap();
+    assert!(
+        matches!(answer, GatewayMessage::Admitted(AdmitAnswer::Granted(_))),
+        "{answer:?}"
+    );
+    assert_eq!(asked.dispatcher.usage().len(), 0, "the asked host decided");
+    assert_eq!(state.dispatcher.usage().len(), 1);
+}
--- a/crates/gateway/tests/gateway/setting.rs
+++ b/crates/gateway/tests/gateway/setting.rs
@@ -43,6 +43,24 @@
     pub(crate) body: String,
 }
 
+/// Returns the settings of a host on free ports that knows no other one.
+pub(crate) fn settings_of(host: &str, store: SocketAddr) -> GatewaySettings {
+    let free: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    GatewaySettings {
+        host: HostId::new(host).unwrap(),
+        zone: ZoneId::new("a").unwrap(),
+        zone_count: 1,
+        seeds: Vec::new(),
+        caller_listen: free,
+        ready_listen: free,
+        peer_listen: free,
+        peer_address: free,
+        store,
+        stop_limit: Duration::from_secs(6),
+        revoke_bound: Duration::from_secs(5),
+    }
+}
+
 impl TestSetting {
     /// Starts a gateway before a number of targets, and waits until it serves.
     pub(crate) async fn new(target_count: usize) -> Self {
@@ -59,18 +77,9 @@
             store.put(&target.key(), &target.entry("rate", "a", "ready"));
             targets.push(target);
         }
-        let free: SocketAddr = "127.0.0.1:0".parse().unwrap();
         let settings = GatewaySettings {
-            host: HostId::new("edge-1").unwrap(),
-            zone: ZoneId::new("a").unwrap(),
-            zone_count: 1,
-            seeds: Vec::new(),
-            caller_listen: free,
-            ready_listen: free,
-            peer_listen: free,
-            store: store.address(),
-            stop_limit: Duration::from_secs(6),
             revoke_bound,
+            ..settings_of("edge-1", store.address())
         };
         let host = GatewayHost::start(settings, GatewayClock::new())
             .await
--- a/crates/peer/src/gateway.rs
+++ b/crates/peer/src/gateway.rs
@@ -60,4 +60,15 @@
     Admitted(AdmitAnswer),
     /// Gives a permit back.
     Release(ReleaseNotice),
+    /// A call that a host passes on to the dispatcher that it follows.
+    Relayed(RelayedCall),
+}
+
+/// A call that is passed on once at most.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum RelayedCall {
+    /// Asks for a permit.
+    Admit(AdmitRequest),
+    /// Gives a permit back.
+    Release(ReleaseNotice),
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -42,7 +42,8 @@
         gateway::{
             FollowAnswer,
             FollowRequest,
-            GatewayMessage, //
+            GatewayMessage,
+            RelayedCall, //
         },
         heartbeat::{
             BucketCount,
