Keep the age of what peers tell a host that has just started

Cause: a host that starts while the store is silent is told how old the knowledge of its peers is. That age was turned into a time of its own clock, which cannot lie before the start of the process, so that knowledge of three seconds counted as new. Hosts that follow it took that over, and a key that was withdrawn during the silence worked for up to 6 s instead of 5.

Change: the contact keeps an age with the time at which it was right, instead of a time.

--- a/crates/directory/src/contact.rs
+++ b/crates/directory/src/contact.rs
@@ -43,10 +43,20 @@
     }
 }
 
+/// A moment at which the age of the knowledge was known.
+#[derive(Clone, Copy, Debug)]
+struct ContactPoint {
+    at: MonoTime,
+    age: Duration,
+}
+
 /// When this host last knew what the store held, by itself or through another host.
+///
+/// What another host tells may be older than this process, so that an age is kept with the time at which it was
+/// right: a point before the start of the process has no time.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StoreContact {
-    confirmed_at: Option<MonoTime>,
+    latest: Option<ContactPoint>,
 }
 
 impl StoreContact {
@@ -57,12 +67,24 @@
 
     /// Notes that the knowledge of this host holds as of a time.
     pub fn confirm(&mut self, at: MonoTime) {
-        self.confirmed_at = self.confirmed_at.max(Some(at));
+        self.confirm_aged(ContactAge::new(Duration::ZERO), at);
+    }
+
+    /// Notes that the knowledge of this host had an age at a time.
+    pub fn confirm_aged(&mut self, age: ContactAge, at: MonoTime) {
+        let age = age.get();
+        let is_newer = self
+            .latest
+            .is_none_or(|known| at.after(known.age) > known.at.after(age));
+        if is_newer {
+            self.latest = Some(ContactPoint { at, age });
+        }
     }
 
     /// Returns the age of the knowledge; none before the first contact.
     pub fn age(&self, now: MonoTime) -> Option<ContactAge> {
-        self.confirmed_at.map(|at| ContactAge(now.since(at)))
+        self.latest
+            .map(|known| ContactAge(now.since(known.at) + known.age))
     }
 
     /// Tells whether keys may be trusted: one that was withdrawn must not work after the bound.
--- a/crates/directory/tests/routing.rs
+++ b/crates/directory/tests/routing.rs
@@ -154,3 +154,22 @@
     assert!(contact.may_trust_keys(bound, MonoTime::from_millis(5500)));
     assert!(!contact.may_trust_keys(bound, MonoTime::from_millis(5700)));
 }
+
+/// Guards against a withdrawn key that works for longer on a host that has just started: what its peers tell is
+/// older than the process, and counted as old as the process at most. Replays soak seed 20.
+#[test]
+fn knowledge_from_a_peer_may_be_older_than_the_process() {
+    let bound = Duration::from_secs(5);
+    let at = MonoTime::from_millis;
+    let age = |millis| ContactAge::new(Duration::from_millis(millis));
+    let mut contact = StoreContact::new();
+    contact.confirm_aged(age(1900), at(200));
+    assert_eq!(contact.age(at(200)), Some(age(1900)));
+    assert!(contact.may_trust_keys(bound, at(2800)));
+    assert!(!contact.may_trust_keys(bound, at(3000)));
+    // Older knowledge that comes later changes nothing, and newer one counts.
+    contact.confirm_aged(age(2600), at(800));
+    assert_eq!(contact.age(at(1000)), Some(age(2700)));
+    contact.confirm_aged(age(2000), at(1000));
+    assert_eq!(contact.age(at(1000)), Some(age(2000)));
+}
--- a/crates/gateway/src/follow_loop.rs
+++ b/crates/gateway/src/follow_loop.rs
@@ -10,6 +10,7 @@
 };
 
 use chicorycroft_core::prelude::*;
+use chicorycroft_directory::prelude::*;
 use chicorycroft_dispatch::prelude::*;
 use chicorycroft_membership::prelude::*;
 use chicorycroft_peer::prelude::*;
@@ -130,9 +131,8 @@
     if let Some(age) = news.age_millis {
         // The answer was made at least the held time after the request was sent.
         let made_at = sent_at.after(Duration::from_millis(news.held_millis.into()));
-        let age = Duration::from_millis(age.into());
-        let confirmed = made_at.since(MonoTime::START.after(age));
-        state.knowledge.confirm(MonoTime::START.after(confirmed));
+        let age = ContactAge::new(Duration::from_millis(age.into()));
+        state.knowledge.confirm_aged(age, made_at);
     }
     let incarnation = news.member.incarnation;
     let is_own_zone = news.member.zone == state.settings.zone;
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -75,6 +75,11 @@
         lock(&self.contact).confirm(at);
     }
 
+    /// Notes that the knowledge of this host had an age at a time, as another host tells.
+    pub fn confirm_aged(&self, age: ContactAge, at: MonoTime) {
+        lock(&self.contact).confirm_aged(age, at);
+    }
+
     /// Notes an answer of the store about targets.
     pub fn on_store_answer(&self, now: MonoTime) {
         lock(&self.keeper).on_contact(now);
