Play a randomized fault soak of the real gateway processes, and trace a request through logs of many hosts

Change: crates/soak starts gateway processes between the stand-ins of store and targets, with relays between all of them that delay, hold, silence or reset connections, and signals that stop, pause, kill and reload processes; faults come from a seed, in series and overlapping.

The soak leaves clocks alone, as a process's clock cannot be set from outside, and there is no storage.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`admin_client`]: asks the admin address of a host.
 //! - [`report`]: tables of status and explanations.
 //! - [`demo`]: a whole fleet in one process, with faults and a table.
+//! - [`trace`]: one request's way in the logs of many hosts.
 //! - [`files`]: reads files with bounds.
 //!
 //! Every command is a function from arguments to a [`CommandOutcome`]; only [`finish`] writes. The
@@ -31,6 +32,7 @@
 pub mod files;
 pub mod parts;
 pub mod report;
+pub mod trace;
 
 /// Exit status when a check finds errors.
 pub const EXIT_FINDINGS: u8 = 1;
@@ -164,6 +166,15 @@
         },
         run: demo::run,
     },
+    CommandEntry {
+        name: "trace",
+        arguments: "REQUEST-ID [FILE...] [--json]",
+        summary: "Prints one request's way in the logs of gateway hosts.",
+        options: |options| {
+            options.optflag("", "json", "print the way as one JSON object");
+        },
+        run: trace::run,
+    },
 ];
 
 /// Makes an outcome for a command line that is not valid.
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -347,3 +347,32 @@
 fn status_of_no_host_is_empty() {
     assert_eq!(report::status_text(&[]), "");
 }
+
+/// Guards against a request whose way cannot be found in the logs of several hosts, or is found where it is not.
+#[test]
+fn trace_joins_the_logs_of_hosts() {
+    let dir = std::env::temp_dir().join(format!("chicorycroft-trace-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let write = |name: &str, text: &str| {
+        let path = dir.join(name);
+        std::fs::write(&path, text).unwrap();
+        path.to_str().unwrap().to_owned()
+    };
+    let entry = write(
+        "edge-1.log",
+        "unix_ms=7000 level=INFO event=attempt id=r1 target=t-1 result=good elapsed_ms=30\n\
+         unix_ms=7001 level=INFO event=request id=r1 outcome=ok status=200\nunix_ms=7002 lev",
+    );
+    let dispatcher = write(
+        "edge-2.log",
+        "unix_ms=9 level=INFO event=permit_granted id=r1 permit=3 target=t-1 trust=proven\n",
+    );
+    let found = run(&["trace", "r1", &entry, &dispatcher]);
+    let json = run(&["trace", "--json", "r1", &entry, &dispatcher]);
+    let missing = run(&["trace", "r2", &entry]);
+    let unreadable = run(&["trace", "r1", "no-such-file"]);
+    std::fs::remove_dir_all(&dir).unwrap();
+    assert_eq!((found.status, json.status, missing.status), (0, 0, 1));
+    assert_eq!(unreadable.status, 74);
+    insta::assert_snapshot!(format!("{}{}{}", found.output, json.output, missing.output));
+}
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -42,6 +42,7 @@
 struct LaunchOptions {
     settings_path: String,
     metrics_port: Option<u16>,
+    peer_address: Option<SocketAddr>,
 }
 
 async fn run(options: &LaunchOptions, settings: GatewaySettings) -> Result<bool> {
@@ -103,7 +104,10 @@
 }
 
 fn start(options: &LaunchOptions) -> Result<bool> {
-    let settings = GatewaySettings::with_file(&options.settings_path)?;
+    let mut settings = GatewaySettings::with_file(&options.settings_path)?;
+    if let Some(address) = options.peer_address {
+        settings.peer_address = address;
+    }
     EventLog::new(std::io::stdout())?.install(LevelFilter::Info)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(WORKER_THREADS)
@@ -123,8 +127,14 @@
         "port at the ready address that serves the metrics alone",
         "PORT",
     );
+    options.optopt(
+        "",
+        "peer-address",
+        "address that other hosts are told, where it is not the one listened on",
+        "ADDRESS",
+    );
     let brief = format!(
-        "Usage: chicorycroft-gateway [--settings FILE] [--metrics-port PORT]\n\nRuns one gateway process. Without --settings the \
+        "Usage: chicorycroft-gateway [--settings FILE] [--metrics-port PORT] [--peer-address ADDRESS]\n\nRuns one gateway process. Without --settings the \
          file is named by {PATH_VARIABLE}."
     );
     let matches = match options.parse(std::env::args().skip(1)) {
@@ -145,6 +155,13 @@
             return ExitCode::from(EXIT_USAGE);
         }
     };
+    let peer_address = match matches.opt_get("peer-address") {
+        Ok(address) => address,
+        Err(error) => {
+            eprintln!("chicorycroft-gateway: --peer-address takes an address with a port: {error}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
     let settings_path = matches
         .opt_str("s")
         .or_else(|| std::env::var(PATH_VARIABLE).ok())
@@ -152,6 +169,7 @@
     let launch = LaunchOptions {
         settings_path,
         metrics_port,
+        peer_address,
     };
     match start(&launch) {
         Ok(true) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/soak/src/bin/chicorycroft-soak.rs
@@ -0,0 +1,128 @@
+//! Plays soak runs and prints which promises they broke.
+
+use std::{
+    path::PathBuf,
+    process::ExitCode,
+    time::Duration, //
+};
+
+use chicorycroft_soak::prelude::*;
+use eyre::{
+    Result,
+    WrapErr, //
+};
+use getopts::{
+    Matches,
+    Options, //
+};
+
+/// Exit status for a command line that is not valid, as `sysexits` has it.
+const EXIT_USAGE: u8 = 64;
+
+/// Default sizes of a run: two zones of three hosts, and targets enough to lose some.
+const HOSTS: usize = 6;
+const TARGETS: usize = 6;
+const CALLERS: usize = 24;
+
+/// Default length of a run, in seconds: about twenty faults, and the quiet times around them.
+const SECONDS: u64 = 30;
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optflag("h", "help", "print this help");
+    options.optopt("", "seed", "seed of the first run (1)", "NUMBER");
+    options.optopt("", "runs", "runs with seeds in a row (1)", "COUNT");
+    options.optopt("", "seconds", "length of a run (30)", "SECONDS");
+    options.optopt("", "hosts", "gateway processes (6)", "COUNT");
+    options.optopt("", "targets", "targets (6)", "COUNT");
+    options.optopt("", "callers", "callers (24)", "COUNT");
+    options.optopt("", "program", "the gateway program", "FILE");
+    options.optopt("", "dir", "where settings and logs go (target/soak)", "DIR");
+    options
+}
+
+fn settings(matches: &Matches) -> Result<(SoakSettings, u64)> {
+    let program = match matches.opt_str("program") {
+        Some(path) => PathBuf::from(path),
+        // The programs of a workspace are built into one folder.
+        None => std::env::current_exe()?.with_file_name("chicorycroft-gateway"),
+    };
+    let settings = SoakSettings {
+        seed: matches.opt_get_default("seed", 1)?,
+        length: Duration::from_secs(matches.opt_get_default("seconds", SECONDS)?),
+        hosts: matches.opt_get_default("hosts", HOSTS)?,
+        targets: matches.opt_get_default("targets", TARGETS)?,
+        callers: matches.opt_get_default("callers", CALLERS)?,
+        program,
+        dir: matches
+            .opt_str("dir")
+            .unwrap_or_else(|| "target/soak".into())
+            .into(),
+    };
+    Ok((settings, matches.opt_get_default("runs", 1)?))
+}
+
+/// Plays the runs; tells whether all promises were kept.
+async fn run(first: SoakSettings, runs: u64) -> Result<bool> {
+    let mut is_kept = true;
+    for seed in first.seed..first.seed + runs {
+        let settings = SoakSettings {
+            seed,
+            dir: first.dir.join(format!("seed-{seed}")),
+            ..first.clone()
+        };
+        // Logs of an earlier run with this seed would be mixed with the new ones.
+        if settings.dir.exists() {
+            std::fs::remove_dir_all(&settings.dir)?;
+        }
+        let report = play(&settings)
+            .await
+            .wrap_err_with(|| format!("seed {seed}"))?;
+        println!(
+            "seed {seed}: {} faults, {} requests, {} served, {} broken promises",
+            report.fault_count,
+            report.call_count,
+            report.served_count,
+            report.broken.len()
+        );
+        for broken in &report.broken {
+            println!("  BROKEN {broken}");
+        }
+        is_kept &= report.broken.is_empty();
+    }
+    Ok(is_kept)
+}
+
+fn main() -> ExitCode {
+    let options = options();
+    let usage = options.usage("Usage: chicorycroft-soak [OPTIONS]");
+    let matches = match options.parse(std::env::args().skip(1)) {
+        Ok(matches) if matches.opt_present("h") => {
+            println!("{usage}");
+            return ExitCode::SUCCESS;
+        }
+        Ok(matches) => matches,
+        Err(error) => {
+            eprintln!("chicorycroft-soak: {error}\n\n{usage}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    let (settings, runs) = match settings(&matches) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("chicorycroft-soak: {error:#}\n\n{usage}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    let played = tokio::runtime::Runtime::new()
+        .wrap_err("the runtime does not start")
+        .and_then(|runtime| runtime.block_on(run(settings, runs)));
+    match played {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("chicorycroft-soak: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
