--- a/crates/node/tests/operations_page.rs
+++ b/crates/node/tests/operations_page.rs
@@ -8,7 +8,7 @@
 use chicorycroft_proxy::prelude::*;
 use http::StatusCode;
 
-const PAGE: &str = include_str!("../../../docs/operations.md");
+const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
 const SETTINGS: &str = include_str!("../../border/schema/settings.schema.json");
 
 /// Guards against settings that are missing on the page, or listed with another default.
