--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -10,12 +10,14 @@
 //! - [`records`]: what callers and targets saw.
 //! - [`limits`]: a team's requests against its rate and burst.
 //! - [`measures`]: computes the measures from the records.
+//! - [`broken`]: which invariants a run broke, by its measures.
 //! - [`table`]: prints them.
 //! - [`mod@hold`]: keeps the fleet up for trials by hand.
 //!
 //! Every figure of the table is computed from records of the run.
 
 pub mod balancer;
+pub mod broken;
 pub mod caller;
 pub mod fleet;
 pub mod hold;
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -21,8 +21,8 @@
         TicketNumber, //
     },
     service_pool::{
-        LineChange,
         PoolAnswer,
+        QueueChange,
         ServicePool, //
     },
     team_bucket::TeamBucket,
@@ -140,27 +140,27 @@
     }
 
     /// Takes a permit back and serves those that wait; tells whether the target is newly blocked.
-    pub fn release(&self, notice: &ReleaseNotice, now: MonoTime) -> (bool, LineChange) {
+    pub fn release(&self, notice: &ReleaseNotice, now: MonoTime) -> (bool, QueueChange) {
         let key = (notice.service.clone(), notice.zone.clone());
         let released = self.pools.with(&key, |pool| {
             let is_blocked = pool.release(notice, now);
-            (is_blocked, pool.serve_line(|| self.next_number(), now))
+            (is_blocked, pool.serve_queue(|| self.next_number(), now))
         });
         released.unwrap_or_default()
     }
 
-    /// Serves all lines; called now and then for waits that end and blocks that are over.
-    pub fn serve_lines(&self, now: MonoTime) -> LineChange {
-        let mut all = LineChange::default();
+    /// Serves all queues; called now and then for waits that end and blocks that are over.
+    pub fn serve_queues(&self, now: MonoTime) -> QueueChange {
+        let mut all = QueueChange::default();
         self.pools.for_each(|_, pool| {
-            let change = pool.serve_line(|| self.next_number(), now);
+            let change = pool.serve_queue(|| self.next_number(), now);
             all.granted.extend(change.granted);
             all.expired.extend(change.expired);
         });
         all
     }
 
-    /// Takes a request whose caller has left out of its line.
+    /// Takes a request whose caller has left out of its queue.
     pub fn cancel(&self, service: &ServiceId, zone: Option<&ZoneId>, ticket: TicketNumber) {
         let key = (service.clone(), zone.cloned());
         self.pools.with(&key, |pool| pool.cancel(ticket));
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,7 +6,7 @@
 //! - [`ended_requests`]: how often requests of a pool ended lately.
 //! - [`path_memory`]: targets that one host could not reach.
 //! - [`target_slots`]: the slots of one target.
-//! - [`waiting_line`]: requests that wait for a slot.
+//! - [`waiting_queue`]: requests that wait for a slot.
 //! - [`service_pool`]: the targets of a service in a zone, and the choice among them.
 //! - [`team_bucket`]: the rate and burst of a team over all dispatchers.
 //! - [`dispatcher`]: joins them for all services and teams.
@@ -24,7 +24,7 @@
 pub mod service_pool;
 pub mod target_slots;
 pub mod team_bucket;
-pub mod waiting_line;
+pub mod waiting_queue;
 
 /// The names that most users of the crate need.
 pub mod prelude {
@@ -51,8 +51,8 @@
         },
         path_memory::PathMemory,
         service_pool::{
-            LineChange,
             PoolAnswer, //
+            QueueChange,
         },
         team_bucket::REPORT_FOR,
     };
--- a/crates/dispatch/src/service_pool.rs
+++ b/crates/dispatch/src/service_pool.rs
@@ -4,7 +4,7 @@
 //! at any time, and each host sends one or two requests a second. Work that must not run twice goes to
 //! targets that answered well a moment ago, first to those that the host is connected to; work that
 //! may be repeated also tries the targets that nothing is known about. When all slots are taken, work
-//! waits in a line.
+//! waits in a queue.
 
 use std::time::Duration;
 
@@ -25,7 +25,7 @@
         whole_millis,
     },
     target_slots::TargetSlots,
-    waiting_line::WaitingLine,
+    waiting_queue::WaitingQueue,
 };
 
 /// Usual time of an answer before any came.
@@ -74,7 +74,7 @@
 
 /// What became of waiting requests.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct LineChange {
+pub struct QueueChange {
     /// Requests that may be sent now.
     pub granted: Vec<(TicketNumber, DispatchGrant)>,
     /// Requests whose wait is over, and the time after which a slot may be free.
@@ -85,7 +85,7 @@
 #[derive(Clone, Debug)]
 pub struct ServicePool {
     targets: IndexMap<TargetId, TargetSlots>,
-    line: WaitingLine,
+    queue: WaitingQueue,
     holders: IndexMap<PermitNumber, Option<TeamId>>,
     usual_time: Duration,
     cold_rate: RequestRate,
@@ -145,7 +145,7 @@
     pub fn new() -> Self {
         Self {
             targets: IndexMap::new(),
-            line: WaitingLine::new(),
+            queue: WaitingQueue::new(),
             holders: IndexMap::new(),
             usual_time: USUAL_TIME_START,
             cold_rate: RequestRate::ZERO,
@@ -202,7 +202,7 @@
             self.idempotent_at = Some(now);
         }
         // Those that wait already go first, unless this one ranks above them.
-        let is_first = self.line.ahead_of(request.priority) == 0;
+        let is_first = self.queue.ahead_of(request.priority) == 0;
         if is_first && let Some(grant) = self.try_grant(request, next_number(), now) {
             return PoolAnswer::Granted(grant);
         }
@@ -218,7 +218,7 @@
             };
         }
         let ticket = TicketNumber::new(next_number());
-        self.line.push(ticket, request.clone(), now);
+        self.queue.push(ticket, request.clone(), now);
         PoolAnswer::Waiting(ticket)
     }
 
@@ -233,7 +233,7 @@
             .sum();
         let pause = self.usual_time / slots.max(1);
         let pause = pause.max(self.ended.pause(now).unwrap_or_default());
-        let ahead = u32::try_from(self.line.ahead_of(priority)).unwrap_or(u32::MAX);
+        let ahead = u32::try_from(self.queue.ahead_of(priority)).unwrap_or(u32::MAX);
         pause.saturating_mul(ahead.saturating_add(1))
     }
 
@@ -347,14 +347,14 @@
         }
     }
 
-    /// Serves the line and drops those whose wait is over.
-    pub fn serve_line(&mut self, next_number: impl Fn() -> u64, now: MonoTime) -> LineChange {
-        let mut change = LineChange::default();
-        if self.line.is_empty() {
+    /// Serves the queue and drops those whose wait is over.
+    pub fn serve_queue(&mut self, next_number: impl Fn() -> u64, now: MonoTime) -> QueueChange {
+        let mut change = QueueChange::default();
+        if self.queue.is_empty() {
             return change;
         }
         self.expire(now);
-        for ticket in self.line.take_expired(now) {
+        for ticket in self.queue.take_expired(now) {
             change.expired.push((ticket, self.drain_time(u8::MAX, now)));
         }
         let holders = &self.holders;
@@ -364,8 +364,8 @@
                 .filter(|held| held.as_ref() == team)
                 .count()
         };
-        for ticket in self.line.in_order(open_of) {
-            let Some(waiting) = self.line.get(ticket) else {
+        for ticket in self.queue.in_order(open_of) {
+            let Some(waiting) = self.queue.get(ticket) else {
                 continue;
             };
             let mut request = waiting.request.clone();
@@ -374,14 +374,14 @@
             let Some(grant) = self.try_grant(&request, next_number(), now) else {
                 break;
             };
-            self.line.remove(ticket);
+            self.queue.remove(ticket);
             change.granted.push((ticket, grant));
         }
         change
     }
 
-    /// Takes a request whose caller has left out of the line.
+    /// Takes a request whose caller has left out of the queue.
     pub fn cancel(&mut self, ticket: TicketNumber) {
-        self.line.remove(ticket);
+        self.queue.remove(ticket);
     }
 }
--- a/crates/dispatch/src/waiting_line.rs
+++ b/crates/dispatch/src/waiting_queue.rs
@@ -1,7 +1,7 @@
 //! Requests that wait for a slot.
 //!
 //! Load pattern: for some seconds more requests come than the slots of a service bear, with one team
-//! sending many times its usual. The line serves the highest rank first, inside a rank the team with the
+//! sending many times its usual. The queue serves the highest rank first, inside a rank the team with the
 //! fewest requests under way, and then the one that came first; a request that cannot be served
 //! within its wait is refused when it comes and not when its time is over.
 
@@ -13,7 +13,7 @@
     TicketNumber, //
 };
 
-/// A request in the line.
+/// A request in the queue.
 #[derive(Clone, Debug)]
 pub struct WaitingRequest {
     /// What was asked for.
@@ -24,14 +24,14 @@
     pub until: MonoTime,
 }
 
-/// The line of one pool.
+/// The queue of one pool.
 #[derive(Clone, Debug, Default)]
-pub struct WaitingLine {
+pub struct WaitingQueue {
     waiting: IndexMap<TicketNumber, WaitingRequest>,
 }
 
-impl WaitingLine {
-    /// Makes an empty line.
+impl WaitingQueue {
+    /// Makes an empty queue.
     pub fn new() -> Self {
         Self::default()
     }
--- a/crates/dispatch/tests/dispatcher/common.rs
+++ b/crates/dispatch/tests/dispatcher/common.rs
@@ -135,7 +135,7 @@
     grant: &DispatchGrant,
     result: AttemptResult,
     now: MonoTime,
-) -> LineChange {
+) -> QueueChange {
     let notice = ReleaseNotice {
         service: service(),
         zone: Some(zone()),
--- a/crates/dispatch/tests/dispatcher/waiting.rs
+++ b/crates/dispatch/tests/dispatcher/waiting.rs
@@ -99,14 +99,14 @@
     let (dispatcher, directory) = (ZoneDispatcher::new(0), directory_of(1));
     fill(&dispatcher, &directory, "crowd");
     let waiting = ticket(admit(&dispatcher, &directory, &patient("1", "a", 1), at(1)));
-    assert!(dispatcher.serve_lines(at(1400)).expired.is_empty());
-    let change = dispatcher.serve_lines(at(1501));
+    assert!(dispatcher.serve_queues(at(1400)).expired.is_empty());
+    let change = dispatcher.serve_queues(at(1501));
     assert_eq!(change.expired[0].0, waiting);
 }
 
 /// Guards against granting a slot to a caller that has left.
 #[test]
-fn request_that_left_the_line_gets_nothing() {
+fn request_that_left_the_queue_gets_nothing() {
     let (dispatcher, directory) = (ZoneDispatcher::new(0), directory_of(1));
     let held = fill(&dispatcher, &directory, "crowd");
     let waiting = ticket(admit(&dispatcher, &directory, &patient("1", "a", 1), at(1)));
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -226,7 +226,7 @@
     loops.spawn(gossip_loop::gossip(state.clone()));
     loops.spawn(follow_loop::follow(state.clone()));
     loops.spawn(store_loop::read(state.clone()));
-    loops.spawn(permit_service::serve_lines(state.clone()));
+    loops.spawn(permit_service::serve_queues(state.clone()));
     loops.spawn(sweep(state.clone()));
     let ready_state = state.clone();
     loops.spawn(async move {
--- a/crates/gateway/src/permit_service.rs
+++ b/crates/gateway/src/permit_service.rs
@@ -12,13 +12,13 @@
 
 use crate::state::GatewayState;
 
-/// Time between looks at the lines: waits end and blocks are over without a message.
-const LINE_PERIOD: Duration = Duration::from_millis(50);
+/// Time between looks at the queues: waits end and blocks are over without a message.
+const QUEUE_PERIOD: Duration = Duration::from_millis(50);
 
 /// Time that a waiting host is given beyond its wait.
 const ANSWER_MARGIN: Duration = Duration::from_millis(100);
 
-/// Takes a request out of its line when the host that asked has left.
+/// Takes a request out of its queue when the host that asked has left.
 struct TicketGuard<'a> {
     state: &'a GatewayState,
     request: &'a AdmitRequest,
@@ -138,7 +138,7 @@
 }
 
 /// Tells waiting requests what became of them.
-fn tell(state: &GatewayState, change: LineChange) {
+fn tell(state: &GatewayState, change: QueueChange) {
     for (ticket, grant) in change.granted {
         let sender = state.tickets.remove(&ticket);
         // A host that has left meanwhile never gives the permit back; it ends by itself.
@@ -174,12 +174,12 @@
     tell(state, change);
 }
 
-/// Serves the lines now and then.
-pub async fn serve_lines(state: Arc<GatewayState>) {
+/// Serves the queues now and then.
+pub async fn serve_queues(state: Arc<GatewayState>) {
     loop {
-        tokio::time::sleep(LINE_PERIOD).await;
+        tokio::time::sleep(QUEUE_PERIOD).await;
         if !state.tickets.is_empty() {
-            tell(&state, state.dispatcher.serve_lines(state.now()));
+            tell(&state, state.dispatcher.serve_queues(state.now()));
         }
     }
 }
--- a/crates/limits/src/broker.rs
+++ b/crates/limits/src/broker.rs
@@ -22,7 +22,6 @@
 
 use crate::{
     allowance::DrawAllowance,
-    desk::TeamDesk,
     draws::{
         DrawPurpose,
         TokenDraw,
@@ -30,6 +29,7 @@
         TokenLetter, //
     },
     ledger::TokenLedger,
+    pending_draws::PendingDraws,
     roster::ZoneRoster,
     terms::LimitTerms,
 };
@@ -94,7 +94,7 @@
 #[derive(Debug)]
 pub struct TokenBroker {
     zone: ZoneId,
-    desks: ShardMap<TeamId, TeamDesk>,
+    pending_draws: ShardMap<TeamId, PendingDraws>,
     allowance: Mutex<DrawAllowance>,
 }
 
@@ -111,7 +111,7 @@
     pub fn new(zone: ZoneId, draws: RequestRate, now: MonoTime) -> Self {
         Self {
             zone,
-            desks: ShardMap::new(),
+            pending_draws: ShardMap::new(),
             allowance: Mutex::new(DrawAllowance::new(draws, now)),
         }
     }
@@ -146,12 +146,12 @@
         if broker != ledger.host() {
             return vec![TokenLetter::with_draw(broker.clone(), draw)];
         }
-        self.desks.with_or_insert(
+        self.pending_draws.with_or_insert(
             team,
-            || TeamDesk::new(now),
-            |desk| {
-                desk.record_draw(draw.wanted, now);
-                self.collect(desk, team, DrawPurpose::Refill, true, context)
+            || PendingDraws::new(now),
+            |pending| {
+                pending.record_draw(draw.wanted, now);
+                self.collect(pending, team, DrawPurpose::Refill, true, context)
             },
         )
     }
@@ -162,34 +162,34 @@
             return context.answer(&draw).into_iter().collect();
         }
         let (team, purpose, now) = (draw.team.clone(), draw.purpose, context.now);
-        self.desks.with_or_insert(
+        self.pending_draws.with_or_insert(
             &team,
-            || TeamDesk::new(now),
-            |desk| {
-                desk.record_draw(draw.wanted, now);
+            || PendingDraws::new(now),
+            |pending| {
+                pending.record_draw(draw.wanted, now);
                 let is_short = context.surplus(&team)
                     < half_of(draw.wanted).max(TokenAmount::ONE.min(draw.wanted));
                 let mut letters = Vec::new();
                 if is_short {
-                    desk.wait(draw, now);
+                    pending.wait(draw, now);
                 } else {
                     letters.extend(context.answer(&draw));
                 }
-                letters.extend(self.collect(desk, &team, purpose, is_short, context));
-                if desk.is_complete(context.now) {
-                    letters.extend(Self::answer_all(desk, context));
+                letters.extend(self.collect(pending, &team, purpose, is_short, context));
+                if pending.is_complete(context.now) {
+                    letters.extend(Self::answer_all(pending, context));
                 }
                 letters
             },
         )
     }
 
-    /// Sends collecting draws if the desk needs more than the ledger can spare.
+    /// Sends collecting draws if the pending draws need more than the ledger can spare.
     ///
     /// It asks those who were not visited for longest, and only as many as the need takes.
     fn collect(
         &self,
-        desk: &mut TeamDesk,
+        pending: &mut PendingDraws,
         team: &TeamId,
         purpose: DrawPurpose,
         is_urgent: bool,
@@ -197,14 +197,14 @@
     ) -> Vec<TokenLetter> {
         let (ledger, now, life) = (context.ledger, context.now, context.terms.life());
         let surplus = context.surplus(team);
-        let mut need = desk.need(surplus, life, now);
-        if !desk.may_collect(now) || (!is_urgent && need < surplus) {
+        let mut need = pending.need(surplus, life, now);
+        if !pending.may_collect(now) || (!is_urgent && need < surplus) {
             return Vec::new();
         }
         need = need.max(TokenAmount::ONE);
         let mut chosen = Vec::new();
         let mut expected = TokenAmount::ZERO;
-        for giver in self.givers(desk, team, purpose, context) {
+        for giver in self.givers(pending, team, purpose, context) {
             if expected >= need {
                 break;
             }
@@ -221,12 +221,12 @@
         let of = (team, &context.terms);
         let mut draws = Vec::new();
         for (giver, wanted) in chosen {
-            desk.visit(&giver.host, giver.visited_until(wanted, now));
+            pending.visit(&giver.host, giver.visited_until(wanted, now));
             let draw = ledger.draw_surplus(of, wanted, giver.purpose, now);
             draws.extend(draw.map(|draw| (giver.host, draw)));
         }
         let sequences = draws.iter().map(|(_, draw)| draw.id.sequence);
-        desk.begin_collection(sequences, expected, now);
+        pending.begin_collection(sequences, expected, now);
         let letter = |(to, draw)| TokenLetter::with_draw(to, draw);
         draws.into_iter().map(letter).collect()
     }
@@ -235,13 +235,18 @@
     /// only for hosts of this zone, so that a collection never goes on from zone to zone.
     fn givers(
         &self,
-        desk: &TeamDesk,
+        pending: &PendingDraws,
         team: &TeamId,
         purpose: DrawPurpose,
         context: &BrokerContext<'_>,
     ) -> Vec<TokenGiver> {
         let (own, roster, terms) = (context.ledger.host(), context.roster, &context.terms);
-        let is_waiting = |host: &HostId| desk.waiting.iter().any(|open| open.draw.id.host == *host);
+        let is_waiting = |host: &HostId| {
+            pending
+                .waiting
+                .iter()
+                .any(|open| open.draw.id.host == *host)
+        };
         let hosts = roster.hosts_in(&self.zone).iter();
         let hosts = hosts
             .filter(|host| *host != own && !is_waiting(host))
@@ -251,7 +256,7 @@
             .filter(|_| purpose == DrawPurpose::Refill)
             .map(|(zone, host)| (host, DrawPurpose::ZoneSurplus, roster.hosts_in(zone).len()));
         let giver = |(host, purpose, hosts): (&HostId, _, usize)| {
-            let unvisited = desk.unvisited((host, purpose), terms.life(), context.now)?;
+            let unvisited = pending.unvisited((host, purpose), terms.life(), context.now)?;
             let hosts = u64::try_from(hosts).unwrap_or(u64::MAX);
             let times = |part: u64| TokenAmount::from_micros(part.saturating_mul(hosts));
             Some(TokenGiver {
@@ -275,48 +280,54 @@
         let Some(amount) = accepted else {
             return Vec::new();
         };
-        let serve = |desk: &mut TeamDesk| {
-            desk.record_grant(grant.draw.sequence, amount);
-            let mut letters = Self::answer_some(desk, context);
-            if desk.is_complete(context.now) {
-                letters.extend(self.collect_on(desk, context));
+        let serve = |pending: &mut PendingDraws| {
+            pending.record_grant(grant.draw.sequence, amount);
+            let mut letters = Self::answer_some(pending, context);
+            if pending.is_complete(context.now) {
+                letters.extend(self.collect_on(pending, context));
             }
             letters
         };
-        self.desks.with(&grant.team, serve).unwrap_or_default()
+        self.pending_draws
+            .with(&grant.team, serve)
+            .unwrap_or_default()
     }
 
     /// Goes on collecting for draws that still wait, or answers them if nobody is left to ask.
-    fn collect_on(&self, desk: &mut TeamDesk, context: &BrokerContext<'_>) -> Vec<TokenLetter> {
-        let Some(first) = desk.waiting.first() else {
+    fn collect_on(
+        &self,
+        pending: &mut PendingDraws,
+        context: &BrokerContext<'_>,
+    ) -> Vec<TokenLetter> {
+        let Some(first) = pending.waiting.first() else {
             return Vec::new();
         };
         let (team, purpose) = (first.draw.team.clone(), first.draw.purpose);
-        let letters = self.collect(desk, &team, purpose, true, context);
+        let letters = self.collect(pending, &team, purpose, true, context);
         match letters.is_empty() {
-            true => Self::answer_all(desk, context),
+            true => Self::answer_all(pending, context),
             false => letters,
         }
     }
 
     /// Answers the first draws for which there is enough.
-    fn answer_some(desk: &mut TeamDesk, context: &BrokerContext<'_>) -> Vec<TokenLetter> {
+    fn answer_some(pending: &mut PendingDraws, context: &BrokerContext<'_>) -> Vec<TokenLetter> {
         let mut letters = Vec::new();
-        while let Some(first) = desk.waiting.first() {
+        while let Some(first) = pending.waiting.first() {
             if context.surplus(&first.draw.team) < first.draw.wanted {
                 break;
             }
-            letters.extend(context.answer(&desk.waiting.remove(0).draw));
+            letters.extend(context.answer(&pending.waiting.remove(0).draw));
         }
         letters
     }
 
     /// Divides what there is among all draws that wait.
-    fn answer_all(desk: &mut TeamDesk, context: &BrokerContext<'_>) -> Vec<TokenLetter> {
+    fn answer_all(pending: &mut PendingDraws, context: &BrokerContext<'_>) -> Vec<TokenLetter> {
         let mut letters = Vec::new();
-        while !desk.waiting.is_empty() {
-            let count = desk.waiting.len();
-            let mut draw = desk.waiting.remove(0).draw;
+        while !pending.waiting.is_empty() {
+            let count = pending.waiting.len();
+            let mut draw = pending.waiting.remove(0).draw;
             if count > 1 {
                 let part = divided(context.surplus(&draw.team), count);
                 draw.wanted = draw.wanted.min(part.max(draw.least));
@@ -326,7 +337,7 @@
         letters
     }
 
-    /// Answers draws whose collection takes too long, and drops desks that nobody needs.
+    /// Answers draws whose collection takes too long, and drops pending_draws that nobody needs.
     ///
     /// `context_of` returns the context of a team, or `None` where the team has no limits.
     pub fn poll<'a>(
@@ -335,14 +346,14 @@
         now: MonoTime,
     ) -> Vec<TokenLetter> {
         let mut letters = Vec::new();
-        self.desks.retain(|team, desk| {
-            if desk.waiting.iter().any(|draw| draw.answer_by <= now) {
+        self.pending_draws.retain(|team, pending| {
+            if pending.waiting.iter().any(|draw| draw.answer_by <= now) {
                 match context_of(team) {
-                    Some(context) => letters.extend(Self::answer_all(desk, &context)),
-                    None => desk.waiting.clear(),
+                    Some(context) => letters.extend(Self::answer_all(pending, &context)),
+                    None => pending.waiting.clear(),
                 }
             }
-            !desk.is_idle(now)
+            !pending.is_idle(now)
         });
         letters
     }
@@ -350,15 +361,15 @@
     /// Returns the next time at which [`TokenBroker::poll`] has a draw to answer.
     pub fn next_due(&self) -> Option<MonoTime> {
         let mut earliest: Option<MonoTime> = None;
-        self.desks.for_each(|_, desk| {
-            let due = desk.waiting.iter().map(|draw| draw.answer_by);
+        self.pending_draws.for_each(|_, pending| {
+            let due = pending.waiting.iter().map(|draw| draw.answer_by);
             earliest = due.chain(earliest).min();
         });
         earliest
     }
 
     /// Counts the teams for which some host is or was just short.
-    pub fn desk_count(&self) -> usize {
-        self.desks.len()
+    pub fn pending_count(&self) -> usize {
+        self.pending_draws.len()
     }
 }
--- a/crates/limits/src/desk.rs
+++ b/crates/limits/src/pending_draws.rs
@@ -33,8 +33,8 @@
 /// Longest pause after such a collection, for teams above their rate.
 const COLLECT_PAUSE_MAX: Duration = Duration::from_secs(1);
 
-/// Time without draws after which a desk is dropped.
-const DESK_IDLE: Duration = Duration::from_secs(5);
+/// Time without draws after which they are dropped.
+const PENDING_IDLE: Duration = Duration::from_secs(5);
 
 /// Time that a draw waits for a collection. The sum of both and of four message delays of 1.5 ms
 /// stays below the 25 ms that a request waits for its draw.
@@ -54,7 +54,7 @@
 
 /// What a broker knows about one team while some host is short of its tokens.
 #[derive(Debug)]
-pub(crate) struct TeamDesk {
+pub(crate) struct PendingDraws {
     pub(crate) waiting: Vec<WaitingDraw>,
     open: IndexSet<u64>,
     demand: DemandMeter,
@@ -66,7 +66,7 @@
     visited: IndexMap<HostId, MonoTime>,
 }
 
-impl TeamDesk {
+impl PendingDraws {
     pub(crate) fn new(now: MonoTime) -> Self {
         Self {
             waiting: Vec::new(),
@@ -178,6 +178,6 @@
 
     /// Tells whether no host has been short for a while.
     pub(crate) fn is_idle(&self, now: MonoTime) -> bool {
-        self.waiting.is_empty() && now.since(self.drawn_at) > DESK_IDLE
+        self.waiting.is_empty() && now.since(self.drawn_at) > PENDING_IDLE
     }
 }
--- a/crates/limits/tests/broker.rs
+++ b/crates/limits/tests/broker.rs
@@ -168,15 +168,15 @@
         group
             .hosts
             .iter()
-            .all(|(_, broker)| broker.desk_count() == 0)
+            .all(|(_, broker)| broker.pending_count() == 0)
     );
     let letters = (0..12).flat_map(|_| group.take(0, later(20_000)).1);
     group.deliver(letters.collect(), later(20_000));
     let home = group.number_of(group.roster.home_of(&team()).unwrap());
-    assert_eq!(group.hosts[home].1.desk_count(), 1);
+    assert_eq!(group.hosts[home].1.pending_count(), 1);
     let context_of = |_: &TeamId| Some(group.context(home, later(26_000)));
     group.hosts[home].1.poll(context_of, later(26_000));
-    assert_eq!(group.hosts[home].1.desk_count(), 0);
+    assert_eq!(group.hosts[home].1.pending_count(), 0);
 }
 
 /// Guards against draws whose number grows with the teams that are short at once.
--- a/crates/model/src/rates.rs
+++ b/crates/model/src/rates.rs
@@ -4,6 +4,7 @@
 //! a token lives for a second. A step of time is half a second.
 
 mod events;
+mod parts;
 
 use std::time::Duration;
 
@@ -19,6 +20,11 @@
     search::ProtocolModel, //
 };
 
+use parts::{
+    RateProcess,
+    WireMessage, //
+};
+
 pub use events::{
     RateBound,
     RateEvent,
@@ -31,30 +37,6 @@
 /// [`SLEEP_BOUND`](chicorycroft_limits::gate::SLEEP_BOUND).
 const REPLACE_AFTER: u64 = 3;
 
-#[derive(Debug)]
-struct RateProcess {
-    name: usize,
-    incarnation: u64,
-    born: u64,
-    base: u64,
-    ledger: TokenLedger,
-    paused_at: Option<u64>,
-    is_replaced: bool,
-}
-
-impl RateProcess {
-    fn now(&self, at: u64) -> MonoTime {
-        MonoTime::from_micros(self.base).after(STEP * (at - self.born) as u32)
-    }
-}
-
-#[derive(Clone, Debug)]
-struct WireMessage {
-    to: usize,
-    message: TokenMessage,
-    is_repeat: bool,
-}
-
 /// A state of the model.
 #[derive(Debug)]
 pub struct RateWorld {
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -22,7 +22,7 @@
 use crate::{
     delivery_error::DeliveryError,
     health_loop,
-    slot_desk::SlotLease,
+    slot_waiters::SlotLease,
     state::HostState, //
 };
 
@@ -137,3 +137,11 @@
     headers.insert(names::REQUEST_TIMEOUT, HeaderValue::from(millis));
     request
 }
+
+/// Returns what a caller is told about whether its request ran.
+pub(crate) fn statement_of(proof: RunProof) -> RunStatement {
+    match RunVerdict::from(proof) {
+        RunVerdict::NotRun => RunStatement::NotRun,
+        RunVerdict::Unknown => RunStatement::Unknown,
+    }
+}
--- a/crates/node/src/config_desk.rs
+++ b/crates/node/src/config_documents.rs
@@ -27,7 +27,7 @@
 
 /// The follower with the documents of the version in force and of the one under way.
 #[derive(Debug)]
-pub struct ConfigDesk {
+pub struct ConfigDocuments {
     follower: Mutex<ConfigFollower>,
     documents: ShardMap<DocumentDigest, Bytes>,
     bookings: Mutex<BookingClock>,
@@ -47,8 +47,8 @@
     slot.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-impl ConfigDesk {
-    /// Makes the desk of a host that knows nothing, at a reading of both clocks.
+impl ConfigDocuments {
+    /// Makes the documents of a host that knows nothing, at a reading of both clocks.
     pub fn new(mono: MonoTime, wall: UnixTime) -> Self {
         Self {
             follower: Mutex::default(),
@@ -184,7 +184,7 @@
         self.news.notify_one();
     }
 
-    /// Waits for [`ConfigDesk::tell_news`].
+    /// Waits for [`ConfigDocuments::tell_news`].
     pub async fn news(&self) {
         self.news.notified().await;
     }
@@ -194,7 +194,7 @@
         self.announcement.notify_one();
     }
 
-    /// Waits for [`ConfigDesk::announce`].
+    /// Waits for [`ConfigDocuments::announce`].
     pub async fn announcement(&self) {
         self.announcement.notified().await;
     }
--- a/crates/node/src/decision_log.rs
+++ b/crates/node/src/decision_log.rs
@@ -5,6 +5,8 @@
     Write, //
 };
 
+use chicorycroft_placement::prelude::*;
+
 /// A line of key=value pairs.
 #[derive(Clone, Debug)]
 pub struct DecisionLine {
@@ -51,3 +53,17 @@
         f.write_str(&self.text)
     }
 }
+
+/// Candidates that a decision line names; a service may have dozens.
+const PASSED_NAMED_MAX: usize = 4;
+
+/// Names some of the candidates that were passed over, with the reasons.
+pub(crate) fn passed_text(choice: &TargetChoice) -> String {
+    let named = choice.passed.iter().take(PASSED_NAMED_MAX);
+    let named = named.map(|(target, reason)| format!("{target}:{reason}"));
+    let mut text = named.collect::<Vec<_>>().join(",");
+    if choice.passed.len() > PASSED_NAMED_MAX {
+        text += &format!(",+{}", choice.passed.len() - PASSED_NAMED_MAX);
+    }
+    text
+}
--- a/crates/node/src/health_loop.rs
+++ b/crates/node/src/health_loop.rs
@@ -22,7 +22,7 @@
 use crate::{
     decision_log::DecisionLine,
     handover,
-    health_desk::LeaseTask,
+    health_registry::LeaseTask,
     permits::{
         refresh_arbiters,
         send_request, //
@@ -120,7 +120,7 @@
     };
     let now = state.clock.mono();
     state.slots.release(permit, AttemptOutcome::Cancelled, now);
-    crate::slot_desk::hand_out(state, &target.service);
+    crate::slot_waiters::hand_out(state, &target.service);
 }
 
 /// Takes the slot for a probe that another host makes, within the time in which it is of use.
@@ -183,7 +183,7 @@
         .with("target", &target.id)
         .with("reason", reason)
         .info();
-    crate::slot_desk::hand_out(state, &target.service);
+    crate::slot_waiters::hand_out(state, &target.service);
 }
 
 /// Decides whether the target or the way to it is at fault. Tells whether another host does not
--- a/crates/node/src/health_desk.rs
+++ b/crates/node/src/health_registry.rs
@@ -66,7 +66,7 @@
 
 /// Health of owned targets, and the permits that this host issues as arbiter.
 #[derive(Debug)]
-pub struct HealthDesk {
+pub struct HealthRegistry {
     targets: ShardMap<TargetId, TargetHealth>,
     /// How each service does at the moment, by the counters of all hosts that are heard.
     pub baseline: ServiceBaseline,
@@ -77,14 +77,14 @@
     last_permit: AtomicU64,
 }
 
-impl Default for HealthDesk {
+impl Default for HealthRegistry {
     fn default() -> Self {
         Self::new()
     }
 }
 
-impl HealthDesk {
-    /// Makes a desk without evidence.
+impl HealthRegistry {
+    /// Makes a registry without evidence.
     pub fn new() -> Self {
         Self {
             targets: ShardMap::new(),
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -33,7 +33,11 @@
         AdmittedRequest, //
         authorize,
     },
-    decision_log::DecisionLine,
+    attempt,
+    decision_log::{
+        DecisionLine,
+        passed_text, //
+    },
     delivery::{
         deliver,
         owners_of, //
@@ -47,9 +51,6 @@
 /// Bytes that an upload must bring in each idle time.
 const UPLOAD_PROGRESS_MIN: usize = 1024;
 
-/// Candidates that a decision line names; a service may have dozens.
-const PASSED_NAMED_MAX: usize = 4;
-
 /// Answers one request of a caller.
 pub async fn handle(state: Arc<HostState>, request: Request<Incoming>) -> Response<ProxyBody> {
     let id = RequestId::new(state.next_request());
@@ -218,7 +219,7 @@
                 if self.wait_for_owner().await {
                     continue;
                 }
-                let run = statement_of(self.history.proof());
+                let run = attempt::statement_of(self.history.proof());
                 let line = line.with("attempts", self.history.len());
                 return refuse(&self.state, line, RefusalKind::NoCapacity, run, None);
             };
@@ -325,7 +326,7 @@
                 response
             }
             Err(failure) => {
-                let run = statement_of(self.history.proof());
+                let run = attempt::statement_of(self.history.proof());
                 refuse(&self.state, line, failure.kind, run, failure.retry_after)
             }
         }
@@ -393,21 +394,3 @@
         request
     }
 }
-
-fn statement_of(proof: RunProof) -> RunStatement {
-    match RunVerdict::from(proof) {
-        RunVerdict::NotRun => RunStatement::NotRun,
-        RunVerdict::Unknown => RunStatement::Unknown,
-    }
-}
-
-/// Names some of the candidates that were passed over, with the reasons.
-fn passed_text(choice: &TargetChoice) -> String {
-    let named = choice.passed.iter().take(PASSED_NAMED_MAX);
-    let named = named.map(|(target, reason)| format!("{target}:{reason}"));
-    let mut text = named.collect::<Vec<_>>().join(",");
-    if choice.passed.len() > PASSED_NAMED_MAX {
-        text += &format!(",+{}", choice.passed.len() - PASSED_NAMED_MAX);
-    }
-    text
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,12 +8,12 @@
 //! - [`replay`]: request bodies that can be sent again.
 //! - [`delivery`]: brings a request to the owner of its target.
 //! - [`owner`]: serves requests for owned targets.
-//! - [`slot_desk`]: requests that wait for a slot.
+//! - [`slot_waiters`]: requests that wait for a slot.
 //! - [`attempt`]: one attempt at a target.
 //! - [`delivery_error`]: why a request got no answer from a target.
 //! - [`owned`]: the targets that this host owns.
 //! - [`handover`]: hands owned targets over at a planned stop.
-//! - [`health_desk`]: evidence, life cycle and ejection leases of owned targets.
+//! - [`health_registry`]: evidence, life cycle and ejection leases of owned targets.
 //! - [`health_loop`]: acts on the evidence.
 //! - [`permits`]: asks arbiters for ejection permits, and answers as an arbiter.
 //! - [`probe`]: probes a target.
@@ -21,7 +21,7 @@
 //! - [`roster_loop`]: the platform's list of hosts.
 //! - [`token_loop`]: moves tokens between hosts.
 //! - [`peer_service`]: answers other hosts.
-//! - [`config_desk`]: what the host knows of the published configuration.
+//! - [`config_documents`]: what the host knows of the published configuration.
 //! - [`config_watch`]: learns of published versions.
 //! - [`config_fetch`]: fetches documents from other hosts or the platform.
 //! - [`config_loop`]: adopts versions and applies bookings.
@@ -36,7 +36,7 @@
 pub mod admission;
 pub mod attempt;
 pub mod clock;
-pub mod config_desk;
+pub mod config_documents;
 pub mod config_fetch;
 pub mod config_loop;
 pub mod config_watch;
@@ -44,8 +44,8 @@
 pub mod delivery;
 pub mod delivery_error;
 pub mod handover;
-pub mod health_desk;
 pub mod health_loop;
+pub mod health_registry;
 pub mod host;
 pub mod host_readiness;
 pub mod ingress;
@@ -58,7 +58,7 @@
 pub mod probe;
 pub mod replay;
 pub mod roster_loop;
-pub mod slot_desk;
+pub mod slot_waiters;
 pub mod state;
 pub mod status;
 pub mod status_facts;
--- a/crates/node/src/owned.rs
+++ b/crates/node/src/owned.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     decision_log::DecisionLine,
-    slot_desk,
+    slot_waiters,
     state::HostState, //
 };
 
@@ -87,6 +87,6 @@
     let services: Vec<ServiceId> = owned.services().cloned().collect();
     state.set_owned(owned);
     for service in &services {
-        slot_desk::hand_out(state, service);
+        slot_waiters::hand_out(state, service);
     }
 }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -17,7 +17,7 @@
     attempt::attempt,
     decision_log::DecisionLine,
     delivery_error::DeliveryError,
-    slot_desk,
+    slot_waiters,
     state::HostState, //
 };
 
@@ -53,7 +53,7 @@
     let team = head.team.clone().map_or(QueueTeam::Open, QueueTeam::Team);
     let wait_until = deadline.min(arrival + queue_wait);
     let order = (team, &head.target);
-    match slot_desk::acquire(state, &head.service, order, wait_until).await {
+    match slot_waiters::acquire(state, &head.service, order, wait_until).await {
         Ok(lease) => {
             state.metrics.on_queue_wait(arrival.elapsed());
             line.with("decision", "send")
--- a/crates/node/src/slot_desk.rs
+++ b/crates/node/src/slot_waiters.rs
@@ -37,25 +37,25 @@
 }
 
 /// Requests that wait for a slot, by service.
-pub struct SlotDesk {
+pub struct SlotWaiters {
     queues: QueueTable,
     turns: ShardMap<(ServiceId, QueueTicket), TurnState>,
 }
 
-impl std::fmt::Debug for SlotDesk {
+impl std::fmt::Debug for SlotWaiters {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("SlotDesk(..)")
+        f.write_str("SlotWaiters(..)")
     }
 }
 
-impl Default for SlotDesk {
+impl Default for SlotWaiters {
     fn default() -> Self {
         Self::new()
     }
 }
 
-impl SlotDesk {
-    /// Makes a desk where nothing waits.
+impl SlotWaiters {
+    /// Makes a waiters where nothing waits.
     pub fn new() -> Self {
         Self {
             queues: QueueTable::new(QueueBounds::default()),
@@ -151,12 +151,12 @@
 
 /// Gives free slots of a service to the requests whose turn it is.
 pub fn hand_out(state: &Arc<HostState>, service: &ServiceId) {
-    while state.desk.length_of(service) > 0 {
+    while state.waiters.length_of(service) > 0 {
         let Some(mut lease) = take_slot(state, service, None) else {
             return;
         };
         let now = state.clock.mono();
-        let Some(ticket) = state.desk.queues.next(service, now) else {
+        let Some(ticket) = state.waiters.queues.next(service, now) else {
             // Another thread served the last one; the slot goes back without a new round.
             if let Some(permit) = lease.permit.take() {
                 let outcome = AttemptOutcome::Cancelled;
@@ -164,20 +164,22 @@
             }
             return;
         };
-        state.desk.announce(service, ticket, QueueTurn::Slot(lease));
+        state
+            .waiters
+            .announce(service, ticket, QueueTurn::Slot(lease));
     }
 }
 
 /// Removes a ticket when its request goes away while it waits.
 struct TicketGuard<'a> {
-    desk: &'a SlotDesk,
+    waiters: &'a SlotWaiters,
     key: (ServiceId, QueueTicket),
 }
 
 impl Drop for TicketGuard<'_> {
     fn drop(&mut self) {
-        self.desk.queues.cancel(&self.key.0, &self.key.1);
-        drop(self.desk.turns.remove(&self.key));
+        self.waiters.queues.cancel(&self.key.0, &self.key.1);
+        drop(self.waiters.turns.remove(&self.key));
     }
 }
 
@@ -192,30 +194,30 @@
     (team, preferred): (QueueTeam, &TargetId),
     deadline: Instant,
 ) -> Result<SlotLease, QueueRefusal> {
-    if state.desk.length_of(service) == 0
+    if state.waiters.length_of(service) == 0
         && let Some(lease) = take_slot(state, service, Some(preferred))
     {
         return Ok(lease);
     }
     let now = state.clock.mono();
     let wait = deadline.saturating_duration_since(Instant::now());
-    let queues = &state.desk.queues;
+    let queues = &state.waiters.queues;
     let admission = queues.enqueue(service, team, now.after(wait), now)?;
     if let Some(displaced) = admission.displaced {
         state
-            .desk
+            .waiters
             .announce(service, displaced, QueueTurn::Displaced);
     }
     let guard = TicketGuard {
-        desk: &state.desk,
+        waiters: &state.waiters,
         key: (service.clone(), admission.ticket),
     };
-    let turn = state.desk.wait(&guard.key);
+    let turn = state.waiters.wait(&guard.key);
     hand_out(state, service);
     match tokio::time::timeout_at(deadline, turn).await {
         Ok(Ok(QueueTurn::Slot(lease))) => Ok(lease),
         Ok(Ok(QueueTurn::Displaced)) => Err(QueueRefusal::QueueFull {
-            length: state.desk.length_of(service),
+            length: state.waiters.length_of(service),
         }),
         Ok(Err(_)) | Err(_) => Err(QueueRefusal::TooLate {
             expected_wait: wait,
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -28,13 +28,13 @@
 
 use crate::{
     clock::HostClock,
-    config_desk::ConfigDesk,
-    health_desk::HealthDesk,
+    config_documents::ConfigDocuments,
+    health_registry::HealthRegistry,
     metrics::HostMetrics,
     owned::OwnedTargets,
     roster_loop::HostList,
-    slot_desk::SlotDesk,
-    token_loop::DrawBell, //
+    slot_waiters::SlotWaiters,
+    token_loop::DrawNotifier, //
 };
 
 /// Connections to one target beside those of its slots: probes, and connections that are being closed.
@@ -56,21 +56,21 @@
     /// Moves tokens between hosts.
     pub broker: TokenBroker,
     /// Wakes the token loop and those who wait for a grant.
-    pub draws: DrawBell,
+    pub draws: DrawNotifier,
     /// Who owns which target.
     pub owners: OwnerTable,
     /// Slots of owned targets.
     pub slots: Arc<SlotPool>,
     /// Requests that wait for a slot.
-    pub desk: SlotDesk,
+    pub waiters: SlotWaiters,
     /// Load of targets as their owners report it.
     pub chooser: TargetChooser,
     /// Health of owned targets.
-    pub health: HealthDesk,
+    pub health: HealthRegistry,
     /// Retries of services.
     pub retries: RetryBudget,
     /// Published configuration.
-    pub config: ConfigDesk,
+    pub config: ConfigDocuments,
     /// Other hosts.
     pub members: PeerTable,
     /// Connections to other hosts.
@@ -126,13 +126,13 @@
             owners: OwnerTable::new(host.clone(), zone.clone(), OwnerTimes::default(), now),
             ledger: TokenLedger::new(host, incarnation, now),
             broker: TokenBroker::new(zone, SMALL_FLEET, now),
-            draws: DrawBell::new(),
+            draws: DrawNotifier::new(),
             slots: Arc::new(SlotPool::new()),
-            desk: SlotDesk::new(),
+            waiters: SlotWaiters::new(),
             chooser: TargetChooser::new(),
-            health: HealthDesk::new(),
+            health: HealthRegistry::new(),
             retries: RetryBudget::new(),
-            config: ConfigDesk::new(now, clock.wall()),
+            config: ConfigDocuments::new(now, clock.wall()),
             members: PeerTable::new(member, incarnation, rules),
             peers: PeerClient::new(),
             metrics: Arc::new(metrics),
--- a/crates/node/src/status_facts.rs
+++ b/crates/node/src/status_facts.rs
@@ -54,7 +54,7 @@
             .slots
             .usage(&target.id, now)
             .filter(|_| owned.contains(target));
-        let waiting = usage.map(|_| state.desk.length_of(&target.service));
+        let waiting = usage.map(|_| state.waiters.length_of(&target.service));
         TargetFacts {
             owner: owner_of(state, target),
             out_reason: state.out_reason(target),
--- a/crates/node/src/token_loop.rs
+++ b/crates/node/src/token_loop.rs
@@ -40,14 +40,14 @@
 
 /// Wakes the token loop for teams that run short, and requests that wait for a grant.
 #[derive(Debug, Default)]
-pub struct DrawBell {
+pub struct DrawNotifier {
     teams: Mutex<IndexSet<TeamId>>,
     asked: Notify,
     granted: Notify,
 }
 
-impl DrawBell {
-    /// Makes a bell for which nobody waits.
+impl DrawNotifier {
+    /// Makes a notifier for which nobody waits.
     pub fn new() -> Self {
         Self::default()
     }
