Tell the end of requests whose caller left before the answer

Change: a request under way writes its line and counts when it is dropped (outcome caller-left, status 0).

--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -57,6 +57,9 @@
 /// Part of the time to come back that is random, in percent, so that callers do not return together.
 const RETRY_SPREAD_PERCENT: u64 = 50;
 
+/// Outcome of a request whose caller left before its answer.
+const CALLER_LEFT: &str = "caller-left";
+
 /// An answer with the reason for it.
 struct IngressEnd {
     response: Response<Bytes>,
@@ -82,26 +85,61 @@
     }
 }
 
+/// A request under way, of which one line tells how it ended, also when its caller leaves first.
+struct OpenRequest {
+    state: Arc<GatewayState>,
+    id: Option<SmolStr>,
+    path: String,
+    arrival: MonoTime,
+    is_ended: bool,
+}
+
+impl OpenRequest {
+    fn end(mut self, end: &IngressEnd) {
+        let status = end.response.status().as_u16();
+        self.tell(&end.outcome, status, end.reason);
+        self.is_ended = true;
+    }
+
+    fn tell(&self, outcome: &str, status: u16, reason: &str) {
+        let (state, now) = (&self.state, self.state.now());
+        let elapsed = now.since(self.arrival);
+        let (index, age) = (state.knowledge.index(), state.knowledge.age(now));
+        state.metrics.on_request(outcome, elapsed);
+        log::info!(
+            "event=request id={} path={} outcome={outcome} status={status} reason={reason} config={} \
+             age_ms={} elapsed_ms={}",
+            self.id.as_deref().unwrap_or("-"),
+            self.path,
+            index.map_or(0, |index| index.config().version().get()),
+            age.map_or(0, |age| age.get().as_millis()),
+            elapsed.as_millis()
+        );
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        if !self.is_ended {
+            self.tell(CALLER_LEFT, 0, "connection-closed");
+        }
+    }
+}
+
 /// Answers one request of a caller.
 pub async fn answer(state: Arc<GatewayState>, request: Request<Incoming>) -> Response<ProxyBody> {
     let arrival = state.now();
     let (mut parts, body) = request.into_parts();
     let id = headers::request_id(&parts.headers).map(SmolStr::new);
+    let open = OpenRequest {
+        state: state.clone(),
+        id: id.clone(),
+        path: parts.uri.path().to_owned(),
+        arrival,
+        is_ended: false,
+    };
     let end = serve(&state, &mut parts, body, id.as_ref(), arrival).await;
-    let elapsed = state.now().since(arrival);
-    let (index, age) = (state.knowledge.index(), state.knowledge.age(state.now()));
-    state.metrics.on_request(&end.outcome, elapsed);
-    log::info!(
-        "event=request id={} path={} outcome={} status={} reason={} config={} age_ms={} elapsed_ms={}",
-        id.as_deref().unwrap_or("-"),
-        parts.uri.path(),
-        end.outcome,
-        end.response.status().as_u16(),
-        end.reason,
-        index.map_or(0, |index| index.config().version().get()),
-        age.map_or(0, |age| age.get().as_millis()),
-        elapsed.as_millis()
-    );
+    open.end(&end);
     let mut response = end.response.map(full_body);
     if state.is_stopping() {
         let close = HeaderValue::from_static("close");
--- a/crates/gateway/tests/gateway/requests.rs
+++ b/crates/gateway/tests/gateway/requests.rs
@@ -6,7 +6,11 @@
     prelude::*,
     target::SIGNATURE, //
 };
-use tokio::time::Instant;
+use tokio::{
+    io::AsyncWriteExt,
+    net::TcpStream,
+    time::Instant, //
+};
 
 use crate::setting::TestSetting;
 
@@ -148,3 +152,24 @@
     let statuses = [first.status, second.status, third.status];
     assert_eq!(statuses, [200, 200, 200]);
 }
+
+/// Guards against requests that no line and no counter tells of: their caller left at its deadline, a moment
+/// before the answer.
+#[tokio::test]
+async fn request_whose_caller_left_is_counted() {
+    let setting = TestSetting::new(1).await;
+    setting.targets[0].set_acts([TargetAct::Hang]);
+    let mut caller = TcpStream::connect(setting.host.caller_address())
+        .await
+        .unwrap();
+    let head = "GET /open/a HTTP/1.1\r\nhost: shop.example\r\nx-request-id: id-1\r\n\r\n";
+    caller.write_all(head.as_bytes()).await.unwrap();
+    setting
+        .until(|_| setting.seen().iter().any(|seen| seen.id() == Some("id-1")))
+        .await;
+    drop(caller);
+    let counter = "gateway_requests_total{outcome=\"caller-left\"} 1";
+    setting
+        .until(|host| host.state().metrics.text().unwrap().contains(counter))
+        .await;
+}
