End the soak's processes with it when a signal ends the soak

Cause: a soak that was ended by SIGTERM left its gateway processes running, 36 after two such ends, because the handles that kill them were never dropped.

Change: SIGTERM and SIGINT end the run as an error, which drops the fleet.

--- a/crates/soak/src/bin/chicorycroft-soak.rs
+++ b/crates/soak/src/bin/chicorycroft-soak.rs
@@ -10,11 +10,16 @@
 use eyre::{
     Result,
     WrapErr, //
+    eyre,
 };
 use getopts::{
     Matches,
     Options, //
 };
+use tokio::signal::unix::{
+    SignalKind, //
+    signal,
+};
 
 /// Exit status for a command line that is not valid, as `sysexits` has it.
 const EXIT_USAGE: u8 = 64;
@@ -93,6 +98,17 @@
     Ok(is_kept)
 }
 
+/// Plays the runs until they end, or until a signal ends them; the processes of a run end with it.
+async fn run_until_told(settings: SoakSettings, runs: u64) -> Result<bool> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        played = run(settings, runs) => played,
+        _ = terminate.recv() => Err(eyre!("ended by SIGTERM")),
+        _ = interrupt.recv() => Err(eyre!("ended by SIGINT")),
+    }
+}
+
 fn main() -> ExitCode {
     let options = options();
     let usage = options.usage("Usage: chicorycroft-soak [OPTIONS]");
@@ -116,7 +132,7 @@
     };
     let played = tokio::runtime::Runtime::new()
         .wrap_err("the runtime does not start")
-        .and_then(|runtime| runtime.block_on(run(settings, runs)));
+        .and_then(|runtime| runtime.block_on(run_until_told(settings, runs)));
     match played {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
