Refuse a peer's directory that is behind in a part

A directory's revision is the lower one of its two parts. A dispatcher that had read targets later than operators took a peer's directory with a revision between the two, which undid what it had read of targets, and its watch went on after that change.

Change: a directory is taken only when its revision reaches both parts that were read here. A host that was told a directory of no use asks again after 0.2 s; it asked at once before, for as long as the two differed.

--- a/crates/directory/src/keeper.rs
+++ b/crates/directory/src/keeper.rs
@@ -75,10 +75,14 @@
 
     /// Takes the directory of another host when it was read later than this one's; that of the host
     /// that this one follows also when it was read at the same time.
+    ///
+    /// A directory holds all changes up to its revision, and one part may hold later ones. It must not
+    /// replace a part that was read later here: its changes would be lost, as watches go on after them.
     pub fn adopt(&mut self, directory: TargetDirectory, is_followed: bool) -> bool {
         let known = self.directory.as_of;
         let is_later = directory.as_of > known || is_followed && directory.as_of == known;
-        if !is_later {
+        let read_here = self.operator_as_of.max(self.target_as_of);
+        if !is_later || directory.as_of < read_here {
             return false;
         }
         (self.operator_as_of, self.target_as_of) = (directory.as_of, directory.as_of);
--- a/crates/directory/tests/keeper.rs
+++ b/crates/directory/tests/keeper.rs
@@ -207,3 +207,22 @@
     );
     assert_eq!(open_ids(&keeper), ["t-2"]);
 }
+
+/// Guards against requests to a target that has said that it leaves: a peer's directory, later as a whole but read
+/// earlier for targets, replaced that change, and the watch went on after it.
+#[test]
+fn directory_of_a_peer_does_not_undo_a_later_change() {
+    let mut keeper = keeper_with_two();
+    let mut peer = (**keeper.directory()).clone();
+    let read_at = StoreRevision::new(20);
+    let leaving = vec![seen("t-1", TargetPhase::Draining)];
+    keeper.apply(StorePart::Targets, leaving, read_at, at(100));
+    assert_eq!(open_ids(&keeper), ["t-2"]);
+    assert!(keeper.directory().as_of < StoreRevision::new(15));
+    peer.as_of = StoreRevision::new(15);
+    assert!(!keeper.adopt(peer.clone(), true));
+    assert_eq!(open_ids(&keeper), ["t-2"]);
+    // One that was read as late in both parts counts.
+    peer.as_of = read_at;
+    assert!(keeper.adopt(peer, false));
+}
--- a/crates/gateway/src/follow_loop.rs
+++ b/crates/gateway/src/follow_loop.rs
@@ -25,6 +25,10 @@
     },
 };
 
+/// Pause before a host is asked again that told a directory which is behind: it would tell the same one at once,
+/// and its next one comes with the pace of its watch, 0.5 s.
+const BEHIND_PAUSE: Duration = Duration::from_millis(200);
+
 /// Time for which a dispatcher holds an answer to a follower back while nothing changes.
 const FOLLOW_WAIT: Duration = Duration::from_millis(500);
 
@@ -103,7 +107,11 @@
         let sent_at = state.now();
         let message = GatewayMessage::Follow(request);
         match call_member(&state, &leader, message, wait + ANSWER_LIMIT).await {
-            Ok(GatewayMessage::News(news)) => take(&state, *news, sent_at),
+            Ok(GatewayMessage::News(news)) => {
+                if !take(&state, *news, sent_at) {
+                    tokio::time::sleep(BEHIND_PAUSE).await;
+                }
+            }
             Ok(_) => {
                 log::warn!("event=peer_answer_unexpected host={}", leader.host);
                 tokio::time::sleep(FAILURE_PAUSE).await;
@@ -114,7 +122,8 @@
     }
 }
 
-fn take(state: &GatewayState, news: FollowAnswer, sent_at: MonoTime) {
+/// Takes what a host tells; returns whether its directory is of use here.
+fn take(state: &GatewayState, news: FollowAnswer, sent_at: MonoTime) -> bool {
     let now = state.now();
     let host = news.member.host.clone();
     state.gossip.on_answer(&host, now);
@@ -122,12 +131,16 @@
     if let Some(config) = news.config {
         state.knowledge.adopt_config(config, host.as_str());
     }
-    if let Some(directory) = news.directory {
-        let is_followed = !state.is_dispatcher();
-        state.knowledge.adopt_directory(directory, is_followed);
-    } else {
-        state.knowledge.on_same_directory(news.as_of);
-    }
+    let is_of_use = match news.directory {
+        Some(directory) => {
+            let is_followed = !state.is_dispatcher();
+            state.knowledge.adopt_directory(directory, is_followed)
+        }
+        None => {
+            state.knowledge.on_same_directory(news.as_of);
+            true
+        }
+    };
     if let Some(age) = news.age_millis {
         // The answer was made at least the held time after the request was sent.
         let made_at = sent_at.after(Duration::from_millis(news.held_millis.into()));
@@ -152,4 +165,5 @@
             },
         );
     }
+    is_of_use
 }
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -107,14 +107,14 @@
     }
 
     /// Changes the directory and tells those who wait for changes.
-    fn change(&self, source: &str, act: impl FnOnce(&mut DirectoryKeeper)) {
+    fn change<T>(&self, source: &str, act: impl FnOnce(&mut DirectoryKeeper) -> T) -> T {
         let mut keeper = lock(&self.keeper);
         let before = keeper.directory().content;
-        act(&mut keeper);
+        let done = act(&mut keeper);
         let directory = keeper.directory().clone();
         drop(keeper);
         if before == directory.content {
-            return;
+            return done;
         }
         log::info!(
             "event=directory_changed content={} previous={before} as_of={} source={source} targets={} \
@@ -125,13 +125,12 @@
             directory.evacuated.len()
         );
         self.notify();
+        done
     }
 
-    /// Takes the directory of another host when it was read later.
-    pub fn adopt_directory(&self, directory: TargetDirectory, is_followed: bool) {
-        self.change("peer", |keeper| {
-            keeper.adopt(directory, is_followed);
-        });
+    /// Takes the directory of another host when it was read later; returns whether it was.
+    pub fn adopt_directory(&self, directory: TargetDirectory, is_followed: bool) -> bool {
+        self.change("peer", |keeper| keeper.adopt(directory, is_followed))
     }
 
     /// Notes that another host holds the same directory as of a revision.
