Give the relisting of a target its own action in the soak

Cause: read once more as a whole: the end of EntryGone went through the ends of faults with a span number that meant nothing, host_of named two faults that never reach it, and one comment named a field in place of what it holds.

Change: DueAction::ListTarget; the dead arms are gone; the comment says what is dropped. Behaviour stays as it is.

--- a/crates/limits/src/broker.rs
+++ b/crates/limits/src/broker.rs
@@ -337,7 +337,7 @@
         letters
     }
 
-    /// Answers draws whose collection takes too long, and drops pending_draws that nobody needs.
+    /// Answers draws whose collection takes too long, and drops those of teams that nobody draws for.
     ///
     /// `context_of` returns the context of a team, or `None` where the team has no limits.
     pub fn poll<'a>(
--- a/crates/soak/src/injector.rs
+++ b/crates/soak/src/injector.rs
@@ -63,6 +63,7 @@
 enum DueAction {
     Begin(PlannedFault),
     End(PlannedFault, usize),
+    ListTarget(TargetIndex),
     GiveKey(usize),
 }
 
@@ -81,11 +82,11 @@
     pub(crate) start: Instant,
 }
 
-/// Returns the host that a fault disturbs; none for one that disturbs all.
+/// Returns the host that an unplanned fault disturbs; none for one that disturbs all.
 fn host_of(kind: FaultKind) -> Option<HostIndex> {
     use FaultKind::*;
     match kind {
-        Stop(host) | Kill(host) | Pause(host) | Reload(host) => Some(host),
+        Kill(host) | Pause(host) => Some(host),
         Delay(link, _) | Cut(link) | OneWay(link) | Silence(link) | Reset(link) => match link {
             LinkKind::Callers(host) | LinkKind::Store(host) => Some(host),
             // A host that others do not reach may hold up their requests.
@@ -141,6 +142,9 @@
             match entry.remove() {
                 DueAction::Begin(fault) => self.begin(fault)?,
                 DueAction::End(fault, span) => self.end(fault, span),
+                DueAction::ListTarget(target) => {
+                    self.fleet.targets[target.0].list(&self.fleet.store);
+                }
                 DueAction::GiveKey(key) => self.news.send_modify(|news| news.key = key),
             }
         }
@@ -224,10 +228,6 @@
             FaultKind::TargetFails(target) | FaultKind::TargetHangs(target) => {
                 self.fleet.targets[target.0].target.set_habit(None);
             }
-            FaultKind::EntryGone(target) => {
-                self.fleet.targets[target.0].list(&self.fleet.store);
-                return;
-            }
             FaultKind::StoreSilent => {
                 self.silences -= 1;
                 // Another silence may go on.
@@ -269,12 +269,7 @@
         self.fleet.store.remove(&key);
         let to = now + span;
         self.ledger.gone.push((id, now, to));
-        let fault = PlannedFault {
-            at: now,
-            span,
-            kind: FaultKind::EntryGone(target),
-        };
-        self.schedule(to, DueAction::End(fault, 0));
+        self.schedule(to, DueAction::ListTarget(target));
     }
 
     /// Starts hosts that are due, and notes how processes end.
