Log which targets a reader of the store removes or keeps

Change: three events of hosts that read the store: `store_answered` with the time for which calls had failed and the age of the copy, `removal_deferred` with the time left, and `target_removed`. No decision changes.

--- a/crates/directory/src/tracker.rs
+++ b/crates/directory/src/tracker.rs
@@ -75,6 +75,11 @@
         &self.directory
     }
 
+    /// Returns the targets whose entries lapsed in an outage, with the time until which they stay in use.
+    pub fn lapsed(&self) -> &IndexMap<TargetId, MonoTime> {
+        &self.lapsed
+    }
+
     /// Replaces the directory by that of another host if it was read from the store later. For the host that this
     /// one follows, the same revision suffices. Returns `true` if the directory was replaced.
     ///
@@ -94,12 +99,14 @@
         true
     }
 
-    /// Records an answer of the store, which ends an outage.
-    pub fn on_contact(&mut self, now: MonoTime) {
-        let failing_since = self.failing_since.take();
-        if failing_since.is_some_and(|at| now.since(at) > OUTAGE_MIN) {
+    /// Records an answer of the store, which ends an outage. Returns the time for which calls had failed, if the
+    /// last one did.
+    pub fn on_contact(&mut self, now: MonoTime) -> Option<Duration> {
+        let failing_time = now.since(self.failing_since.take()?);
+        if failing_time > OUTAGE_MIN {
             self.recovered_at = Some(now);
         }
+        Some(failing_time)
     }
 
     /// Records a failed call of the store.
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -83,7 +83,15 @@
 
     /// Records a successful read of targets from the store.
     pub fn on_store_answer(&self, now: MonoTime) {
-        lock(&self.tracker).on_contact(now);
+        let contact_age = self.age(now);
+        let Some(failing_time) = lock(&self.tracker).on_contact(now) else {
+            return;
+        };
+        log::info!(
+            "event=store_answered failing_ms={} contact_age={}",
+            failing_time.as_millis(),
+            contact_age.map_or_else(|| "none".to_owned(), |age| age.to_string())
+        );
     }
 
     /// Records a failed call to the store.
@@ -134,6 +142,32 @@
         result
     }
 
+    /// Updates the directory with what this host read from the store, and logs the targets that were removed and
+    /// those whose removal is deferred.
+    fn update_from_store(&self, now: MonoTime, update: impl FnOnce(&mut DirectoryTracker)) {
+        let (before, after, deferred) = self.update_directory("store", |tracker| {
+            let (before, lapsed) = (tracker.directory().clone(), tracker.lapsed().clone());
+            update(tracker);
+            let mut deferred = tracker.lapsed().clone();
+            deferred.retain(|target, _| !lapsed.contains_key(target));
+            (before, tracker.directory().clone(), deferred)
+        });
+        for (target, until) in deferred {
+            log::info!(
+                "event=removal_deferred target={target} as_of={} left_ms={}",
+                after.as_of,
+                until.since(now).as_millis()
+            );
+        }
+        if before.content == after.content {
+            return;
+        }
+        let known = before.targets.keys();
+        for target in known.filter(|target| !after.targets.contains_key(*target)) {
+            log::info!("event=target_removed target={target} as_of={}", after.as_of);
+        }
+    }
+
     /// Replaces the directory by another host's if that was read later, and returns `true` if it was replaced.
     /// If it comes from the host that this one follows, the same revision suffices.
     pub fn adopt_directory(&self, directory: TargetDirectory, is_from_upstream: bool) -> bool {
@@ -158,7 +192,7 @@
         as_of: (StoreRevision, StoreRevision),
         now: MonoTime,
     ) {
-        self.update_directory("store", |tracker| {
+        self.update_from_store(now, |tracker| {
             tracker.replace(entries, evacuated, as_of, now);
         });
     }
@@ -181,7 +215,7 @@
                 ),
             }
         }
-        self.update_directory("store", |tracker| {
+        self.update_from_store(now, |tracker| {
             tracker.apply(part, changes, events.as_of, now);
         });
     }
