--- /dev/null
+++ b/crates/gateway/tests/store_cache.rs
@@ -0,0 +1,76 @@
+//! Removed targets on a host whose reads of the store failed for a while.
+
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "test helpers may panic"
+)]
+
+use std::time::Duration;
+
+use chicorycroft_core::prelude::*;
+use chicorycroft_directory::prelude::*;
+use chicorycroft_gateway::store_cache::StoreCache;
+use indexmap::IndexSet;
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(millis)
+}
+
+fn entry(id: &str) -> TargetEntry {
+    TargetEntry {
+        id: TargetId::new(id).unwrap(),
+        service: ServiceId::new("rate").unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: ZoneId::new("a").unwrap(),
+        slots: SlotCount::new(2),
+        phase: TargetPhase::Ready,
+        cold_left: Duration::ZERO,
+        born: 1,
+        sequence: 5,
+    }
+}
+
+fn open_ids(cache: &StoreCache) -> Vec<String> {
+    let (directory, service) = (cache.directory(), ServiceId::new("rate").unwrap());
+    let open = directory.open_targets(&service);
+    open.map(|entry| entry.id.to_string()).collect()
+}
+
+/// Reads the store successfully: its targets are `ids` at a revision.
+fn read(cache: &StoreCache, ids: &[&str], revision: u64, now: MonoTime) {
+    let entries = ids.iter().map(|id| entry(id)).collect();
+    let as_of = (StoreRevision::new(revision), StoreRevision::new(revision));
+    cache.on_store_answer(now);
+    cache.replace_directory(entries, IndexSet::new(), as_of, now);
+    cache.confirm(now);
+}
+
+/// Guards against requests to a target that left: the store refused this host for some seconds and served others,
+/// which this host took for an outage in which entries of live targets lapse.
+#[test]
+fn target_that_left_while_the_store_refused_this_host_is_dropped_at_once() {
+    let cache = StoreCache::new();
+    read(&cache, &["t-1", "t-2"], 10, at(0));
+    cache.on_store_failure(at(1000));
+    // Another host reads the store about every two seconds.
+    for millis in [1900, 3800, 5700] {
+        cache.confirm_aged(ContactAge::new(Duration::from_millis(20)), at(millis));
+    }
+    read(&cache, &["t-2"], 20, at(7500));
+    assert_eq!(open_ids(&cache), ["t-2"]);
+}
+
+/// Guards against dropping live targets whose entries lapsed in an outage, because another host reached the store
+/// a moment earlier.
+#[test]
+fn entry_that_lapsed_stays_if_another_host_reads_the_store_first() {
+    let cache = StoreCache::new();
+    read(&cache, &["t-1", "t-2"], 10, at(0));
+    cache.on_store_failure(at(1000));
+    cache.confirm_aged(ContactAge::new(Duration::ZERO), at(5900));
+    read(&cache, &["t-2"], 20, at(6000));
+    assert_eq!(open_ids(&cache), ["t-1", "t-2"]);
+    read(&cache, &["t-2"], 21, at(8300));
+    assert_eq!(open_ids(&cache), ["t-2"]);
+}
