Take only a loss of the store by all hosts for an outage

Callers: requests went to targets that had left for up to 2.9 s (DRAIN, bound 2.5 s); such a target may end under them.

Cause: a reader of the store whose own calls had failed for more than 1 s kept the entries that were removed in the next 2.3 s, since entries of live targets lapse in an outage. The store had refused this host and some others only; targets renewed their entries all the time, so a removed one had left.

Change: OutageDetector counts the contacts of other hosts, whose age every answer between hosts carries, beside the calls of this host. Entries are kept only after 2.5 s without a contact of any known host, until 2.3 s after the first contact. An outage that another host saw end first still counts.

Hosts that know no other host with contact still take a refusal for an outage.

--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -4,12 +4,14 @@
 //! - [`routing`]: lookup of the route, the team and the service of a request.
 //! - [`targets`]: the registered targets and the evacuated zones.
 //! - [`tracker`]: applies changes of the store to the directory, and keeps entries that lapse in a store outage.
+//! - [`outage`]: tells an outage of the store from a refusal of this host alone.
 //! - [`contact`]: age of this host's copy of the store, and whether keys may still be trusted.
 //!
 //! The crate decodes no messages and reads no clock: callers pass decoded records and the current time.
 
 pub mod config;
 pub mod contact;
+pub mod outage;
 pub mod routing;
 pub mod targets;
 pub mod tracker;
@@ -31,6 +33,7 @@
             ContactAge,
             StoreContact, //
         },
+        outage::OutageDetector,
         routing::{
             RouteIndex,
             RoutingError, //
--- /dev/null
+++ b/crates/directory/src/outage.rs
@@ -0,0 +1,74 @@
+//! Detects outages of the store, in which entries of live targets lapse.
+//!
+//! The store may refuse some hosts and serve the others. Its targets then renew their entries as usual, so a removed
+//! entry means that the target has left. Only if no host known to this one got an answer for a while may entries have
+//! lapsed. The contacts of other hosts are therefore counted beside the calls of this host.
+
+use std::time::Duration;
+
+use chicorycroft_core::prelude::*;
+
+use crate::contact::{
+    ContactAge,
+    StoreContact, //
+};
+
+/// Time over which the calls of this host must fail. An interrupted watch alone is no outage, as the next call
+/// succeeds.
+const FAILING_MIN: Duration = Duration::from_millis(1000);
+
+/// Time between two contacts of any host with the store. Entries lapse after three missed writes, one each 1.5 s, so
+/// none lapses in a shorter outage. While the store refuses the dispatchers, other hosts read it every two seconds.
+const CONTACT_GAP_MIN: Duration = Duration::from_millis(2500);
+
+/// Time from the recovery of the store in which targets register again: the platform's two seconds and one
+/// paced read.
+const REGISTRATION_TIME: Duration = Duration::from_millis(2300);
+
+/// Contacts with the store and the latest outage that they show.
+#[derive(Debug, Default)]
+pub struct OutageDetector {
+    contact: StoreContact,
+    failing_since: Option<MonoTime>,
+    /// When the first host reached the store again after an outage.
+    recovered_at: Option<MonoTime>,
+    /// Time until which removed entries may belong to live targets.
+    registration_end: Option<MonoTime>,
+}
+
+impl OutageDetector {
+    /// Creates a detector without any contact.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records that the store answered a host, by the age of the contact at `now`.
+    pub fn on_contact(&mut self, age: ContactAge, now: MonoTime) {
+        let previous = self.contact.age(now);
+        self.contact.confirm_aged(age, now);
+        if previous.is_some_and(|previous| previous.get() > age.get() + CONTACT_GAP_MIN) {
+            self.recovered_at = Some(now);
+        }
+    }
+
+    /// Records a failed call of this host.
+    pub fn on_failure(&mut self, now: MonoTime) {
+        self.failing_since.get_or_insert(now);
+    }
+
+    /// Records an answer to this host. Returns the time for which its calls had failed, if the last one did.
+    pub fn on_answer(&mut self, now: MonoTime) -> Option<Duration> {
+        self.on_contact(ContactAge::new(Duration::ZERO), now);
+        let failing_time = now.since(self.failing_since.take()?);
+        if failing_time > FAILING_MIN {
+            self.registration_end = self.recovered_at.map(|at| at.after(REGISTRATION_TIME));
+        }
+        Some(failing_time)
+    }
+
+    /// Returns the time until which removed entries may belong to live targets that have not registered again, or
+    /// `None` if that time has passed.
+    pub fn registration_end(&self, now: MonoTime) -> Option<MonoTime> {
+        self.registration_end.filter(|&end| now < end)
+    }
+}
--- a/crates/directory/src/tracker.rs
+++ b/crates/directory/src/tracker.rs
@@ -15,20 +15,16 @@
     IndexSet, //
 };
 
-use crate::targets::{
-    StoreRevision,
-    TargetDirectory,
-    TargetEntry, //
+use crate::{
+    contact::ContactAge,
+    outage::OutageDetector,
+    targets::{
+        StoreRevision,
+        TargetDirectory,
+        TargetEntry, //
+    },
 };
 
-/// Time over which calls must fail for the store to count as having had an outage. An interrupted watch alone is no
-/// outage, as the next call succeeds.
-const OUTAGE_MIN: Duration = Duration::from_millis(1000);
-
-/// Time from the recovery of the store in which targets register again: the platform's two seconds and one
-/// paced read.
-const REGISTRATION_TIME: Duration = Duration::from_millis(2300);
-
 /// A change of the directory that was read from the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum DirectoryChange {
@@ -59,9 +55,7 @@
     target_as_of: StoreRevision,
     /// Targets whose entries lapsed in an outage, with the time until which they stay in use.
     lapsed: IndexMap<TargetId, MonoTime>,
-    failing_since: Option<MonoTime>,
-    /// Time of the first answer after the last outage.
-    recovered_at: Option<MonoTime>,
+    outage: OutageDetector,
 }
 
 impl DirectoryTracker {
@@ -99,19 +93,20 @@
         true
     }
 
-    /// Records an answer of the store, which ends an outage. Returns the time for which calls had failed, if the
-    /// last one did.
+    /// Records an answer of the store to this host. Returns the time for which its calls had failed, if the last one
+    /// did.
     pub fn on_contact(&mut self, now: MonoTime) -> Option<Duration> {
-        let failing_time = now.since(self.failing_since.take()?);
-        if failing_time > OUTAGE_MIN {
-            self.recovered_at = Some(now);
-        }
-        Some(failing_time)
+        self.outage.on_answer(now)
+    }
+
+    /// Records that another host reached the store, by the age of that contact at `now`.
+    pub fn on_peer_contact(&mut self, age: ContactAge, now: MonoTime) {
+        self.outage.on_contact(age, now);
     }
 
     /// Records a failed call of the store.
     pub fn on_failure(&mut self, now: MonoTime) {
-        self.failing_since.get_or_insert(now);
+        self.outage.on_failure(now);
     }
 
     /// Applies a full read of the store: the entries of all targets, the evacuated zones, and the revision of each
@@ -165,17 +160,14 @@
 
     fn apply_one(&mut self, next: &mut TargetDirectory, change: DirectoryChange, now: MonoTime) {
         match change {
-            DirectoryChange::TargetRemoved(id) => {
-                let grace_end = self.recovered_at.map(|at| at.after(REGISTRATION_TIME));
-                match grace_end.filter(|&end| now < end) {
-                    Some(end) => {
-                        self.lapsed.entry(id).or_insert(end);
-                    }
-                    None => {
-                        next.targets.shift_remove(&id);
-                    }
+            DirectoryChange::TargetRemoved(id) => match self.outage.registration_end(now) {
+                Some(end) => {
+                    self.lapsed.entry(id).or_insert(end);
                 }
-            }
+                None => {
+                    next.targets.shift_remove(&id);
+                }
+            },
             DirectoryChange::TargetUpdated(entry) => {
                 self.lapsed.shift_remove(&entry.id);
                 insert_entry(next, entry);
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -3,12 +3,15 @@
 //! A configuration is replaced only by one with a higher version, whether it was read from the store or
 //! received from another host.
 
-use std::sync::{
-    Arc,
-    Mutex,
-    MutexGuard,
-    PoisonError,
-    RwLock, //
+use std::{
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError,
+        RwLock, //
+    },
+    time::Duration, //
 };
 
 use chicorycroft_adapter::prelude::*;
@@ -67,18 +70,19 @@
 
     /// Returns `true` if the cache is recent enough to accept keys. A key that was withdrawn must stop working
     /// within `revoke_bound`.
-    pub fn may_trust_keys(&self, revoke_bound: std::time::Duration, now: MonoTime) -> bool {
+    pub fn may_trust_keys(&self, revoke_bound: Duration, now: MonoTime) -> bool {
         lock(&self.contact).may_trust_keys(revoke_bound, now)
     }
 
     /// Records that the cache was up to date at a time.
     pub fn confirm(&self, at: MonoTime) {
-        lock(&self.contact).confirm(at);
+        self.confirm_aged(ContactAge::new(Duration::ZERO), at);
     }
 
     /// Records that the cache had an age at a time, as reported by another host.
     pub fn confirm_aged(&self, age: ContactAge, at: MonoTime) {
         lock(&self.contact).confirm_aged(age, at);
+        lock(&self.tracker).on_peer_contact(age, at);
     }
 
     /// Records a successful read of targets from the store.
