Let refused dispatchers learn from any host that the store serves

Callers: while the store refuses a dispatcher and the next host of its zone, requests go on to targets that leave.

Cause: the right to read the store went by rank. A dispatcher followed only the next host in rank, and a younger host that read the store itself kept what it read. Hosts also read late, at an age of 1.7 s (second in rank) to 3.2 s, where a target that leaves may get requests for 2 s.

Change: a dispatcher whose calls fail follows the next four hosts. The operators' watch waits 0.5 s in place of 1 s, so that a copy is at most 1.1 s old in normal operation, and hosts read at 1.25 s to 2 s.

A zone whose five oldest hosts and all other zones' dispatchers are refused still learns late.

--- a/crates/directory/src/outage.rs
+++ b/crates/directory/src/outage.rs
@@ -56,6 +56,11 @@
         self.failing_since.get_or_insert(now);
     }
 
+    /// Returns `true` if the last call of this host failed.
+    pub fn is_failing(&self) -> bool {
+        self.failing_since.is_some()
+    }
+
     /// Records an answer to this host. Returns the time for which its calls had failed, if the last one did.
     pub fn on_answer(&mut self, now: MonoTime) -> Option<Duration> {
         self.on_contact(ContactAge::new(Duration::ZERO), now);
--- a/crates/directory/src/tracker.rs
+++ b/crates/directory/src/tracker.rs
@@ -109,6 +109,11 @@
         self.outage.on_failure(now);
     }
 
+    /// Returns `true` if the last call of this host to the store failed.
+    pub fn is_store_failing(&self) -> bool {
+        self.outage.is_failing()
+    }
+
     /// Applies a full read of the store: the entries of all targets, the evacuated zones, and the revision of each
     /// part. Targets and zones that are missing count as removed and restored.
     pub fn replace(
--- a/crates/gateway/src/follow_loop.rs
+++ b/crates/gateway/src/follow_loop.rs
@@ -2,7 +2,7 @@
 //!
 //! A host follows the dispatcher of its zone. A dispatcher follows the dispatchers of the other zones, for
 //! the team usage there, and the next host in rank of its own zone, which reads the store if the dispatcher
-//! cannot.
+//! cannot. The store may refuse that host too, so a dispatcher whose calls fail follows several of the next hosts.
 
 use std::{
     sync::Arc,
@@ -44,6 +44,10 @@
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(200);
 
+/// Number of hosts of its zone that a dispatcher follows while its calls of the store fail. If the store refuses half
+/// of the hosts, one zone in 16 has no other source.
+const STORE_READERS_FOLLOWED: usize = 4;
+
 /// Returns the hosts that this one should follow now.
 fn upstreams(state: &GatewayState) -> Vec<MemberRecord> {
     let now = state.now();
@@ -53,7 +57,12 @@
     if ranked.first().is_some_and(|first| !is_self(first)) {
         return ranked.into_iter().take(1).collect();
     }
-    let mut upstreams: Vec<MemberRecord> = ranked.into_iter().skip(1).take(1).collect();
+    let own_zone_count = match state.store_cache.is_store_failing() {
+        true => STORE_READERS_FOLLOWED,
+        false => 1,
+    };
+    let next_in_rank = ranked.into_iter().skip(1);
+    let mut upstreams: Vec<MemberRecord> = next_in_rank.take(own_zone_count).collect();
     let mut zones: Vec<ZoneId> = Vec::new();
     for record in state.gossip.records() {
         if record.zone != *own && !zones.contains(&record.zone) {
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -103,6 +103,11 @@
         lock(&self.tracker).on_failure(now);
     }
 
+    /// Returns `true` if the last call of this host to the store failed.
+    pub fn is_store_failing(&self) -> bool {
+        lock(&self.tracker).is_store_failing()
+    }
+
     /// Adopts a configuration if its version is higher than the one in force, and returns `true` if it did.
     /// `source` names its origin in the log.
     pub fn adopt_config(&self, config: GatewayConfig, source: &str) -> bool {
--- a/crates/gateway/src/store_loop.rs
+++ b/crates/gateway/src/store_loop.rs
@@ -24,7 +24,7 @@
 
 /// Time for which the store delays the answer to a watch while nothing changes. An empty answer confirms that
 /// the cached data is up to date.
-const WATCH_WAIT: Duration = Duration::from_millis(1000);
+const WATCH_WAIT: Duration = Duration::from_millis(500);
 
 /// Pause between calls of the watch of targets. Targets write about 25 times a second, and each answer counts
 /// as a paid call. A target that leaves is still noticed well within the two seconds that the platform allows.
@@ -34,11 +34,13 @@
 /// 4 ms, and within 0.3 s when it is slow.
 const ANSWER_LIMIT: Duration = Duration::from_millis(700);
 
-/// Age of the cached data after which the first host in rank reads the store.
-const READ_AGE: Duration = Duration::from_millis(1200);
+/// Age of the cached data after which the first host in rank reads the store. A follower's copy is up to
+/// [`WATCH_WAIT`] and one long poll of 0.5 s old while its dispatcher is served.
+const READ_AGE: Duration = Duration::from_millis(1000);
 
-/// Addition to [`READ_AGE`] for each host of the zone that started earlier.
-const READ_AGE_STEP: Duration = Duration::from_millis(500);
+/// Addition to [`READ_AGE`] for each host of the zone that started earlier. A target that leaves must be known within
+/// two seconds also if the store refuses the first hosts in rank.
+const READ_AGE_STEP: Duration = Duration::from_millis(250);
 
 /// Time after the start at which a host without data reads the store. It leaves a peer enough time to answer
 /// first.
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod configuration;
 mod metrics;
 mod peers;
+mod refused_reads;
 mod requests;
 mod stops;
 mod test_gateway;
--- a/crates/gateway/tests/gateway/test_gateway.rs
+++ b/crates/gateway/tests/gateway/test_gateway.rs
@@ -26,7 +26,7 @@
 };
 
 /// Longest time that a test waits for an expected state or response.
-const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
+pub(crate) const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A gateway process with a store and the targets of one service.
 pub(crate) struct TestGateway {
