Keep the deadline of a lapsed entry when a directory is adopted

Callers: after an outage of the store, requests may go to targets that are gone until the next full read.

Cause: a directory of another host holds entries that it keeps after an outage like any others. Adopting it cleared the deadlines of this host's own lapsed entries, and the watch has passed their removal.

Change: the deadline of an entry that the adopted directory still holds stays. An entry that registers again clears it, as before.

A reader without a deadline of its own that adopts a kept entry still keeps it until a full read.

--- a/crates/directory/src/tracker.rs
+++ b/crates/directory/src/tracker.rs
@@ -88,8 +88,10 @@
             return false;
         }
         (self.operator_as_of, self.target_as_of) = (directory.as_of, directory.as_of);
+        // The other host may keep a lapsed entry too, and the removal is not delivered again.
+        self.lapsed
+            .retain(|id, _| directory.targets.contains_key(id));
         self.directory = Arc::new(directory);
-        self.lapsed.clear();
         true
     }
 
