Send no second attempt of a refused request on the same connection

Callers: a request that a target had run could be answered 503, "not run", or be sent to another target.

Cause: answers are matched by the id of their request. A faulty target that writes an earlier refusal once more on a kept connection is found out by another id, but not if the caller's next attempt has the id of the first.

The stand-in target can repeat its answer and break off in the middle of a head.

--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -2,6 +2,9 @@
 //!
 //! A connection serves one request at a time. It is reused only after a complete request and a complete
 //! response, and it expires here before the target closes it, so a request does not race with that close.
+//!
+//! A faulty target may write an earlier refusal once more. Answers are matched by the id of their request, so a
+//! connection on which a request was refused never carries another attempt with the same id.
 
 use std::{
     net::SocketAddr,
@@ -12,6 +15,7 @@
 use chicorycroft_core::prelude::*;
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
+use smol_str::SmolStr;
 use tokio::task::AbortHandle;
 
 /// Keep-alive time of targets that announce none.
@@ -24,6 +28,9 @@
 /// Maximum number of idle connections per target: one for each slot.
 const IDLE_COUNT_MAX: usize = 2;
 
+/// Maximum number of refused requests that a connection remembers. It is closed after one more.
+const REFUSED_COUNT_MAX: usize = 16;
+
 /// An open connection to a target, closed on drop.
 #[derive(Debug)]
 pub struct TargetConnection {
@@ -33,6 +40,30 @@
     pub address: SocketAddr,
     /// Handle that aborts the task driving the connection.
     pub task: AbortHandle,
+    /// Ids of the requests that the target refused on this connection.
+    refused: Vec<SmolStr>,
+}
+
+impl TargetConnection {
+    /// Creates a connection on which no request was sent. `task` drives it.
+    pub fn new(sender: SendRequest<Full<Bytes>>, address: SocketAddr, task: AbortHandle) -> Self {
+        Self {
+            sender,
+            address,
+            task,
+            refused: Vec::new(),
+        }
+    }
+
+    /// Records that the target refused a request on this connection.
+    pub fn on_refused(&mut self, request: &str) {
+        self.refused.push(request.into());
+    }
+
+    /// Returns `true` if no earlier attempt with the same id was refused on this connection.
+    fn may_carry(&self, request: &str) -> bool {
+        !self.refused.iter().any(|refused| refused == request)
+    }
 }
 
 impl Drop for TargetConnection {
@@ -65,22 +96,27 @@
         Self::default()
     }
 
-    /// Removes and returns a usable connection to a target at an address, if there is one.
+    /// Removes and returns a usable connection to a target at an address, if there is one on which the request was
+    /// not refused before.
     pub fn take(
         &self,
         target: &TargetId,
         address: SocketAddr,
+        request: &str,
         now: MonoTime,
     ) -> Option<TargetConnection> {
         let take = |idle: &mut Vec<IdleConnection>| {
             idle.retain(|entry| entry.is_usable(now) && entry.connection.address == address);
-            idle.pop().map(|entry| entry.connection)
+            let mut entries = idle.iter();
+            let position = entries.rposition(|entry| entry.connection.may_carry(request))?;
+            Some(idle.remove(position).connection)
         };
         self.idle.with(target, take).flatten()
     }
 
     /// Adds a connection to the pool until shortly before the target's keep-alive time ends. Closes it if that
-    /// time is too short or the pool already holds enough connections to the target.
+    /// time is too short, the pool already holds enough connections to the target, or too many requests were refused
+    /// on it.
     pub fn put(
         &self,
         target: &TargetId,
@@ -88,6 +124,9 @@
         keep_alive: Option<Duration>,
         now: MonoTime,
     ) {
+        if connection.refused.len() > REFUSED_COUNT_MAX {
+            return;
+        }
         let timeout = keep_alive.unwrap_or(KEEP_ALIVE_DEFAULT);
         let Some(time) = timeout.checked_sub(IDLE_MARGIN) else {
             return;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -100,11 +100,7 @@
             log::debug!("event=target_connection_ended address={address} error=\"{error}\"");
         }
     });
-    Ok(TargetConnection {
-        sender,
-        address,
-        task: task.abort_handle(),
-    })
+    Ok(TargetConnection::new(sender, address, task.abort_handle()))
 }
 
 /// Builds the request for one target, with the target, team and remaining time in its headers.
@@ -129,7 +125,7 @@
 ) -> ExchangeOutcome {
     let pooled = state
         .connections
-        .take(&entry.id, entry.address, state.now());
+        .take(&entry.id, entry.address, &outgoing.id, state.now());
     if let Some(connection) = pooled {
         let request = build_request(outgoing, &entry.id, time_left());
         match send(state, connection, request, entry, outgoing).await {
@@ -182,13 +178,17 @@
         return broken("cut-in-answer");
     };
     let keep_alive = headers::keep_alive(&parts.headers);
+    let outcome = classify(Response::from_parts(parts, body.to_bytes()));
+    if outcome.proof == RunProof::NotRun {
+        connection.on_refused(&outgoing.id);
+    }
     tokio::spawn(return_to_pool(
         state.clone(),
         entry.id.clone(),
         connection,
         keep_alive,
     ));
-    classify(Response::from_parts(parts, body.to_bytes()))
+    outcome
 }
 
 /// Returns a connection to the pool after its request has been written completely. A target may respond
--- a/crates/gateway/tests/gateway/requests.rs
+++ b/crates/gateway/tests/gateway/requests.rs
@@ -12,7 +12,10 @@
     time::Instant, //
 };
 
-use crate::test_gateway::TestGateway;
+use crate::test_gateway::{
+    TestGateway,
+    call_with_id, //
+};
 
 /// Guards against passing a caller's key or a team header set by the caller to a target, and against requests
 /// without the target's id, which another target could run.
@@ -179,3 +182,32 @@
         .wait_until(|host| host.state().metrics.text().unwrap().contains(counter))
         .await;
 }
+
+/// Guards against a refusal that says that a request has not run although it has: a target runs a second attempt
+/// with the same id, or another request, and writes its earlier refusal on the kept connection once more.
+#[tokio::test]
+async fn repeated_refusal_is_no_proof_that_the_next_request_did_not_run() {
+    // The same id goes over another connection, and an answer to another id is no answer.
+    for (id, expected) in [("id-1", 200), ("id-2", 502)] {
+        let gateway = TestGateway::new(1).await;
+        let behaviours = [TargetBehaviour::Shed, TargetBehaviour::RepeatAnswer];
+        gateway.targets[0].set_next_behaviours(behaviours);
+        let address = gateway.host.caller_address();
+        let refused = call_with_id(address, "id-1", "POST /buy/1", "key-1", "x").await;
+        assert_eq!(refused.status, 503);
+        let answer = call_with_id(address, id, "POST /buy/1", "key-1", "x").await;
+        let is_run = |request: &ReceivedRequest| request.is_run;
+        assert!(gateway.received_requests().iter().any(is_run), "{id}");
+        assert_eq!(answer.status, expected, "{id}");
+    }
+}
+
+/// Guards against an answer that looks whole although the target closed the connection in the middle of its head.
+#[tokio::test]
+async fn answer_that_breaks_off_in_its_head_is_no_answer() {
+    let gateway = TestGateway::new(1).await;
+    gateway.targets[0].set_next_behaviours([TargetBehaviour::CutInHead]);
+    let answer = gateway.call("POST /buy/1", "key-1", "x").await;
+    assert_eq!(answer.status, 502);
+    assert!(!answer.head.contains(SIGNATURE));
+}
--- a/crates/gateway/tests/gateway/test_gateway.rs
+++ b/crates/gateway/tests/gateway/test_gateway.rs
@@ -126,9 +126,20 @@
 
 /// Sends a request over a new connection and reads the response.
 pub(crate) async fn call(address: SocketAddr, line: &str, key: &str, body: &str) -> CallerAnswer {
+    call_with_id(address, "id-1", line, key, body).await
+}
+
+/// Sends a request with an id over a new connection and reads the response.
+pub(crate) async fn call_with_id(
+    address: SocketAddr,
+    id: &str,
+    line: &str,
+    key: &str,
+    body: &str,
+) -> CallerAnswer {
     let mut stream = TcpStream::connect(address).await.unwrap();
     let head = format!(
-        "{line} HTTP/1.1\r\nhost: shop.example\r\nx-request-id: id-1\r\nx-deadline-ms: 3000\r\n\
+        "{line} HTTP/1.1\r\nhost: shop.example\r\nx-request-id: {id}\r\nx-deadline-ms: 3000\r\n\
          authorization: Bearer {key}\r\n{FORGED_TEAM}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
         body.len()
     );
