Limit the bytes before the head of an answer is complete

Callers: one target that sends interim responses without end kept a host busy until the deadline, so that other callers of the host waited too; in the test, with one thread, a request of a 1 s route was answered after 1.84 s.

Cause: the HTTP library limits a head, but skips interim responses without a limit. It reads and parses them as fast as they come, and the request waits for its deadline.

Change: the socket counts the bytes read and fails a read when 64 KiB have come before the head of the response is complete. Both request paths use it: gateway, and proxy over HTTP/1.1. Over HTTP/2 the library limits heads.

--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -13,6 +13,7 @@
 
 use bytes::Bytes;
 use chicorycroft_core::prelude::*;
+use chicorycroft_proxy::prelude::*;
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
 use smol_str::SmolStr;
@@ -38,6 +39,8 @@
     pub sender: SendRequest<Full<Bytes>>,
     /// Address of the target.
     pub address: SocketAddr,
+    /// Counter of the bytes read.
+    pub read_meter: ReadMeter,
     /// Handle that aborts the task driving the connection.
     pub task: AbortHandle,
     /// Ids of the requests that the target refused on this connection.
@@ -46,10 +49,16 @@
 
 impl TargetConnection {
     /// Creates a connection on which no request was sent. `task` drives it.
-    pub fn new(sender: SendRequest<Full<Bytes>>, address: SocketAddr, task: AbortHandle) -> Self {
+    pub fn new(
+        sender: SendRequest<Full<Bytes>>,
+        address: SocketAddr,
+        read_meter: ReadMeter,
+        task: AbortHandle,
+    ) -> Self {
         Self {
             sender,
             address,
+            read_meter,
             task,
             refused: Vec::new(),
         }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -14,6 +14,7 @@
 use chicorycroft_core::prelude::*;
 use chicorycroft_directory::prelude::*;
 use chicorycroft_dispatch::prelude::*;
+use chicorycroft_proxy::prelude::*;
 use chicorycroft_retry::prelude::*;
 use http::{
     Request,
@@ -93,6 +94,8 @@
         Err(_) => return Err("connection-timed-out"),
     };
     stream.set_nodelay(true).map_err(|_| "socket-failed")?;
+    let stream = MeteredStream::new(stream);
+    let read_meter = stream.read_meter();
     let io = TokioIo::new(stream);
     let (sender, connection) = handshake(io).await.map_err(|_| "handshake-failed")?;
     let task = tokio::spawn(async move {
@@ -100,7 +103,8 @@
             log::debug!("event=target_connection_ended address={address} error=\"{error}\"");
         }
     });
-    Ok(TargetConnection::new(sender, address, task.abort_handle()))
+    let task = task.abort_handle();
+    Ok(TargetConnection::new(sender, address, read_meter, task))
 }
 
 /// Builds the request for one target, with the target, team and remaining time in its headers.
@@ -160,6 +164,7 @@
     if connection.sender.ready().await.is_err() {
         return not_written();
     }
+    connection.read_meter.expect_head();
     let response = match connection.sender.try_send_request(request).await {
         Ok(response) => response,
         Err(mut error) => {
@@ -169,6 +174,7 @@
             };
         }
     };
+    connection.read_meter.on_head();
     let (parts, body) = response.into_parts();
     if headers::request_id(&parts.headers) != Some(outgoing.id.as_str()) {
         return broken("answer-to-another-request");
--- a/crates/gateway/tests/gateway/requests.rs
+++ b/crates/gateway/tests/gateway/requests.rs
@@ -211,3 +211,18 @@
     assert_eq!(answer.status, 502);
     assert!(!answer.head.contains(SIGNATURE));
 }
+
+/// Guards against a host that is busy with one answer until the deadline, because its target sends header lines or
+/// interim responses without end.
+#[tokio::test]
+async fn answer_without_the_end_of_its_head_is_given_up_at_once() {
+    for part in [EndlessPart::HeaderLine, EndlessPart::InterimResponses] {
+        let gateway = TestGateway::new(1).await;
+        gateway.targets[0].set_next_behaviours([TargetBehaviour::Endless(part)]);
+        let start = Instant::now();
+        let answer = gateway.call("POST /buy/1", "key-1", "x").await;
+        assert_eq!(answer.status, 502, "{part:?}");
+        // The route allows 1 s.
+        assert!(start.elapsed() < Duration::from_millis(500), "{part:?}");
+    }
+}
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -48,6 +48,7 @@
     head::sanitize_response,
     metered_stream::{
         MeteredStream,
+        ReadMeter,
         WriteMeter, //
     },
     sent_body::{
@@ -144,7 +145,8 @@
 #[derive(Debug)]
 struct TargetConnection {
     sender: TargetSender,
-    meter: WriteMeter,
+    read_meter: ReadMeter,
+    write_meter: WriteMeter,
     tasks: TaskGroup,
     idle_since: watch::Sender<Option<Instant>>,
 }
@@ -310,8 +312,8 @@
             .unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
             .map_err(AttemptError::Connect)?;
         stream.set_nodelay(true).map_err(AttemptError::Connect)?;
-        let meter = WriteMeter::default();
-        let stream = MeteredStream::new(stream, meter.clone());
+        let stream = MeteredStream::new(stream);
+        let (read_meter, write_meter) = (stream.read_meter(), stream.write_meter());
         let tasks = TaskGroup::new(permit);
         let idle_since = watch::Sender::new(None);
         let expired = idle_expired(idle_since.subscribe());
@@ -329,7 +331,8 @@
             .map_err(|_| AttemptError::NotWritten)?;
         Ok(TargetConnection {
             sender,
-            meter,
+            read_meter,
+            write_meter,
             tasks,
             idle_since,
         })
@@ -367,12 +370,17 @@
         let mut connection = timeout_at(deadline, self.acquire())
             .await
             .unwrap_or(Err(AttemptError::NoConnection))?;
-        let written = connection.meter.count();
+        let written = connection.write_meter.count();
+        // Over HTTP/2 the library limits heads, and bodies may be read ahead.
+        if self.protocol == TargetProtocol::Http1 {
+            connection.read_meter.expect_head();
+        }
         let progress = SendProgress::new();
         let request = request.map(|body| SentBody::new(body, progress.clone()));
         let sent = timeout_at(deadline, connection.sender.send(request, self.address)).await;
         let error = match sent {
             Ok(Ok(response)) if response.status() != StatusCode::SWITCHING_PROTOCOLS => {
+                connection.read_meter.on_head();
                 return Ok(TargetResponse {
                     signal: TargetSignal::new(response.status(), response.headers()),
                     response,
@@ -393,7 +401,7 @@
         Err(match error {
             _ if progress.is(SEND_FAILED) => AttemptError::RequestBodyFailed,
             _ if progress.is(SEND_STALLED) => AttemptError::RequestBodyStalled,
-            _ if connection.meter.count() == written => AttemptError::NotWritten,
+            _ if connection.write_meter.count() == written => AttemptError::NotWritten,
             error => error,
         })
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`refusal`]: error responses that the fleet generates itself.
 //! - [`server`]: accepts connections of callers.
 //! - [`client`]: the connection pool of one target.
+//! - [`metered_stream`]: a socket that counts bytes and limits what precedes the head of a response.
 
 pub mod body;
 pub mod client;
@@ -17,7 +18,7 @@
 mod framing;
 pub mod head;
 pub mod keys;
-mod metered_stream;
+pub mod metered_stream;
 pub mod names;
 pub mod refusal;
 mod sent_body;
@@ -53,6 +54,10 @@
             KeyError,
             take_key, //
         },
+        metered_stream::{
+            MeteredStream,
+            ReadMeter, //
+        },
         refusal::{
             ExecutionStatus,
             RefusalKind, //
--- a/crates/proxy/tests/edge/targets.rs
+++ b/crates/proxy/tests/edge/targets.rs
@@ -275,3 +275,22 @@
     assert!(second.is_ok());
     drop(body_sender);
 }
+
+/// Guards against a connection that is busy until the deadline, because its target sends interim responses without
+/// end.
+#[tokio::test]
+async fn interim_responses_without_end_break_the_connection() {
+    let (listener, address) = listen().await;
+    let client = client(address);
+    let interim = "HTTP/1.1 103 X\r\n\r\n".repeat(1000);
+    let (sent, ()) = tokio::join!(send(&client, "/"), async {
+        let (_, mut stream) = respond_raw(&listener, &interim).await;
+        while stream.write_all(interim.as_bytes()).await.is_ok() {}
+    });
+    let error = sent.unwrap_err();
+    assert!(
+        matches!(error, AttemptError::ConnectionBroken(_)),
+        "{error}"
+    );
+    assert!(!error.is_not_run());
+}
