Count answers against the memory for bodies, and limit their framing

Callers: targets that send bodies without end could end a host for want of memory, and kept it busy until the deadline.

Cause: each answer was collected up to 16 MiB by itself, outside the memory limit that the bodies of requests share, and each chunk was kept as a buffer of its own. Chunks of one byte take six bytes on the connection and much more memory, and reach the limit on the content only after 100 MB.

Change: answers are read by the reader of request bodies, into one buffer and within the shared limit; the module is named body_buffer now. Without memory the answer is given up, which is no evidence against the target. The buffer of a connection to a target is limited to 64 KiB, as in proxy.

--- a/crates/gateway/src/request_body.rs
+++ b/crates/gateway/src/body_buffer.rs
@@ -1,6 +1,6 @@
-//! Buffers request bodies.
+//! Buffers the bodies of requests and answers.
 //!
-//! A target's slot is acquired only after the body is complete, so slow callers occupy no slots, and a
+//! A target's slot is acquired only after the body of a request is complete, so slow callers occupy no slots, and a
 //! request that did not run can be sent to another target. All bodies of a process share a memory limit.
 
 use std::{
@@ -24,25 +24,25 @@
 /// Memory reserved at a time for a body without a declared length, in KiB.
 const RESERVE_STEP_KIB: u32 = 256;
 
-/// An error while reading a request body. The request has not run.
+/// An error while reading a body.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 pub enum BodyReadError {
-    /// The body exceeds the configured limit.
-    #[error("request body exceeds the configured size limit")]
+    /// The body exceeds its limit.
+    #[error("body exceeds its size limit")]
     TooLarge,
-    /// The memory for request bodies is used up.
-    #[error("memory for request bodies is used up")]
+    /// The memory for bodies is used up.
+    #[error("memory for bodies is used up")]
     NoMemory,
-    /// The caller's connection failed before the end of the body.
-    #[error("connection failed before the end of the request body")]
+    /// The connection failed before the end of the body, or the body is malformed.
+    #[error("connection failed before the end of the body")]
     Cut,
     /// The body did not arrive within the time limit.
-    #[error("request body did not arrive within the time limit")]
+    #[error("body did not arrive within the time limit")]
     TooSlow,
 }
 
 impl BodyReadError {
-    /// Returns the refusal that is sent to the caller.
+    /// Returns the refusal that a caller gets for the body of its request, which has not run.
     pub fn answer(self) -> RefusalAnswer {
         match self {
             Self::TooLarge => RefusalAnswer::BodyTooLarge,
@@ -85,11 +85,16 @@
 where
     B: Body<Data = Bytes> + Unpin,
 {
-    let read = tokio::time::timeout(limit, read_all(memory, body, length_max)).await;
+    let read = tokio::time::timeout(limit, read_whole(memory, body, length_max)).await;
     read.unwrap_or(Err(BodyReadError::TooSlow))
 }
 
-async fn read_all<B>(
+/// Reads a body like [`read_body`], without a time limit.
+///
+/// # Errors
+///
+/// Returns an error if the body is too large, ends early, or `memory` has too few permits left.
+pub async fn read_whole<B>(
     memory: &Arc<Semaphore>,
     mut body: B,
     length_max: u64,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -22,12 +22,8 @@
     StatusCode,
     request, //
 };
-use http_body_util::{
-    BodyExt,
-    Full,
-    Limited, //
-};
-use hyper::client::conn::http1::handshake;
+use http_body_util::Full;
+use hyper::client::conn::http1::Builder;
 use hyper_util::rt::TokioIo;
 use tokio::{
     net::TcpStream,
@@ -35,6 +31,11 @@
 };
 
 use crate::{
+    answer_body::AnswerBody,
+    body_buffer::{
+        BodyReadError,
+        read_whole, //
+    },
     connection_pool::TargetConnection,
     state::GatewayState, //
 };
@@ -47,7 +48,10 @@
 const POOL_RETURN_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Largest accepted response body, in bytes.
-const ANSWER_BYTES_MAX: usize = 16 << 20;
+const ANSWER_BYTES_MAX: u64 = 16 << 20;
+
+/// Maximum buffer size of a connection, in bytes. It limits the head of an answer and what is read ahead of its body.
+const BUFFER_BYTES_MAX: usize = 64 << 10;
 
 /// A request prepared for sending to targets.
 #[derive(Clone, Debug)]
@@ -97,7 +101,8 @@
     let stream = MeteredStream::new(stream);
     let read_meter = stream.read_meter();
     let io = TokioIo::new(stream);
-    let (sender, connection) = handshake(io).await.map_err(|_| "handshake-failed")?;
+    let handshake = Builder::new().max_buf_size(BUFFER_BYTES_MAX).handshake(io);
+    let (sender, connection) = handshake.await.map_err(|_| "handshake-failed")?;
     let task = tokio::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!("event=target_connection_ended address={address} error=\"{error}\"");
@@ -179,12 +184,19 @@
     if headers::request_id(&parts.headers) != Some(outgoing.id.as_str()) {
         return broken("answer-to-another-request");
     }
-    let body = Limited::new(body, ANSWER_BYTES_MAX).collect().await;
-    let Ok(body) = body else {
-        return broken("cut-in-answer");
+    let body = AnswerBody::new(body, connection.read_meter.clone());
+    let (body, _memory) = match read_whole(&state.body_memory, body, ANSWER_BYTES_MAX).await {
+        Ok(read) => read,
+        // The memory of this host says nothing about the target.
+        Err(BodyReadError::NoMemory) => {
+            let result = AttemptResult::Cancelled;
+            return ExchangeOutcome::failed(result, RunProof::Unknown, "no-room-for-answer");
+        }
+        Err(BodyReadError::TooLarge) => return broken("answer-too-large"),
+        Err(BodyReadError::Cut | BodyReadError::TooSlow) => return broken("cut-in-answer"),
     };
     let keep_alive = headers::keep_alive(&parts.headers);
-    let outcome = classify(Response::from_parts(parts, body.to_bytes()));
+    let outcome = classify(Response::from_parts(parts, body));
     if outcome.proof == RunProof::NotRun {
         connection.on_refused(&outgoing.id);
     }
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -40,13 +40,13 @@
 use tokio::sync::OwnedSemaphorePermit;
 
 use crate::{
+    body_buffer::read_body,
     exchange::OutgoingRequest,
     request_attempts::{
         RequestAttempts,
         RequestOutcome,
         RequestPlan, //
     },
-    request_body::read_body,
     state::GatewayState,
 };
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,11 +2,12 @@
 //!
 //! Request path:
 //! - [`ingress`]: routes and authenticates requests from callers and returns the responses.
-//! - [`request_body`]: buffers request bodies within a memory limit.
+//! - [`body_buffer`]: buffers the bodies of requests and answers within a memory limit.
 //! - [`request_attempts`]: runs the attempts of one request, including retries and hedges.
 //! - `zone_search`: collects the answers of the zones while a request looks for a target.
 //! - [`permit_client`]: obtains permits from dispatchers and releases them.
 //! - [`exchange`]: sends one attempt to a target and reads the response.
+//! - `answer_body`: refuses answers that consist mostly of framing.
 //! - [`connection_pool`]: idle connections to targets.
 //!
 //! Dispatch path:
@@ -29,6 +30,8 @@
 //! - [`ready_service`]: readiness and metrics over HTTP.
 //! - [`host`]: starts and stops the process.
 
+mod answer_body;
+pub mod body_buffer;
 pub mod clock;
 pub mod connection_pool;
 pub mod event_log;
@@ -45,7 +48,6 @@
 pub mod permit_service;
 pub mod ready_service;
 pub mod request_attempts;
-pub mod request_body;
 pub mod state;
 pub mod store_cache;
 pub mod store_loop;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -40,7 +40,7 @@
 /// at once.
 const STARTUP_PERIOD: Duration = Duration::from_secs(3);
 
-/// Memory for buffered request bodies, in KiB: a third of a small host's memory.
+/// Memory for bodies of requests, and of answers while they are read, in KiB: a third of a small host's memory.
 const BODY_KIB_MAX: usize = 80 << 10;
 
 /// Sends a dispatcher's answer to a queued permit request.
@@ -79,7 +79,7 @@
     pub unreachable: UnreachableTargets,
     /// Counters and histograms.
     pub metrics: GatewayMetrics,
-    /// Memory for request bodies; one permit stands for 1 KiB.
+    /// Memory for bodies of requests and answers; one permit stands for 1 KiB.
     pub body_memory: Arc<Semaphore>,
     seeds: RwLock<Vec<SocketAddr>>,
     followers: ShardMap<HostId, MonoTime>,
--- a/crates/gateway/tests/request_body.rs
+++ b/crates/gateway/tests/body_buffer.rs
@@ -1,4 +1,4 @@
-//! Request bodies share a memory limit.
+//! Bodies share a memory limit.
 
 #![allow(clippy::unwrap_used, reason = "test helpers may panic")]
 
@@ -8,7 +8,7 @@
 };
 
 use bytes::Bytes;
-use chicorycroft_gateway::request_body::{
+use chicorycroft_gateway::body_buffer::{
     BodyReadError,
     read_body, //
 };
--- a/crates/gateway/tests/gateway/requests.rs
+++ b/crates/gateway/tests/gateway/requests.rs
@@ -226,3 +226,38 @@
         assert!(start.elapsed() < Duration::from_millis(500), "{part:?}");
     }
 }
+
+/// Guards against a host that is busy with one answer until the deadline, because its target sends a body without
+/// end.
+#[tokio::test]
+async fn answer_without_the_end_of_its_body_is_given_up_at_once() {
+    for part in [EndlessPart::Chunks, EndlessPart::Body] {
+        let gateway = TestGateway::new(1).await;
+        let memory = gateway.host.state().body_memory.available_permits();
+        gateway.targets[0].set_next_behaviours([TargetBehaviour::Endless(part)]);
+        let start = Instant::now();
+        let answer = gateway.call("POST /buy/1", "key-1", "x").await;
+        assert_eq!(answer.status, 502, "{part:?}");
+        // The route allows 1 s.
+        assert!(start.elapsed() < Duration::from_millis(800), "{part:?}");
+        let left = gateway.host.state().body_memory.available_permits();
+        assert_eq!(left, memory, "{part:?}");
+    }
+}
+
+/// Guards against a host that runs out of memory by answers without end, because only the bodies of requests counted
+/// against its limit.
+#[tokio::test]
+async fn answers_count_against_the_memory_for_bodies() {
+    let gateway = TestGateway::new(1).await;
+    let memory = gateway.host.state().body_memory.clone();
+    let others = u32::try_from(memory.available_permits()).unwrap() - 1024;
+    let reserved = memory.clone().try_acquire_many_owned(others).unwrap();
+    let long = TargetBehaviour::LongAnswer(2 << 20);
+    gateway.targets[0].set_next_behaviours([long.clone(), long]);
+    let answer = gateway.call("POST /buy/1", "key-1", "x").await;
+    assert_eq!(answer.status, 502);
+    drop(reserved);
+    let answer = gateway.call("POST /buy/1", "key-1", "x").await;
+    assert_eq!(answer.body.len(), 2 << 20);
+}
