Test that crates/node believes no refusal that is written again

Change: a golden session in which a target refuses an order, and runs the next one while it repeats its refusal. The host closes a connection after each refusal, so that the second order goes over a new one.

Conclusion: crates/node does not have this fault. Nothing but tests changes.

--- a/crates/node/tests/golden/answers.rs
+++ b/crates/node/tests/golden/answers.rs
@@ -51,6 +51,23 @@
     });
 }
 
+/// Guards against an order that is called not run although it ran: a target writes its refusal of an earlier order
+/// once more on a kept connection.
+#[test]
+fn refusal_sent_again() {
+    assert_golden(
+        "refusal_sent_again",
+        FleetPlan::new(1, 1),
+        async |session| {
+            session.script(TargetBehaviour::Shed);
+            session.call(0, "POST /notices HTTP/1.1", "first").await;
+            session.settle().await;
+            session.script(TargetBehaviour::RepeatRefusal);
+            session.call(0, "POST /notices HTTP/1.1", "second").await;
+        },
+    );
+}
+
 /// Guards against swapped responses: two requests are in flight at a target through its owner, and
 /// the second is answered first.
 #[test]
--- a/crates/node/tests/golden/target.rs
+++ b/crates/node/tests/golden/target.rs
@@ -30,6 +30,8 @@
 pub(crate) enum TargetBehaviour {
     /// Refuses the request as not run.
     Shed,
+    /// Runs the request. Writes an earlier refusal on the same connection once more, if there was one.
+    RepeatRefusal,
     /// Closes the connection after the head of the request.
     CutAfterHead,
     /// Closes the connection after the complete request.
@@ -84,6 +86,7 @@
 
 /// Serves a connection until either side closes it.
 async fn serve(mut stream: BufStream<TcpStream>, name: String, script: TargetScript) {
+    let mut refusal = None;
     while let Some(head) = read_head(&mut stream).await {
         let behaviour = script.next();
         if matches!(behaviour, Some(TargetBehaviour::CutAfterHead)) {
@@ -105,7 +108,13 @@
             }
             Some(TargetBehaviour::Shed) => {
                 note(&format!("{name} saw, and shed"), &request);
-                "HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n".to_owned()
+                let answer = "HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+                refusal = Some(answer.to_owned());
+                answer.to_owned()
+            }
+            Some(TargetBehaviour::RepeatRefusal) => {
+                note(&format!("{name} saw, and repeats a refusal"), &request);
+                refusal.clone().unwrap_or(answer)
             }
             Some(TargetBehaviour::Twice) => {
                 note(&format!("{name} saw, and answered twice"), &request);
