Share the setup of two tests about adopted lapsed entries

Cause: both tests repeated the outage, the removal and the adoption.

Each test asserts what it did, and both now check the state after the adoption.

Conclusion: tests only.

--- a/crates/directory/tests/tracker.rs
+++ b/crates/directory/tests/tracker.rs
@@ -232,10 +232,9 @@
     assert!(tracker.adopt(peer, false));
 }
 
-/// Guards against requests to a target that is gone: a directory adopted from a peer that kept the lapsed entry too
-/// dropped the time until which the entry stays in use.
-#[test]
-fn lapsed_entry_is_dropped_in_time_although_a_peer_keeps_it() {
+/// Returns a tracker in which the entry of `t-1` lapsed at 6 s, and that adopted the directory of a peer which keeps
+/// the entry too.
+fn tracker_with_adopted_lapsed_entry() -> DirectoryTracker {
     let mut tracker = tracker_with_two_targets();
     let mut peer = (**tracker.directory()).clone();
     tracker.on_failure(at(1000));
@@ -246,6 +245,14 @@
     peer.as_of = StoreRevision::new(30);
     assert!(tracker.adopt(peer, false));
     assert_eq!(open_ids(&tracker), ["t-1", "t-2"]);
+    tracker
+}
+
+/// Guards against requests to a target that is gone: a directory adopted from a peer that kept the lapsed entry too
+/// dropped the time until which the entry stays in use.
+#[test]
+fn lapsed_entry_is_dropped_in_time_although_a_peer_keeps_it() {
+    let mut tracker = tracker_with_adopted_lapsed_entry();
     let later = StoreRevision::new(31);
     tracker.apply(StorePart::Targets, Vec::new(), later, at(8400));
     assert_eq!(open_ids(&tracker), ["t-2"]);
@@ -255,15 +262,7 @@
 /// adopted.
 #[test]
 fn lapsed_entry_stays_if_it_registers_again_after_an_adoption() {
-    let mut tracker = tracker_with_two_targets();
-    let mut peer = (**tracker.directory()).clone();
-    tracker.on_failure(at(1000));
-    tracker.on_contact(at(6000));
-    let removed = DirectoryChange::TargetRemoved(TargetId::new("t-1").unwrap());
-    let read_at = StoreRevision::new(20);
-    tracker.apply(StorePart::Targets, vec![removed], read_at, at(6000));
-    peer.as_of = StoreRevision::new(30);
-    assert!(tracker.adopt(peer, false));
+    let mut tracker = tracker_with_adopted_lapsed_entry();
     let registered = vec![updated("t-1", TargetPhase::Ready)];
     let later = StoreRevision::new(31);
     tracker.apply(StorePart::Targets, registered, later, at(7500));
