Read the store in full when the time after an outage ends

Callers: after an outage of the store, requests may go to a target that is gone for as long as the dispatcher watches.

Cause: after an outage hosts keep entries for 2.3 s. A dispatcher that has dropped such an entry may adopt the directory of a host that still keeps it, at a later revision. Its watch has passed the removal, so nothing ever drops the entry.

Change: a dispatcher that knows of an outage by the contacts of any host reads the store in full once, when the time in which targets register again has ended.

--- a/crates/directory/src/outage.rs
+++ b/crates/directory/src/outage.rs
@@ -76,4 +76,11 @@
     pub fn registration_end(&self, now: MonoTime) -> Option<MonoTime> {
         self.registration_end.filter(|&end| now < end)
     }
+
+    /// Returns `true` if the time in which targets register again has ended since a full read of the store, as far as
+    /// this host knows of an outage.
+    pub fn has_registration_ended(&self, read_at: MonoTime, now: MonoTime) -> bool {
+        let end = self.recovered_at.map(|at| at.after(REGISTRATION_TIME));
+        end.is_some_and(|end| read_at < end && end <= now)
+    }
 }
--- a/crates/directory/src/tracker.rs
+++ b/crates/directory/src/tracker.rs
@@ -116,6 +116,12 @@
         self.outage.is_failing()
     }
 
+    /// Returns `true` if the store must be read in full again. A directory that was adopted after an outage may hold
+    /// entries that another host kept, whose removal this host's watch has passed.
+    pub fn is_read_due(&self, read_at: MonoTime, now: MonoTime) -> bool {
+        self.outage.has_registration_ended(read_at, now)
+    }
+
     /// Applies a full read of the store: the entries of all targets, the evacuated zones, and the revision of each
     /// part. Targets and zones that are missing count as removed and restored.
     pub fn replace(
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -108,6 +108,11 @@
         lock(&self.tracker).is_store_failing()
     }
 
+    /// Returns `true` if the store, which was last read in full at `read_at`, must be read in full again.
+    pub fn is_read_due(&self, read_at: MonoTime, now: MonoTime) -> bool {
+        lock(&self.tracker).is_read_due(read_at, now)
+    }
+
     /// Adopts a configuration if its version is higher than the one in force, and returns `true` if it did.
     /// `source` names its origin in the log.
     pub fn adopt_config(&self, config: GatewayConfig, source: &str) -> bool {
--- a/crates/gateway/src/store_loop.rs
+++ b/crates/gateway/src/store_loop.rs
@@ -125,15 +125,17 @@
     }
 }
 
-/// Waits until this host is no longer the dispatcher of its zone.
-async fn until_replaced(state: &GatewayState) {
-    while state.is_dispatcher() {
+/// Waits until this host is no longer the dispatcher of its zone, or must read the store in full again.
+async fn until_watch_ends(state: &GatewayState, read_at: MonoTime) {
+    while state.is_dispatcher() && !state.store_cache.is_read_due(read_at, state.now()) {
         tokio::time::sleep(CHECK_PERIOD).await;
     }
 }
 
-/// Reads and watches the store as the dispatcher of a zone, until a call fails or another host takes over.
+/// Reads and watches the store as the dispatcher of a zone, until a call fails, another host takes over or the store
+/// must be read in full again.
 async fn read_as_dispatcher(state: &GatewayState, store: &StoreClient) -> Result<(), StoreError> {
+    let read_at = state.now();
     let (operator, targets) = read_all(state, store).await?;
     log::info!("event=store_watched operator_revision={operator} target_revision={targets}");
     let operator = watch(state, store, StorePart::Operator, operator);
@@ -141,7 +143,7 @@
     tokio::select! {
         error = operator => Err(error),
         error = targets => Err(error),
-        () = until_replaced(state) => Ok(()),
+        () = until_watch_ends(state, read_at) => Ok(()),
     }
 }
 
--- a/crates/gateway/tests/gateway/configuration.rs
+++ b/crates/gateway/tests/gateway/configuration.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use chicorycroft_core::prelude::*;
+use chicorycroft_directory::prelude::*;
 use chicorycroft_gateway::prelude::*;
 use chicorycroft_platform_standin::prelude::*;
 
@@ -96,3 +97,32 @@
     assert!(start.elapsed() < Duration::from_millis(1200));
     assert_eq!(gateway.call("GET /look/1", "key-1", "").await.status, 200);
 }
+
+/// Guards against requests to a target that is gone: after an outage this host adopted the directory of another one that
+/// kept the lapsed entry, whose removal the watch of this host had passed.
+#[tokio::test]
+async fn adopted_entry_that_does_not_register_again_after_an_outage_is_dropped() {
+    let gateway = TestGateway::new(2).await;
+    let cache = &gateway.host.state().store_cache;
+    let mut kept = (*cache.directory()).clone();
+    gateway.store.remove(&gateway.targets[0].key());
+    gateway
+        .wait_until(|_| cache.directory().targets.len() == 1)
+        .await;
+    gateway.store.set_unresponsive(true);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    gateway.store.set_unresponsive(false);
+    let is_fresh = |host: &GatewayHost| {
+        let age = host.state().store_cache.age(host.state().now());
+        age.is_some_and(|age| age.get() < Duration::from_millis(500))
+    };
+    gateway.wait_until(is_fresh).await;
+    // The other host has read a later revision, which the write of another key makes.
+    kept.as_of = StoreRevision::new(cache.directory().as_of.get() + 1);
+    gateway.store.put("other/key", &config(1, &[]));
+    assert!(cache.adopt_directory(kept, true));
+    assert_eq!(cache.directory().targets.len(), 2);
+    gateway
+        .wait_until(|_| cache.directory().targets.len() == 1)
+        .await;
+}
