Log the removals of one read in one line

Cause: each kept or removed target had a line of its own, so that a host wrote a line for each of some hundred targets at the end of an outage.

Change: one line for each read, with the count and the first 32 targets. The method that records contacts of any host says so, and OutageDetector leaves the prelude, as only the tracker uses it.

Conclusion: no decision changes.

--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -33,7 +33,6 @@
             ContactAge,
             StoreContact, //
         },
-        outage::OutageDetector,
         routing::{
             RouteIndex,
             RoutingError, //
--- a/crates/directory/src/outage.rs
+++ b/crates/directory/src/outage.rs
@@ -42,7 +42,7 @@
         Self::default()
     }
 
-    /// Records that the store answered a host, by the age of the contact at `now`.
+    /// Records that the store answered this or another host, by the age of the contact at `now`.
     pub fn on_contact(&mut self, age: ContactAge, now: MonoTime) {
         let previous = self.contact.age(now);
         self.contact.confirm_aged(age, now);
--- a/crates/directory/src/tracker.rs
+++ b/crates/directory/src/tracker.rs
@@ -101,8 +101,8 @@
         self.outage.on_answer(now)
     }
 
-    /// Records that another host reached the store, by the age of that contact at `now`.
-    pub fn on_peer_contact(&mut self, age: ContactAge, now: MonoTime) {
+    /// Records that this or another host reached the store, by the age of that contact at `now`.
+    pub fn on_any_contact(&mut self, age: ContactAge, now: MonoTime) {
         self.outage.on_contact(age, now);
     }
 
--- a/crates/gateway/src/follow_loop.rs
+++ b/crates/gateway/src/follow_loop.rs
@@ -44,8 +44,8 @@
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(200);
 
-/// Number of hosts of its zone that a dispatcher follows while its calls of the store fail. If the store refuses half
-/// of the hosts, one zone in 16 has no other source.
+/// Number of hosts of its zone that a dispatcher follows while its calls to the store fail. If the store refuses half
+/// of all hosts, it refuses all four in one zone of 16.
 const STORE_READERS_FOLLOWED: usize = 4;
 
 /// Returns the hosts that this one should follow now.
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -20,6 +20,9 @@
 use indexmap::IndexSet;
 use tokio::sync::watch;
 
+/// Maximum number of targets that one log line names; all entries may lapse at once.
+const LOGGED_IDS_MAX: usize = 32;
+
 /// Cached configuration and target directory, and the time of the last contact with the store.
 #[derive(Debug)]
 pub struct StoreCache {
@@ -33,6 +36,12 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Returns the ids for a log line, separated by commas.
+fn join_ids<'a>(targets: impl Iterator<Item = &'a TargetId>) -> String {
+    let ids: Vec<&str> = targets.take(LOGGED_IDS_MAX).map(TargetId::as_str).collect();
+    ids.join(",")
+}
+
 impl Default for StoreCache {
     fn default() -> Self {
         Self::new()
@@ -82,7 +91,7 @@
     /// Records that the cache had an age at a time, as reported by another host.
     pub fn confirm_aged(&self, age: ContactAge, at: MonoTime) {
         lock(&self.contact).confirm_aged(age, at);
-        lock(&self.tracker).on_peer_contact(age, at);
+        lock(&self.tracker).on_any_contact(age, at);
     }
 
     /// Records a successful read of targets from the store.
@@ -166,19 +175,29 @@
             deferred.retain(|target, _| !lapsed.contains_key(target));
             (before, tracker.directory().clone(), deferred)
         });
-        for (target, until) in deferred {
+        if let Some(until) = deferred.values().max() {
             log::info!(
-                "event=removal_deferred target={target} as_of={} left_ms={}",
+                "event=removal_deferred count={} as_of={} left_ms={} targets={}",
+                deferred.len(),
                 after.as_of,
-                until.since(now).as_millis()
+                until.since(now).as_millis(),
+                join_ids(deferred.keys())
             );
         }
         if before.content == after.content {
             return;
         }
         let known = before.targets.keys();
-        for target in known.filter(|target| !after.targets.contains_key(*target)) {
-            log::info!("event=target_removed target={target} as_of={}", after.as_of);
+        let removed: Vec<&TargetId> = known
+            .filter(|target| !after.targets.contains_key(*target))
+            .collect();
+        if !removed.is_empty() {
+            log::info!(
+                "event=targets_removed count={} as_of={} targets={}",
+                removed.len(),
+                after.as_of,
+                join_ids(removed.into_iter())
+            );
         }
     }
 
