Say why the outage detector has a contact of its own

Cause: the copy of the store keeps a contact too, and the reason for a second one was not visible.

Change: a comment.

Conclusion: no behaviour changes.

--- a/crates/directory/src/outage.rs
+++ b/crates/directory/src/outage.rs
@@ -28,6 +28,8 @@
 /// Contacts with the store and the latest outage that they show.
 #[derive(Debug, Default)]
 pub struct OutageDetector {
+    /// Latest answer to any host. It also counts answers about targets alone, which say nothing about keys, so it is
+    /// not the contact by which keys are trusted.
     contact: StoreContact,
     failing_since: Option<MonoTime>,
     /// When the first host reached the store again after an outage.
