--- a/crates/gateway/tests/gateway/configuration.rs
+++ b/crates/gateway/tests/gateway/configuration.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
-use chicorycroft_core::prelude::*;
 use chicorycroft_directory::prelude::*;
 use chicorycroft_gateway::prelude::*;
 use chicorycroft_platform_standin::prelude::*;
 
-use crate::test_gateway::TestGateway;
+use crate::test_gateway::{
+    TestGateway,
+    open_count, //
+};
 
 fn version(host: &GatewayHost) -> u64 {
     let index = host.state().store_cache.index();
@@ -69,11 +71,6 @@
     let entry = draining.entry("rate", "a", "draining");
     gateway.store.put(&draining.key(), &entry);
     gateway.store.remove(&gone.key());
-    let service = ServiceId::new("rate").unwrap();
-    let open_count = |host: &GatewayHost| {
-        let directory = host.state().store_cache.directory();
-        directory.open_targets(&service).count()
-    };
     gateway.wait_until(|host| open_count(host) == 1).await;
     for _ in 0..4 {
         assert_eq!(gateway.call("GET /look/1", "key-1", "").await.status, 200);
--- a/crates/gateway/tests/gateway/refused_reads.rs
+++ b/crates/gateway/tests/gateway/refused_reads.rs
@@ -3,17 +3,15 @@
 use std::time::Duration;
 
 use chicorycroft_adapter::prelude::*;
-use chicorycroft_core::prelude::*;
 use chicorycroft_gateway::prelude::*;
 use chicorycroft_platform_standin::prelude::*;
-use tokio::time::{
-    Instant,
-    sleep, //
-};
+use tokio::time::sleep;
 
 use crate::test_gateway::{
     WAIT_TIMEOUT,
-    host_settings, //
+    host_settings,
+    open_count,
+    wait_until, //
 };
 
 /// Time within which the platform wants new requests to a leaving target to end.
@@ -22,20 +20,6 @@
 /// Time after which the hosts have noticed that the store refuses some of them.
 const NOTICE_TIME: Duration = Duration::from_secs(4);
 
-fn open_count(host: &GatewayHost) -> usize {
-    let directory = host.state().store_cache.directory();
-    let service = ServiceId::new("rate").unwrap();
-    directory.open_targets(&service).count()
-}
-
-async fn wait_until(limit: Duration, has_state: impl Fn() -> bool) {
-    let end = Instant::now() + limit;
-    while !has_state() {
-        assert!(Instant::now() < end, "not reached within {limit:?}");
-        sleep(Duration::from_millis(20)).await;
-    }
-}
-
 /// Guards against requests to a leaving target for as long as the store refuses the dispatcher of a zone and the host
 /// after it: a younger host read the store for itself only, so that the dispatcher went on granting the target.
 #[tokio::test]
--- a/crates/gateway/tests/gateway/test_gateway.rs
+++ b/crates/gateway/tests/gateway/test_gateway.rs
@@ -61,6 +61,25 @@
     }
 }
 
+/// Returns the number of targets to which a host may send new requests.
+pub(crate) fn open_count(host: &GatewayHost) -> usize {
+    let directory = host.state().store_cache.directory();
+    let service = ServiceId::new("rate").unwrap();
+    directory.open_targets(&service).count()
+}
+
+/// Waits until a state is reached, and panics after `limit`.
+pub(crate) async fn wait_until(limit: Duration, has_state: impl Fn() -> bool) {
+    let end = Instant::now() + limit;
+    while !has_state() {
+        assert!(
+            Instant::now() < end,
+            "the expected state was not reached within {limit:?}"
+        );
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
 impl TestGateway {
     /// Starts a gateway with a number of targets and waits until it is ready and lists all of them.
     pub(crate) async fn new(target_count: usize) -> Self {
@@ -100,14 +119,7 @@
 
     /// Waits until the gateway reaches a state, and panics after [`WAIT_TIMEOUT`].
     pub(crate) async fn wait_until(&self, has_state: impl Fn(&GatewayHost) -> bool) {
-        let end = Instant::now() + WAIT_TIMEOUT;
-        while !has_state(&self.host) {
-            assert!(
-                Instant::now() < end,
-                "the gateway did not reach the expected state in time"
-            );
-            sleep(Duration::from_millis(20)).await;
-        }
+        wait_until(WAIT_TIMEOUT, || has_state(&self.host)).await;
     }
 
     /// Sends a request to the gateway and reads the response.
