Derive the allowed framing from the buffer of a connection

Cause: the bytes that an answer may have beyond twice its content must cover what the HTTP library reads ahead. Both sizes stood as figures of their own, so that a larger buffer would have broken off sound answers.

Change: EXCESS_BYTES_MAX is twice BUFFER_BYTES_MAX, 128 KiB as before.

Conclusion: the value is the same.

--- a/crates/gateway/src/answer_body.rs
+++ b/crates/gateway/src/answer_body.rs
@@ -22,8 +22,10 @@
 use hyper::body::Incoming;
 use thiserror::Error;
 
+use crate::exchange::BUFFER_BYTES_MAX;
+
 /// Bytes that may be read beyond [`WIRE_RATIO_MAX`]: twice what the HTTP library reads ahead of the content.
-const EXCESS_BYTES_MAX: u64 = 128 << 10;
+const EXCESS_BYTES_MAX: u64 = 2 * BUFFER_BYTES_MAX as u64;
 
 /// Maximum ratio of the bytes on the connection to those of the content. Chunks of six bytes are within it.
 const WIRE_RATIO_MAX: u64 = 2;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -51,7 +51,7 @@
 const ANSWER_BYTES_MAX: u64 = 16 << 20;
 
 /// Maximum buffer size of a connection, in bytes. It limits the head of an answer and what is read ahead of its body.
-const BUFFER_BYTES_MAX: usize = 64 << 10;
+pub(crate) const BUFFER_BYTES_MAX: usize = 64 << 10;
 
 /// A request prepared for sending to targets.
 #[derive(Clone, Debug)]
