Record how old the copy of the store is when it is used

The age that hosts pass on is that of the operators' records alone; the watch of the targets' entries runs on its own, and a host whose targets' watch stands still reports a young copy. Change: contacts with the store are kept for each part, with their source. Answers to followers carry the age of the targets' entries (format version 3; version 2 is still spoken). A histogram holds the age of both parts at each grant and each sending of a request, and a line tells when it passes half of the bound, which the settings now give. Measured: cargo test -p chicorycroft-gateway -p chicorycroft-peer -p chicorycroft-directory -p chicorycroft-adapter, passed, with new tests for the message and the metric. No decision uses the new age yet.

--- a/crates/directory/src/contact.rs
+++ b/crates/directory/src/contact.rs
@@ -46,11 +46,53 @@
     }
 }
 
+/// A part of the store with a watch of its own.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StorePart {
+    /// Records of operators: the configuration and evacuated zones.
+    Operator,
+    /// Entries of targets.
+    Targets,
+}
+
+impl StorePart {
+    /// All parts.
+    pub const ALL: [Self; 2] = [Self::Operator, Self::Targets];
+}
+
+impl fmt::Display for StorePart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Operator => "operator",
+            Self::Targets => "targets",
+        })
+    }
+}
+
+/// Who confirmed that the copy of a host is up to date.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ContactSource {
+    /// The store itself.
+    Store,
+    /// Another host that passed its copy on.
+    Peer,
+}
+
+impl fmt::Display for ContactSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Store => "store",
+            Self::Peer => "peer",
+        })
+    }
+}
+
 /// Age of the copy at a point in time.
 #[derive(Clone, Copy, Debug)]
 struct ContactPoint {
     at: MonoTime,
     age: Duration,
+    source: ContactSource,
 }
 
 /// Last confirmed contact with the store, directly or through another host.
@@ -68,22 +110,39 @@
         Self::default()
     }
 
-    /// Records that the copy of this host was up to date at `at`.
+    /// Records that the store confirmed the copy of this host at `at`.
     pub fn confirm(&mut self, at: MonoTime) {
-        self.confirm_aged(ContactAge::new(Duration::ZERO), at);
+        self.record(ContactPoint {
+            at,
+            age: Duration::ZERO,
+            source: ContactSource::Store,
+        });
     }
 
-    /// Records that the copy of this host had an age at `at`. A contact that is older than the last one is ignored.
+    /// Records that the copy of another host, which this one adopted, had an age at `at`.
     pub fn confirm_aged(&mut self, age: ContactAge, at: MonoTime) {
-        let age = age.get();
+        self.record(ContactPoint {
+            at,
+            age: age.get(),
+            source: ContactSource::Peer,
+        });
+    }
+
+    /// Replaces the latest contact unless that one is newer.
+    fn record(&mut self, contact: ContactPoint) {
         let is_newer = self
             .latest
-            .is_none_or(|point| at.after(point.age) > point.at.after(age));
+            .is_none_or(|point| contact.at.after(point.age) > point.at.after(contact.age));
         if is_newer {
-            self.latest = Some(ContactPoint { at, age });
+            self.latest = Some(contact);
         }
     }
 
+    /// Returns who confirmed the copy last; `None` before the first contact.
+    pub fn source(&self) -> Option<ContactSource> {
+        self.latest.map(|point| point.source)
+    }
+
     /// Returns the age of the copy; `None` before the first contact.
     pub fn age(&self, now: MonoTime) -> Option<ContactAge> {
         self.latest
@@ -96,3 +155,34 @@
         self.age(now).is_some_and(|age| age.get() < limit)
     }
 }
+
+/// Contacts with the store that confirm each part of a host's copy. The parts are read independently, so that one may
+/// be current while the other is not.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CopyContacts {
+    operator: StoreContact,
+    targets: StoreContact,
+}
+
+impl CopyContacts {
+    /// Creates the state of a host that has just started and has no copy.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the contacts for a part.
+    pub fn part(&self, part: StorePart) -> &StoreContact {
+        match part {
+            StorePart::Operator => &self.operator,
+            StorePart::Targets => &self.targets,
+        }
+    }
+
+    /// Returns the contacts for a part, to record one.
+    pub fn part_mut(&mut self, part: StorePart) -> &mut StoreContact {
+        match part {
+            StorePart::Operator => &mut self.operator,
+            StorePart::Targets => &mut self.targets,
+        }
+    }
+}
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -31,7 +31,10 @@
         },
         contact::{
             ContactAge,
-            StoreContact, //
+            ContactSource,
+            CopyContacts,
+            StoreContact,
+            StorePart, //
         },
         routing::{
             RouteIndex,
@@ -46,8 +49,7 @@
         },
         tracker::{
             DirectoryChange,
-            DirectoryTracker,
-            StorePart, //
+            DirectoryTracker, //
         },
     };
 }
--- a/crates/directory/src/tracker.rs
+++ b/crates/directory/src/tracker.rs
@@ -16,7 +16,10 @@
 };
 
 use crate::{
-    contact::ContactAge,
+    contact::{
+        ContactAge,
+        StorePart, //
+    },
     outage::OutageDetector,
     targets::{
         StoreRevision,
@@ -38,15 +41,6 @@
     ZoneRestored(ZoneId),
 }
 
-/// A part of the store with a watch of its own.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum StorePart {
-    /// Records of operators: the configuration and evacuated zones.
-    Operator,
-    /// Entries of targets.
-    Targets,
-}
-
 /// The directory of one host, with the revisions up to which each part of the store was read.
 #[derive(Debug, Default)]
 pub struct DirectoryTracker {
--- a/crates/gateway/src/follow_loop.rs
+++ b/crates/gateway/src/follow_loop.rs
@@ -153,11 +153,19 @@
             true
         }
     };
-    if let Some(age) = answer.age_millis {
-        // The answer was created after `held_millis` on the other host, so not earlier than this time here.
-        let created_at = sent_at.after(Duration::from_millis(answer.held_millis.into()));
-        let age = ContactAge::new(Duration::from_millis(age.into()));
-        state.store_cache.confirm_aged(age, created_at);
+    // The answer was created after `held_millis` on the other host, so not earlier than this time here.
+    let created_at = sent_at.after(Duration::from_millis(answer.held_millis.into()));
+    // A rejected directory is older than the local one, so its age says nothing about that.
+    let target_age = answer.target_age_millis.filter(|_| is_current);
+    let ages = [
+        (StorePart::Operator, answer.age_millis),
+        (StorePart::Targets, target_age),
+    ];
+    for (part, age) in ages {
+        if let Some(age) = age {
+            let age = ContactAge::new(Duration::from_millis(age.into()));
+            state.store_cache.confirm_aged(part, age, created_at);
+        }
     }
     let incarnation = answer.member.incarnation;
     let is_own_zone = answer.member.zone == state.settings.zone;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 //!
 //! Configuration path:
 //! - [`store_cache`]: this host's copy of the store's contents, and the age of that copy.
+//! - [`copy_use`]: records the age of that copy at each decision that uses it.
 //! - [`store_loop`]: reads the store directly when this host is responsible for it.
 //! - [`follow_loop`]: receives updates of the store's contents from other hosts.
 //! - [`gossip_loop`]: exchanges membership records with other hosts.
@@ -34,6 +35,7 @@
 pub mod body_buffer;
 pub mod clock;
 pub mod connection_pool;
+pub mod copy_use;
 pub mod event_log;
 pub mod exchange;
 pub mod follow_loop;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use chicorycroft_directory::prelude::*;
 use prometheus::{
     Encoder,
     HistogramOpts,
@@ -13,10 +14,15 @@
     TextEncoder, //
 };
 
+use crate::copy_use::CopyUse;
+
 /// Upper bounds of the latency buckets, in seconds. They range from a response without a target to the
 /// longest deadline.
 const LATENCY_BUCKETS: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 0.8, 1.2, 2.0, 4.0];
 
+/// Upper bounds of the buckets for the age of the copy of the store, in seconds. The platform's bounds are 2 to 3 s.
+const COPY_AGE_BUCKETS: [f64; 9] = [0.1, 0.25, 0.5, 0.75, 1.0, 1.25, 1.5, 2.0, 2.5];
+
 /// All metrics of a gateway process.
 #[derive(Debug)]
 pub struct GatewayMetrics {
@@ -25,6 +31,7 @@
     latency: HistogramVec,
     attempts: IntCounterVec,
     permits: IntCounterVec,
+    copy_age: HistogramVec,
     config_version: IntGauge,
 }
 
@@ -42,6 +49,10 @@
             "gateway_request_seconds",
             "Time from the head of a request to its answer, by outcome.",
         );
+        let copy_age = HistogramOpts::new(
+            "gateway_copy_age_seconds",
+            "Age of the copy of the store when it was used, by decision, part of the store, and source.",
+        );
         let metrics = Self {
             registry: Registry::new(),
             requests: counter(
@@ -60,6 +71,10 @@
                 "Answers of dispatchers to this host by kind.",
                 "answer",
             )?,
+            copy_age: HistogramVec::new(
+                copy_age.buckets(COPY_AGE_BUCKETS.to_vec()),
+                &["use", "part", "source"],
+            )?,
             config_version: IntGauge::new(
                 "gateway_config_version",
                 "Version of the configuration in force.",
@@ -70,6 +85,7 @@
         registry.register(Box::new(metrics.latency.clone()))?;
         registry.register(Box::new(metrics.attempts.clone()))?;
         registry.register(Box::new(metrics.permits.clone()))?;
+        registry.register(Box::new(metrics.copy_age.clone()))?;
         registry.register(Box::new(metrics.config_version.clone()))?;
         Ok(metrics)
     }
@@ -91,6 +107,23 @@
         self.permits.with_label_values(&[answer]).inc();
     }
 
+    /// Records the age of a part of the copy of the store when a decision used it.
+    pub fn on_copy_use(
+        &self,
+        copy_use: CopyUse,
+        part: StorePart,
+        source: ContactSource,
+        age: Duration,
+    ) {
+        let labels = [
+            &*copy_use.to_string(),
+            &*part.to_string(),
+            &*source.to_string(),
+        ];
+        let ages = self.copy_age.with_label_values(&labels);
+        ages.observe(age.as_secs_f64());
+    }
+
     /// Sets the gauge of the configuration version in force.
     pub fn on_config(&self, version: u64) {
         self.config_version
--- a/crates/gateway/src/peer_service.rs
+++ b/crates/gateway/src/peer_service.rs
@@ -5,6 +5,7 @@
     time::Duration, //
 };
 
+use chicorycroft_directory::prelude::*;
 use chicorycroft_dispatch::prelude::*;
 use chicorycroft_peer::prelude::*;
 
@@ -80,13 +81,15 @@
     let (index, directory) = (state.store_cache.index(), state.store_cache.directory());
     let config = index.map(|index| index.config().clone());
     let config = config.filter(|config| Some(config.version()) > request.config);
+    let age_millis = |part| {
+        let age = state.store_cache.contact(part).age(now);
+        age.map(|age| whole_millis(age.get()))
+    };
     PeerMessage::Gateway(GatewayMessage::FollowAnswer(Box::new(FollowAnswer {
         member: state.gossip.own(),
         held_millis: whole_millis(now.since(arrival)),
-        age_millis: state
-            .store_cache
-            .age(now)
-            .map(|age| whole_millis(age.get())),
+        age_millis: age_millis(StorePart::Operator),
+        target_age_millis: age_millis(StorePart::Targets),
         config: config.map(|config| (*config).clone()),
         as_of: directory.as_of,
         directory: (directory.content != request.content).then(|| (*directory).clone()),
--- a/crates/gateway/src/permit_service.rs
+++ b/crates/gateway/src/permit_service.rs
@@ -10,7 +10,13 @@
 use chicorycroft_dispatch::prelude::*;
 use tokio::sync::oneshot;
 
-use crate::state::GatewayState;
+use crate::{
+    copy_use::{
+        CopyUse,
+        record_copy_use, //
+    },
+    state::GatewayState,
+};
 
 /// Interval at which the queues are served. Waits time out and blocks of targets expire without a message
 /// that would trigger it.
@@ -53,6 +59,7 @@
         .admit(request, config, &directory, share, now);
     match answer {
         PoolAnswer::Granted(grant) => {
+            record_copy_use(state, CopyUse::Grant, &request.request);
             log_grant(request, &grant, (share, directory.as_of), Duration::ZERO);
             AdmitAnswer::Granted(grant)
         }
@@ -71,6 +78,7 @@
         PoolAnswer::Waiting(ticket) => {
             let answer = wait_for_slot(state, request, ticket).await;
             if let AdmitAnswer::Granted(grant) = &answer {
+                record_copy_use(state, CopyUse::Grant, &request.request);
                 log_grant(
                     request,
                     grant,
--- a/crates/gateway/src/request_attempts.rs
+++ b/crates/gateway/src/request_attempts.rs
@@ -15,6 +15,10 @@
 use smol_str::SmolStr;
 
 use crate::{
+    copy_use::{
+        CopyUse,
+        record_copy_use, //
+    },
     exchange::{
         ExchangeOutcome,
         OutgoingRequest,
@@ -325,6 +329,7 @@
         self.in_flight_count += 1;
         self.tried.push(entry.id.clone());
         let (state, plan) = (self.state.clone(), self.plan.clone());
+        record_copy_use(&state, CopyUse::Send, &plan.id);
         async move {
             let time_left = || plan.deadline.since(state.now());
             let outcome = exchange(&state, &entry, &plan.outgoing, time_left).await;
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -5,11 +5,11 @@
 
 use std::{
     sync::{
-        Arc,
-        Mutex,
-        MutexGuard,
-        PoisonError,
-        RwLock, //
+        Arc, Mutex, MutexGuard, PoisonError, RwLock,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
     },
     time::Duration, //
 };
@@ -28,7 +28,9 @@
 pub struct StoreCache {
     index: RwLock<Option<Arc<RouteIndex>>>,
     tracker: Mutex<DirectoryTracker>,
-    contact: Mutex<StoreContact>,
+    contacts: Mutex<CopyContacts>,
+    /// Whether the copy of each part was late when it was used last, in the order of [`StorePart::ALL`].
+    is_late: [AtomicBool; 2],
     changes: watch::Sender<u64>,
 }
 
@@ -54,7 +56,8 @@
         Self {
             index: RwLock::new(None),
             tracker: Mutex::new(DirectoryTracker::new()),
-            contact: Mutex::new(StoreContact::new()),
+            contacts: Mutex::new(CopyContacts::new()),
+            is_late: Default::default(),
             changes: watch::Sender::new(0),
         }
     }
@@ -72,26 +75,42 @@
         lock(&self.tracker).directory().clone()
     }
 
-    /// Returns the age of the cached data, or `None` before the first contact with the store.
+    /// Returns the last contact with the store that confirmed a part of the cached data.
+    pub fn contact(&self, part: StorePart) -> StoreContact {
+        *lock(&self.contacts).part(part)
+    }
+
+    /// Records whether the copy of a part was late when it was used, and returns what was recorded before.
+    pub fn set_late(&self, part: StorePart, is_late: bool) -> bool {
+        self.is_late[part as usize].swap(is_late, Ordering::Relaxed)
+    }
+
+    /// Returns the age of the cached records of operators, or `None` before the first contact with the store.
     pub fn age(&self, now: MonoTime) -> Option<ContactAge> {
-        lock(&self.contact).age(now)
+        self.contact(StorePart::Operator).age(now)
     }
 
     /// Returns `true` if the cache is recent enough to accept keys. A key that was withdrawn must stop working
     /// within `revoke_bound`.
     pub fn may_trust_keys(&self, revoke_bound: Duration, now: MonoTime) -> bool {
-        lock(&self.contact).may_trust_keys(revoke_bound, now)
+        self.contact(StorePart::Operator)
+            .may_trust_keys(revoke_bound, now)
     }
 
-    /// Records that the cache was up to date at a time.
-    pub fn confirm(&self, at: MonoTime) {
-        self.confirm_aged(ContactAge::new(Duration::ZERO), at);
+    /// Records that the store confirmed a part of the cache at a time.
+    pub fn confirm(&self, part: StorePart, at: MonoTime) {
+        lock(&self.contacts).part_mut(part).confirm(at);
+        if part == StorePart::Operator {
+            lock(&self.tracker).on_any_contact(ContactAge::new(Duration::ZERO), at);
+        }
     }
 
-    /// Records that the cache had an age at a time, as reported by another host.
-    pub fn confirm_aged(&self, age: ContactAge, at: MonoTime) {
-        lock(&self.contact).confirm_aged(age, at);
-        lock(&self.tracker).on_any_contact(age, at);
+    /// Records that a part of the cache had an age at a time, as reported by another host.
+    pub fn confirm_aged(&self, part: StorePart, age: ContactAge, at: MonoTime) {
+        lock(&self.contacts).part_mut(part).confirm_aged(age, at);
+        if part == StorePart::Operator {
+            lock(&self.tracker).on_any_contact(age, at);
+        }
     }
 
     /// Records a successful read of targets from the store.
--- a/crates/gateway/src/store_loop.rs
+++ b/crates/gateway/src/store_loop.rs
@@ -92,7 +92,9 @@
     state
         .store_cache
         .replace_directory(entries, evacuated, as_of, now);
-    state.store_cache.confirm(sent_at);
+    for part in StorePart::ALL {
+        state.store_cache.confirm(part, sent_at);
+    }
     Ok((operator.as_of, targets.as_of))
 }
 
@@ -116,11 +118,11 @@
         };
         after = events.as_of.max(after);
         let now = state.now();
-        match part {
-            StorePart::Targets => state.store_cache.on_store_answer(now),
-            StorePart::Operator => state.store_cache.confirm(sent_at),
+        if part == StorePart::Targets {
+            state.store_cache.on_store_answer(now);
         }
         state.store_cache.apply(part, &events, now);
+        state.store_cache.confirm(part, sent_at);
         tokio::time::sleep(pause).await;
     }
 }
--- a/crates/gateway/tests/gateway/metrics.rs
+++ b/crates/gateway/tests/gateway/metrics.rs
@@ -40,3 +40,20 @@
     let (_, port) = line("run = ").split_once("--metrics-port ").unwrap();
     assert_eq!(line("metrics = "), format!("{port}/metrics"));
 }
+
+/// Guards against metrics that show the age of the configuration only, while the entries of targets are read by a watch
+/// of their own.
+#[tokio::test]
+async fn age_of_both_parts_of_the_copy_is_recorded_when_it_is_used() {
+    let gateway = TestGateway::new(1).await;
+    assert_eq!(gateway.call("GET /look/a", "key-1", "").await.status, 200);
+    let text = gateway.host.state().metrics.text().unwrap();
+    for part in ["operator", "targets"] {
+        for decision in ["grant", "send"] {
+            let line = format!(
+                "gateway_copy_age_seconds_count{{part=\"{part}\",source=\"store\",use=\"{decision}\"}} 1"
+            );
+            assert!(text.contains(&line), "{line} is missing in {text}");
+        }
+    }
+}
--- a/crates/gateway/tests/gateway/test_gateway.rs
+++ b/crates/gateway/tests/gateway/test_gateway.rs
@@ -58,6 +58,7 @@
         store,
         stop_limit: Duration::from_secs(6),
         revoke_bound: Duration::from_secs(5),
+        change_bound: Duration::from_secs(2),
     }
 }
 
--- a/crates/gateway/tests/store_cache.rs
+++ b/crates/gateway/tests/store_cache.rs
@@ -43,7 +43,9 @@
     let as_of = (StoreRevision::new(revision), StoreRevision::new(revision));
     cache.on_store_answer(now);
     cache.replace_directory(entries, IndexSet::new(), as_of, now);
-    cache.confirm(now);
+    for part in StorePart::ALL {
+        cache.confirm(part, now);
+    }
 }
 
 /// Guards against requests to a target that left: the store refused this host for some seconds and served others,
@@ -55,7 +57,8 @@
     cache.on_store_failure(at(1000));
     // Another host reads the store about every two seconds.
     for millis in [1900, 3800, 5700] {
-        cache.confirm_aged(ContactAge::new(Duration::from_millis(20)), at(millis));
+        let age = ContactAge::new(Duration::from_millis(20));
+        cache.confirm_aged(StorePart::Operator, age, at(millis));
     }
     read(&cache, &["t-2"], 20, at(7500));
     assert_eq!(open_ids(&cache), ["t-2"]);
@@ -68,7 +71,8 @@
     let cache = StoreCache::new();
     read(&cache, &["t-1", "t-2"], 10, at(0));
     cache.on_store_failure(at(1000));
-    cache.confirm_aged(ContactAge::new(Duration::ZERO), at(5900));
+    let age = ContactAge::new(Duration::ZERO);
+    cache.confirm_aged(StorePart::Operator, age, at(5900));
     read(&cache, &["t-2"], 20, at(6000));
     assert_eq!(open_ids(&cache), ["t-1", "t-2"]);
     read(&cache, &["t-2"], 21, at(8300));
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -1,7 +1,8 @@
 //! The encoding of messages: one byte for the format version, one for the kind, then the fields in bincode.
 //!
-//! Version 2 added the suspect flag of a target's load. A host decodes both versions and answers in the version
-//! of the request, so that hosts of two releases work together during a rolling upgrade.
+//! Version 2 added the suspect flag of a target's load, and version 3 the age of the targets' entries. A host decodes
+//! all versions and answers in the version of the request, so that hosts of two releases work together during a
+//! rolling upgrade.
 
 use std::{
     fmt,
@@ -23,6 +24,7 @@
 
 use crate::{
     format_v1::HeartbeatV1,
+    format_v2::GatewayMessageV2,
     messages::{
         PeerMessage,
         RefusalReason, //
@@ -41,6 +43,8 @@
     pub const V1: Self = Self(1);
     /// Version that added the suspect flag of a target's load.
     pub const V2: Self = Self(2);
+    /// Version that added the age of the targets' entries.
+    pub const V3: Self = Self(3);
 
     /// Creates a version from a number, which need not be a supported version.
     pub const fn new(number: u8) -> Self {
@@ -165,13 +169,13 @@
 impl PeerCodec {
     /// Creates a codec that supports all versions up to the current one.
     pub fn new() -> Self {
-        Self::with_highest(FormatVersion::V2)
+        Self::with_highest(FormatVersion::V3)
     }
 
     /// Creates a codec that supports no version above `highest`, as a host of an older release.
     pub fn with_highest(highest: FormatVersion) -> Self {
         Self {
-            highest: highest.min(FormatVersion::V2),
+            highest: highest.min(FormatVersion::V3),
         }
     }
 
@@ -219,6 +223,9 @@
             PeerMessage::OwnerHandover(message) => encode_into(&mut bytes, message)?,
             PeerMessage::Accepted => {}
             PeerMessage::Refused(reason) => encode_into(&mut bytes, reason)?,
+            PeerMessage::Gateway(message) if version < FormatVersion::V3 => {
+                encode_into(&mut bytes, &GatewayMessageV2::from(message))?;
+            }
             PeerMessage::Gateway(message) => encode_into(&mut bytes, message)?,
         }
         Ok(bytes)
@@ -256,6 +263,9 @@
             12 => PeerMessage::OwnerHandover(decode_exact(body)?),
             13 => decode_exact::<()>(body).map(|()| PeerMessage::Accepted)?,
             14 => PeerMessage::Refused(decode_exact(body)?),
+            16 if version < FormatVersion::V3 => {
+                PeerMessage::Gateway(decode_exact::<GatewayMessageV2>(body)?.into())
+            }
             16 => PeerMessage::Gateway(decode_exact(body)?),
             found => return Err(CodecError::UnknownKind { found }),
         };
--- /dev/null
+++ b/crates/peer/src/format_v2.rs
@@ -0,0 +1,104 @@
+//! Messages of format version 2, where they differ from the current version.
+
+use chicorycroft_directory::prelude::*;
+use chicorycroft_dispatch::prelude::*;
+use chicorycroft_membership::prelude::*;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::gateway::{
+    FollowAnswer,
+    FollowRequest,
+    GatewayMessage,
+    RelayedCall, //
+};
+
+/// The answer to a long poll in format version 2, without the age of the targets' entries.
+#[derive(Deserialize, Serialize)]
+pub(crate) struct FollowAnswerV2 {
+    member: MemberRecord,
+    held_millis: u32,
+    age_millis: Option<u32>,
+    config: Option<GatewayConfig>,
+    directory: Option<TargetDirectory>,
+    as_of: StoreRevision,
+    usage: Vec<TeamUsage>,
+    follower_count: u32,
+}
+
+impl From<&FollowAnswer> for FollowAnswerV2 {
+    fn from(answer: &FollowAnswer) -> Self {
+        Self {
+            member: answer.member.clone(),
+            held_millis: answer.held_millis,
+            age_millis: answer.age_millis,
+            config: answer.config.clone(),
+            directory: answer.directory.clone(),
+            as_of: answer.as_of,
+            usage: answer.usage.clone(),
+            follower_count: answer.follower_count,
+        }
+    }
+}
+
+impl From<FollowAnswerV2> for FollowAnswer {
+    fn from(answer: FollowAnswerV2) -> Self {
+        Self {
+            member: answer.member,
+            held_millis: answer.held_millis,
+            age_millis: answer.age_millis,
+            target_age_millis: None,
+            config: answer.config,
+            directory: answer.directory,
+            as_of: answer.as_of,
+            usage: answer.usage,
+            follower_count: answer.follower_count,
+        }
+    }
+}
+
+/// A message between gateway hosts in format version 2.
+#[derive(Deserialize, Serialize)]
+pub(crate) enum GatewayMessageV2 {
+    Gossip(Vec<MemberRecord>),
+    Follow(FollowRequest),
+    FollowAnswer(Box<FollowAnswerV2>),
+    Admit(AdmitRequest),
+    Admitted(AdmitAnswer),
+    Release(ReleaseNotice),
+    Relayed(RelayedCall),
+}
+
+impl From<&GatewayMessage> for GatewayMessageV2 {
+    fn from(message: &GatewayMessage) -> Self {
+        match message {
+            GatewayMessage::Gossip(records) => Self::Gossip(records.clone()),
+            GatewayMessage::Follow(request) => Self::Follow(request.clone()),
+            GatewayMessage::FollowAnswer(answer) => {
+                Self::FollowAnswer(Box::new(answer.as_ref().into()))
+            }
+            GatewayMessage::Admit(request) => Self::Admit(request.clone()),
+            GatewayMessage::Admitted(answer) => Self::Admitted(answer.clone()),
+            GatewayMessage::Release(notice) => Self::Release(notice.clone()),
+            GatewayMessage::Relayed(call) => Self::Relayed(call.clone()),
+        }
+    }
+}
+
+impl From<GatewayMessageV2> for GatewayMessage {
+    fn from(message: GatewayMessageV2) -> Self {
+        match message {
+            GatewayMessageV2::Gossip(records) => Self::Gossip(records),
+            GatewayMessageV2::Follow(request) => Self::Follow(request),
+            GatewayMessageV2::FollowAnswer(answer) => {
+                Self::FollowAnswer(Box::new((*answer).into()))
+            }
+            GatewayMessageV2::Admit(request) => Self::Admit(request),
+            GatewayMessageV2::Admitted(answer) => Self::Admitted(answer),
+            GatewayMessageV2::Release(notice) => Self::Release(notice),
+            GatewayMessageV2::Relayed(call) => Self::Relayed(call),
+        }
+    }
+}
--- a/crates/peer/src/gateway.rs
+++ b/crates/peer/src/gateway.rs
@@ -31,8 +31,10 @@
     pub member: MemberRecord,
     /// Time for which the answer was delayed, in milliseconds.
     pub held_millis: u32,
-    /// Age of the host's copy of the store, in milliseconds.
+    /// Age of the host's copy of the operators' records, in milliseconds.
     pub age_millis: Option<u32>,
+    /// Age of the host's copy of the targets' entries, in milliseconds.
+    pub target_age_millis: Option<u32>,
     /// The configuration, if the requesting host has a lower version.
     pub config: Option<GatewayConfig>,
     /// The directory, if the requesting host has a different one.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod codec;
 pub mod failure;
 mod format_v1;
+mod format_v2;
 pub mod forward;
 pub mod gateway;
 pub mod heartbeat;
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -4,6 +4,8 @@
 
 use bytes::Bytes;
 use chicorycroft_core::prelude::*;
+use chicorycroft_directory::prelude::*;
+use chicorycroft_membership::prelude::*;
 use chicorycroft_peer::{
     codec::MESSAGE_BYTES_MAX,
     parts::{
@@ -88,6 +90,27 @@
     }
 }
 
+fn follow_answer() -> FollowAnswer {
+    FollowAnswer {
+        member: MemberRecord {
+            host: host(1),
+            zone: ZoneId::new("muscat-a").unwrap(),
+            address: "192.0.2.1:7443".parse().unwrap(),
+            incarnation: HostIncarnation::new(1_796_382_000_000),
+            beat: 7,
+            is_leaving: false,
+        },
+        held_millis: 250,
+        age_millis: Some(120),
+        target_age_millis: Some(300),
+        config: None,
+        directory: Some(TargetDirectory::new()),
+        as_of: StoreRevision::new(9),
+        usage: Vec::new(),
+        follower_count: 3,
+    }
+}
+
 fn all_messages() -> Vec<(&'static str, PeerMessage)> {
     let (target, service, key) = (target(1), service(), DocumentDigest::of_document(b"part"));
     let incarnation = HostIncarnation::new(1_796_382_000_000);
@@ -195,29 +218,40 @@
                 targets: vec![target],
             }),
         ),
+        (
+            "follow-answer",
+            PeerMessage::Gateway(GatewayMessage::FollowAnswer(Box::new(follow_answer()))),
+        ),
         ("accepted", PeerMessage::Accepted),
         ("refused", PeerMessage::Refused(RefusalReason::NotOwner)),
     ]
 }
 
 fn encode(message: &PeerMessage) -> Vec<u8> {
-    PeerCodec::new().encode(message, FormatVersion::V2).unwrap()
+    PeerCodec::new().encode(message, FormatVersion::V3).unwrap()
 }
 
 /// Guards against a kind of message that is decoded as another one or fails to decode.
 #[test]
-fn every_message_round_trips_in_both_versions() {
+fn every_message_round_trips_in_all_versions() {
     let codec = PeerCodec::new();
     for (name, message) in all_messages() {
         let bytes = encode(&message);
         println!("message={name} bytes={}", bytes.len());
         let decoded = codec.decode(&bytes).unwrap();
-        assert_eq!(decoded, (FormatVersion::V2, message.clone()), "{name}");
-        let bytes = codec.encode(&message, FormatVersion::V1).unwrap();
-        let (version, decoded) = codec.decode(&bytes).unwrap();
-        assert_eq!(version, FormatVersion::V1);
-        if !matches!(message, PeerMessage::Heartbeat(_)) {
-            assert_eq!(decoded, message, "{name}");
+        assert_eq!(decoded, (FormatVersion::V3, message.clone()), "{name}");
+        for earlier in [FormatVersion::V1, FormatVersion::V2] {
+            let bytes = codec.encode(&message, earlier).unwrap();
+            let (version, decoded) = codec.decode(&bytes).unwrap();
+            assert_eq!(version, earlier);
+            let has_new_fields = match &message {
+                PeerMessage::Heartbeat(_) => earlier < FormatVersion::V2,
+                PeerMessage::Gateway(GatewayMessage::FollowAnswer(_)) => true,
+                _ => false,
+            };
+            if !has_new_fields {
+                assert_eq!(decoded, message, "{name}");
+            }
         }
     }
     let mut minimal = heartbeat(0, 8);
@@ -245,22 +279,40 @@
     assert_eq!(
         old.decode(&encode(&message)),
         Err(CodecError::UnknownVersion {
-            found: FormatVersion::V2,
+            found: FormatVersion::V3,
             highest: FormatVersion::V1,
         })
     );
 }
 
+/// Guards against a rolling upgrade during which one release decodes the other's answer to a follower incorrectly.
+#[test]
+fn follow_answer_of_version_2_has_no_target_age_in_both_directions() {
+    let message = |target_age_millis| {
+        let answer = FollowAnswer {
+            target_age_millis,
+            ..follow_answer()
+        };
+        PeerMessage::Gateway(GatewayMessage::FollowAnswer(Box::new(answer)))
+    };
+    let expected = (FormatVersion::V2, message(None));
+    let (old, new) = (PeerCodec::with_highest(FormatVersion::V2), PeerCodec::new());
+    let from_new = new.encode(&message(Some(300)), FormatVersion::V2).unwrap();
+    assert_eq!(old.decode(&from_new).unwrap(), expected);
+    let from_old = old.encode(&message(Some(300)), FormatVersion::V2).unwrap();
+    assert_eq!(new.decode(&from_old).unwrap(), expected);
+}
+
 /// Guards against accepting messages of an unknown release, truncated messages and messages with extra bytes.
 #[test]
 fn unknown_truncated_and_overlong_messages_are_refused() {
     let codec = PeerCodec::new();
     let bytes = encode(&PeerMessage::Heartbeat(heartbeat(2, 2)));
     let refusal_of = |bytes: &[u8]| codec.decode(bytes).unwrap_err().refusal();
-    for version in [0, 3, 255] {
+    for version in [0, 4, 255] {
         let mut other = bytes.clone();
         other[0] = version;
-        assert_eq!(refusal_of(&other), RefusalReason::UnknownVersion(2));
+        assert_eq!(refusal_of(&other), RefusalReason::UnknownVersion(3));
     }
     let mut other = bytes.clone();
     other[1] = 15;
