Read the parts of the store independently, and call twice when an answer is overdue

Callers saw: requests to a target that had left, and configurations in force late, after open connections to the store had gone silent. Cause: the end of one watch ended the other. A silent call waited for its limit of 1.2 s, a pause and two reads in turn followed, and the first of them could meet another silent connection: 2.2 to 3.3 s where the bound is 2.0 or 2.5 s. The age that others act on was that of the operators' records alone, so that nobody else read for a silent watch of targets. Change: each part has a reader of its own, whose steps are shares of the bound (ChangeBudget). A call whose answer is overdue by an eighth of the bound is made again over a new connection, while the first one goes on. A discarded history is read again without a pause. Hosts read by the age of the older part. Who reads when the store refuses a dispatcher is still decided by rank.

--- /dev/null
+++ b/crates/directory/src/change_budget.rs
@@ -0,0 +1,94 @@
+//! Time limits of the steps from a change in the store to its use on the last host.
+//!
+//! A change must be in use everywhere within one bound, of which each step gets a share. A fault at the worst moment
+//! costs one step more, so that a change that meets one fault is in use within about half of the bound, and one that
+//! meets another fault on its way still within it.
+//!
+//! | step | share of the bound |
+//! |---|---|
+//! | the targets' watch collects changes, or the operators' watch may still wait for one | 0.25 |
+//! | a call without an answer counts as silent, and a second source is asked | 0.125 |
+//! | the check that notices it, or the wait of the targets' watch | 0.05 |
+//! | the second source answers and the change is applied | 0.1 |
+
+use std::time::Duration;
+
+use crate::contact::StorePart;
+
+/// Parts into which the bound is divided.
+const WHOLE_MILLE: u32 = 1000;
+
+/// Share for collecting changes between two calls, in thousandths.
+const COLLECT_MILLE: u32 = 250;
+
+/// Share for waiting for an answer that is due, in thousandths.
+const SILENCE_MILLE: u32 = 125;
+
+/// Share after which an unanswered call has failed, in thousandths: long enough for the second call, too.
+const CALL_MILLE: u32 = 350;
+
+/// Share for the period of checks, in thousandths.
+const CHECK_MILLE: u32 = 50;
+
+/// Share for the answer of a second source, in thousandths.
+const ANSWER_MILLE: u32 = 100;
+
+/// Time limits that follow from the bound for changes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ChangeBudget {
+    bound: Duration,
+}
+
+impl ChangeBudget {
+    /// Creates the limits for a bound.
+    pub const fn new(bound: Duration) -> Self {
+        Self { bound }
+    }
+
+    fn share(self, mille: u32) -> Duration {
+        self.bound * mille / WHOLE_MILLE
+    }
+
+    /// Returns the time from the acknowledgement of a change until every host must use it.
+    pub fn bound(self) -> Duration {
+        self.bound
+    }
+
+    /// Returns the pause between calls of a watch. Targets write many times a second, and each answer counts as a paid
+    /// call.
+    pub fn watch_pause(self, part: StorePart) -> Duration {
+        match part {
+            StorePart::Operator => Duration::ZERO,
+            StorePart::Targets => self.share(COLLECT_MILLE),
+        }
+    }
+
+    /// Returns the time for which the store delays the answer to a watch while nothing changes. After the pause of the
+    /// targets' watch there is nearly always a change, so that an answer is due soon.
+    pub fn watch_wait(self, part: StorePart) -> Duration {
+        match part {
+            StorePart::Operator => self.share(COLLECT_MILLE),
+            StorePart::Targets => self.share(CHECK_MILLE),
+        }
+    }
+
+    /// Returns the time after which a call whose answer is due counts as silent.
+    pub fn silence_limit(self) -> Duration {
+        self.share(SILENCE_MILLE)
+    }
+
+    /// Returns the time after which a call whose answer is due has failed.
+    pub fn call_limit(self) -> Duration {
+        self.share(CALL_MILLE)
+    }
+
+    /// Returns the interval at which a host checks whether its sources are served.
+    pub fn check_period(self) -> Duration {
+        self.share(CHECK_MILLE)
+    }
+
+    /// Returns the time that the answer of a second source and its use take.
+    pub fn answer_time(self) -> Duration {
+        self.share(ANSWER_MILLE)
+    }
+}
--- a/crates/directory/src/contact.rs
+++ b/crates/directory/src/contact.rs
@@ -178,6 +178,12 @@
         }
     }
 
+    /// Returns the age of the part that was confirmed earlier; `None` unless both were.
+    pub fn age(&self, now: MonoTime) -> Option<ContactAge> {
+        let (operator, targets) = (self.operator.age(now)?, self.targets.age(now)?);
+        Some(operator.max(targets))
+    }
+
     /// Returns the contacts for a part, to record one.
     pub fn part_mut(&mut self, part: StorePart) -> &mut StoreContact {
         match part {
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -4,11 +4,13 @@
 //! - [`routing`]: lookup of the route, the team and the service of a request.
 //! - [`targets`]: the registered targets and the evacuated zones.
 //! - [`tracker`]: applies changes of the store to the directory, and keeps entries that lapse in a store outage.
+//! - [`change_budget`]: time limits of the steps from a change in the store to its use.
 //! - [`outage`]: tells an outage of the store from a refusal of this host alone.
 //! - [`contact`]: age of this host's copy of the store, and whether keys may still be trusted.
 //!
 //! The crate decodes no messages and reads no clock: callers pass decoded records and the current time.
 
+pub mod change_budget;
 pub mod config;
 pub mod contact;
 pub mod outage;
@@ -19,6 +21,7 @@
 /// The most commonly used items of this crate.
 pub mod prelude {
     pub use crate::{
+        change_budget::ChangeBudget,
         config::{
             CallerLimits,
             ConfigError,
--- a/crates/directory/src/tracker.rs
+++ b/crates/directory/src/tracker.rs
@@ -116,26 +116,42 @@
         self.outage.has_registration_ended(read_at, now)
     }
 
-    /// Applies a full read of the store: the entries of all targets, the evacuated zones, and the revision of each
-    /// part. Targets and zones that are missing count as removed and restored.
-    pub fn replace(
+    /// Returns the revision up to which a part was read.
+    pub fn as_of(&self, part: StorePart) -> StoreRevision {
+        match part {
+            StorePart::Operator => self.operator_as_of,
+            StorePart::Targets => self.target_as_of,
+        }
+    }
+
+    /// Applies a full read of the evacuated zones. Zones that are missing count as restored.
+    pub fn replace_zones(
         &mut self,
-        entries: Vec<TargetEntry>,
         evacuated: IndexSet<ZoneId>,
-        (operator_as_of, target_as_of): (StoreRevision, StoreRevision),
+        as_of: StoreRevision,
         now: MonoTime,
     ) {
-        let mut zones: Vec<DirectoryChange> = Vec::new();
         let restored = self.directory.evacuated.difference(&evacuated);
-        zones.extend(restored.cloned().map(DirectoryChange::ZoneRestored));
-        zones.extend(evacuated.into_iter().map(DirectoryChange::ZoneEvacuated));
-        let mut targets: Vec<DirectoryChange> = Vec::new();
+        let restored = restored.cloned().map(DirectoryChange::ZoneRestored);
+        let mut changes: Vec<DirectoryChange> = restored.collect();
+        changes.extend(evacuated.into_iter().map(DirectoryChange::ZoneEvacuated));
+        self.apply(StorePart::Operator, changes, as_of, now);
+    }
+
+    /// Applies a full read of the entries of all targets. Targets that are missing count as removed.
+    pub fn replace_targets(
+        &mut self,
+        entries: Vec<TargetEntry>,
+        as_of: StoreRevision,
+        now: MonoTime,
+    ) {
+        let listed: IndexSet<&TargetId> = entries.iter().map(|entry| &entry.id).collect();
         let known = self.directory.targets.keys();
-        let missing = known.filter(|id| !entries.iter().any(|entry| entry.id == **id));
-        targets.extend(missing.cloned().map(DirectoryChange::TargetRemoved));
-        targets.extend(entries.into_iter().map(DirectoryChange::TargetUpdated));
-        self.apply(StorePart::Operator, zones, operator_as_of, now);
-        self.apply(StorePart::Targets, targets, target_as_of, now);
+        let missing = known.filter(|id| !listed.contains(id)).cloned();
+        let mut changes: Vec<DirectoryChange> =
+            missing.map(DirectoryChange::TargetRemoved).collect();
+        changes.extend(entries.into_iter().map(DirectoryChange::TargetUpdated));
+        self.apply(StorePart::Targets, changes, as_of, now);
     }
 
     /// Applies the changes of one part up to a revision. An answer at an older revision of the part is ignored. The
--- a/crates/directory/tests/tracker.rs
+++ b/crates/directory/tests/tracker.rs
@@ -46,9 +46,10 @@
         entry("t-1", TargetPhase::Ready),
         entry("t-2", TargetPhase::Ready),
     ];
-    let as_of = (StoreRevision::new(10), StoreRevision::new(10));
+    let as_of = StoreRevision::new(10);
     tracker.on_contact(at(0));
-    tracker.replace(entries, IndexSet::new(), as_of, at(0));
+    tracker.replace_zones(IndexSet::new(), as_of, at(0));
+    tracker.replace_targets(entries, as_of, at(0));
     tracker
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 //! - [`store_cache`]: this host's copy of the store's contents, and the age of that copy.
 //! - [`copy_use`]: records the age of that copy at each decision that uses it.
 //! - [`store_loop`]: reads the store directly when this host is responsible for it.
+//! - [`store_reader`]: reads and watches one part of the store.
 //! - [`follow_loop`]: receives updates of the store's contents from other hosts.
 //! - [`gossip_loop`]: exchanges membership records with other hosts.
 //!
@@ -53,6 +54,7 @@
 pub mod state;
 pub mod store_cache;
 pub mod store_loop;
+pub mod store_reader;
 mod zone_search;
 
 /// The most commonly used items of this crate.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,6 +14,7 @@
 
 use chicorycroft_adapter::prelude::*;
 use chicorycroft_core::prelude::*;
+use chicorycroft_directory::prelude::*;
 use chicorycroft_dispatch::prelude::*;
 use chicorycroft_membership::prelude::*;
 use chicorycroft_peer::prelude::*;
@@ -125,6 +126,11 @@
         self.clock.mono()
     }
 
+    /// Returns the time limits of the steps from a change in the store to its use.
+    pub fn change_budget(&self) -> ChangeBudget {
+        ChangeBudget::new(self.settings.change_bound)
+    }
+
     /// Records a call from a follower, which renews its follower status.
     pub fn on_follower(&self, host: &HostId) {
         self.followers.insert(host.clone(), self.now());
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -90,6 +90,11 @@
         self.contact(StorePart::Operator).age(now)
     }
 
+    /// Returns the age of the older one of the cached parts, or `None` before the first contact for both.
+    pub fn copy_age(&self, now: MonoTime) -> Option<ContactAge> {
+        lock(&self.contacts).age(now)
+    }
+
     /// Returns `true` if the cache is recent enough to accept keys. A key that was withdrawn must stop working
     /// within `revoke_bound`.
     pub fn may_trust_keys(&self, revoke_bound: Duration, now: MonoTime) -> bool {
@@ -235,25 +240,21 @@
         }
     }
 
-    /// Replaces the directory by a full read of targets and evacuated zones. `as_of` holds the revisions of the
-    /// operators' part and the targets' part.
-    pub fn replace_directory(
-        &self,
-        entries: Vec<TargetEntry>,
-        evacuated: IndexSet<ZoneId>,
-        as_of: (StoreRevision, StoreRevision),
-        now: MonoTime,
-    ) {
-        self.update_from_store(now, |tracker| {
-            tracker.replace(entries, evacuated, as_of, now);
-        });
+    /// Replaces the evacuated zones by those of a full read.
+    pub fn replace_zones(&self, evacuated: IndexSet<ZoneId>, as_of: StoreRevision, now: MonoTime) {
+        self.update_from_store(now, |tracker| tracker.replace_zones(evacuated, as_of, now));
     }
 
-    /// Applies changes from a watch of one part of the store. Documents that cannot be decoded are logged and
-    /// skipped.
-    pub fn apply(&self, part: StorePart, events: &StoreEvents, now: MonoTime) {
+    /// Replaces the entries of targets by those of a full read.
+    pub fn replace_targets(&self, entries: Vec<TargetEntry>, as_of: StoreRevision, now: MonoTime) {
+        self.update_from_store(now, |tracker| tracker.replace_targets(entries, as_of, now));
+    }
+
+    /// Decodes items of the store, adopts a configuration among them, and returns the changes of the directory.
+    /// Documents that cannot be decoded are logged and skipped.
+    pub fn decode_items(&self, items: &[StoreItem]) -> Vec<DirectoryChange> {
         let mut changes = Vec::new();
-        for item in &events.items {
+        for item in items {
             match decode_item(item) {
                 Ok(StoreUpdate::Directory(change)) => changes.push(change),
                 Ok(StoreUpdate::Config(config)) => {
@@ -267,6 +268,12 @@
                 ),
             }
         }
+        changes
+    }
+
+    /// Applies changes from a watch of one part of the store.
+    pub fn apply(&self, part: StorePart, events: &StoreEvents, now: MonoTime) {
+        let changes = self.decode_items(&events.items);
         self.update_from_store(now, |tracker| {
             tracker.apply(part, changes, events.as_of, now);
         });
--- /dev/null
+++ b/crates/gateway/src/store_reader.rs
@@ -0,0 +1,177 @@
+//! Reads and watches one part of the store.
+//!
+//! The parts are read independently: a call of one that fails or gets no answer does not delay the other. A call whose
+//! answer is overdue is made a second time over a new connection, because an open connection may go silent without a
+//! reset.
+
+use std::time::Duration;
+
+use chicorycroft_adapter::{
+    documents::{
+        OPERATOR_PREFIX,
+        TARGET_PREFIX, //
+    },
+    prelude::*,
+};
+use chicorycroft_core::prelude::*;
+use chicorycroft_directory::prelude::*;
+use indexmap::IndexSet;
+use rand::RngExt;
+
+use crate::state::GatewayState;
+
+/// Pause after a failed call.
+const FAILURE_PAUSE: Duration = Duration::from_millis(250);
+
+/// Largest random addition to [`FAILURE_PAUSE`], in milliseconds.
+const FAILURE_JITTER_MILLIS: u64 = 150;
+
+/// Reader of one part of the store.
+#[derive(Clone, Copy, Debug)]
+pub struct PartReader<'a> {
+    state: &'a GatewayState,
+    store: &'a StoreClient,
+    part: StorePart,
+}
+
+impl<'a> PartReader<'a> {
+    /// Creates the reader of a part.
+    pub fn new(state: &'a GatewayState, store: &'a StoreClient, part: StorePart) -> Self {
+        Self { state, store, part }
+    }
+
+    fn prefix(&self) -> &'static str {
+        match self.part {
+            StorePart::Operator => OPERATOR_PREFIX,
+            StorePart::Targets => TARGET_PREFIX,
+        }
+    }
+
+    fn budget(&self) -> ChangeBudget {
+        self.state.change_budget()
+    }
+
+    /// Makes a call whose answer is due after `wait`. If it is overdue, the call is made a second time over a new
+    /// connection, and the first answer counts.
+    async fn call<F>(&self, wait: Duration, call: impl Fn() -> F) -> Result<StoreEvents, StoreError>
+    where
+        F: Future<Output = Result<StoreEvents, StoreError>>,
+    {
+        let first = call();
+        tokio::pin!(first);
+        let silence_limit = self.budget().silence_limit();
+        tokio::select! {
+            answer = &mut first => return answer,
+            () = tokio::time::sleep(wait + silence_limit) => {}
+        }
+        log::info!(
+            "event=store_silent part={} waited_ms={}",
+            self.part,
+            (wait + silence_limit).as_millis()
+        );
+        self.state.store_cache.on_store_failure(self.state.now());
+        // Idle connections may be silent for the same reason.
+        self.store.close_idle();
+        let second = call();
+        tokio::pin!(second);
+        tokio::select! {
+            answer = &mut first => match answer {
+                Ok(events) => Ok(events),
+                Err(_) => second.await,
+            },
+            answer = &mut second => answer,
+        }
+    }
+
+    /// Records a failed call, and logs the first one since the store answered.
+    pub fn record_failure(&self, error: &StoreError) {
+        let cache = &self.state.store_cache;
+        if !cache.is_store_failing() {
+            log::warn!("event=store_lost part={} error=\"{error}\"", self.part);
+        }
+        cache.on_store_failure(self.state.now());
+    }
+
+    /// Reads the part in full and returns its revision.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store does not answer in time.
+    pub async fn read(&self) -> Result<StoreRevision, StoreError> {
+        let sent_at = self.state.now();
+        let limit = self.budget().call_limit();
+        let read = || self.store.range(self.prefix(), limit);
+        let events = self.call(Duration::ZERO, read).await?;
+        let (cache, now) = (&self.state.store_cache, self.state.now());
+        let (mut entries, mut evacuated) = (Vec::new(), IndexSet::new());
+        for update in cache.decode_items(&events.items) {
+            match update {
+                DirectoryChange::TargetUpdated(entry) => entries.push(entry),
+                DirectoryChange::ZoneEvacuated(zone) => {
+                    evacuated.insert(zone);
+                }
+                _ => {}
+            }
+        }
+        match self.part {
+            StorePart::Operator => cache.replace_zones(evacuated, events.as_of, now),
+            StorePart::Targets => {
+                cache.on_store_answer(now);
+                cache.replace_targets(entries, events.as_of, now);
+            }
+        }
+        cache.confirm(self.part, sent_at);
+        Ok(events.as_of)
+    }
+
+    /// Watches the part from a revision on, until a call fails or the part must be read in full again.
+    async fn watch(&self, mut after: StoreRevision, read_at: MonoTime) -> Result<(), StoreError> {
+        let (cache, budget) = (&self.state.store_cache, self.budget());
+        let (wait, pause) = (budget.watch_wait(self.part), budget.watch_pause(self.part));
+        while !cache.is_read_due(read_at, self.state.now()) {
+            let sent_at = self.state.now();
+            let watch = || {
+                self.store
+                    .watch(self.prefix(), after, wait, budget.call_limit())
+            };
+            let events = self.call(wait, watch).await?;
+            after = events.as_of.max(after);
+            let now = self.state.now();
+            if self.part == StorePart::Targets {
+                cache.on_store_answer(now);
+            }
+            cache.apply(self.part, &events, now);
+            cache.confirm(self.part, sent_at);
+            tokio::time::sleep(pause).await;
+        }
+        Ok(())
+    }
+
+    /// Reads the part and watches it from then on. Reads it again after each failure.
+    pub async fn follow(&self) {
+        loop {
+            let read_at = self.state.now();
+            let result = match self.read().await {
+                Ok(as_of) => {
+                    log::info!("event=store_watched part={} as_of={as_of}", self.part);
+                    self.watch(as_of, read_at).await
+                }
+                Err(error) => Err(error),
+            };
+            match result {
+                // The history after the revision is gone, or a full read is due: the store serves this host.
+                Ok(()) | Err(StoreError::Compacted) => {}
+                Err(error) => {
+                    self.record_failure(&error);
+                    pause_after_failure().await;
+                }
+            }
+        }
+    }
+}
+
+/// Waits before the next call to a store that did not answer. The random part spreads the calls of several hosts.
+pub async fn pause_after_failure() {
+    let jitter = rand::rng().random_range(0..FAILURE_JITTER_MILLIS);
+    tokio::time::sleep(FAILURE_PAUSE + Duration::from_millis(jitter)).await;
+}
--- a/crates/gateway/tests/gateway/configuration.rs
+++ b/crates/gateway/tests/gateway/configuration.rs
@@ -8,7 +8,8 @@
 
 use crate::test_gateway::{
     TestGateway,
-    open_count, //
+    open_count,
+    wait_until, //
 };
 
 fn version(host: &GatewayHost) -> u64 {
@@ -84,6 +85,35 @@
     assert_eq!(gateway.call("GET /look/1", "key-1", "").await.status, 200);
 }
 
+/// Guards against requests to a leaving target because the connection of the targets' watch went silent without a reset:
+/// the call waited for its limit, and the end of the other watch and a pause followed.
+#[tokio::test]
+async fn leaving_target_is_dropped_in_time_although_its_watch_is_silent() {
+    let gateway = TestGateway::new(2).await;
+    // One fault may take half of the bound.
+    let limit = gateway.host.state().settings.change_bound / 2;
+    for target in &gateway.targets {
+        let open_left = open_count(&gateway.host) - 1;
+        gateway.store.silence_open_connections("servers/");
+        let entry = target.entry("rate", "a", "draining");
+        gateway.store.put(&target.key(), &entry);
+        wait_until(limit, || open_count(&gateway.host) == open_left).await;
+    }
+}
+
+/// Guards against a configuration that comes into force late because the connection of its watch went silent without a
+/// reset.
+#[tokio::test]
+async fn configuration_is_in_force_in_time_although_its_watch_is_silent() {
+    let gateway = TestGateway::new(1).await;
+    let limit = gateway.host.state().settings.change_bound / 2;
+    for number in 2..5 {
+        gateway.store.silence_open_connections("op/");
+        gateway.store.put_config(&config(number, &["key-1"]));
+        wait_until(limit, || version(&gateway.host) == number).await;
+    }
+}
+
 /// Guards against a fleet that refuses callers for longer than their deadlines after a power loss, because its
 /// hosts wait for each other before they read the store.
 #[tokio::test]
--- a/crates/peer/src/format_v2.rs
+++ b/crates/peer/src/format_v2.rs
@@ -15,7 +15,7 @@
     RelayedCall, //
 };
 
-/// The answer to a long poll in format version 2, without the age of the targets' entries.
+/// The answer to a long poll in format version 2, with one age for both parts.
 #[derive(Deserialize, Serialize)]
 pub(crate) struct FollowAnswerV2 {
     member: MemberRecord,
@@ -49,7 +49,7 @@
             member: answer.member,
             held_millis: answer.held_millis,
             age_millis: answer.age_millis,
-            target_age_millis: None,
+            target_age_millis: answer.age_millis,
             config: answer.config,
             directory: answer.directory,
             as_of: answer.as_of,
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -287,7 +287,7 @@
 
 /// Guards against a rolling upgrade during which one release decodes the other's answer to a follower incorrectly.
 #[test]
-fn follow_answer_of_version_2_has_no_target_age_in_both_directions() {
+fn follow_answer_of_version_2_has_one_age_in_both_directions() {
     let message = |target_age_millis| {
         let answer = FollowAnswer {
             target_age_millis,
@@ -295,7 +295,8 @@
         };
         PeerMessage::Gateway(GatewayMessage::FollowAnswer(Box::new(answer)))
     };
-    let expected = (FormatVersion::V2, message(None));
+    let one_age = follow_answer().age_millis;
+    let expected = (FormatVersion::V2, message(one_age));
     let (old, new) = (PeerCodec::with_highest(FormatVersion::V2), PeerCodec::new());
     let from_new = new.encode(&message(Some(300)), FormatVersion::V2).unwrap();
     assert_eq!(old.decode(&from_new).unwrap(), expected);
