Adopt each part of another host's directory by its own revision

Callers saw: requests to targets that had left and to evacuated zones, while the host asked had been told of the change by another host. Cause: a directory had one revision, the lower one of its parts, and was refused as a whole when one part had been read later here. Two hosts of which each knew the later state of one part refused each other. A host asked again every 0.2 s and got the whole directory each time. Change: follow requests and answers carry the revisions of both parts, and each part is adopted by its own. A host that has nothing later keeps the long poll open. The ages of both parts count also when nothing was adopted, as the local copy then contains the other one. Measured: each_part_of_a_directory_is_adopted_by_its_own_revision failed on (t-1 still open) and passes. A part that was read later still never goes back.

--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -45,6 +45,7 @@
         },
         targets::{
             ContentDigest,
+            PartRevisions,
             StoreRevision,
             TargetDirectory,
             TargetEntry,
--- a/crates/directory/src/targets.rs
+++ b/crates/directory/src/targets.rs
@@ -26,11 +26,71 @@
 };
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::contact::StorePart;
+
 define_counter!(
     /// Revision of the store; it increases with each write.
     StoreRevision
 );
 
+/// Revisions up to which the parts of the store were read.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PartRevisions {
+    /// Revision of the records of operators.
+    pub operator: StoreRevision,
+    /// Revision of the entries of targets.
+    pub targets: StoreRevision,
+}
+
+impl PartRevisions {
+    /// Creates the revisions of a copy that was read up to one revision.
+    pub const fn new(revision: StoreRevision) -> Self {
+        Self {
+            operator: revision,
+            targets: revision,
+        }
+    }
+
+    /// Returns the revision of a part.
+    pub const fn part(&self, part: StorePart) -> StoreRevision {
+        match part {
+            StorePart::Operator => self.operator,
+            StorePart::Targets => self.targets,
+        }
+    }
+
+    /// Returns the revision of a part, to change it.
+    pub const fn part_mut(&mut self, part: StorePart) -> &mut StoreRevision {
+        match part {
+            StorePart::Operator => &mut self.operator,
+            StorePart::Targets => &mut self.targets,
+        }
+    }
+
+    /// Returns the revision up to which both parts were read.
+    pub fn both(&self) -> StoreRevision {
+        self.operator.min(self.targets)
+    }
+}
+
+impl fmt::Display for PartRevisions {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.operator, self.targets)
+    }
+}
+
+impl FromStr for PartRevisions {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        let (operator, targets) = text.split_once('/').unwrap_or((text, text));
+        Ok(Self {
+            operator: operator.parse()?,
+            targets: targets.parse()?,
+        })
+    }
+}
+
 /// Digest of a directory's content, by which hosts detect equal directories without exchanging them.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct ContentDigest(u64);
--- a/crates/directory/src/tracker.rs
+++ b/crates/directory/src/tracker.rs
@@ -22,6 +22,7 @@
     },
     outage::OutageDetector,
     targets::{
+        PartRevisions,
         StoreRevision,
         TargetDirectory,
         TargetEntry, //
@@ -45,8 +46,7 @@
 #[derive(Debug, Default)]
 pub struct DirectoryTracker {
     directory: Arc<TargetDirectory>,
-    operator_as_of: StoreRevision,
-    target_as_of: StoreRevision,
+    revisions: PartRevisions,
     /// Targets whose entries lapsed in an outage, with the time until which they stay in use.
     lapsed: IndexMap<TargetId, MonoTime>,
     outage: OutageDetector,
@@ -68,25 +68,64 @@
         &self.lapsed
     }
 
-    /// Replaces the directory by that of another host if it was read from the store later. For the host that this
-    /// one follows, the same revision suffices. Returns `true` if the directory was replaced.
+    /// Returns the revisions up to which the parts were read.
+    pub fn revisions(&self) -> PartRevisions {
+        self.revisions
+    }
+
+    /// Takes over the parts of another host's directory that were read from the store later. For the host that this
+    /// one follows, the same revision suffices. Returns `false` if a part of the other directory is older.
     ///
-    /// A directory contains all changes up to its revision, and one of its parts may contain later ones. It must not
-    /// replace a part that was read later on this host: those changes would be lost, as the watches continue
-    /// after them.
-    pub fn adopt(&mut self, directory: TargetDirectory, is_from_upstream: bool) -> bool {
-        let known = self.directory.as_of;
-        let is_later = directory.as_of > known || is_from_upstream && directory.as_of == known;
-        let latest_read = self.operator_as_of.max(self.target_as_of);
-        if !is_later || directory.as_of < latest_read {
-            return false;
+    /// The parts are read independently, so that each of two hosts may have the later state of one part. A part that
+    /// was read later on this host stays: its changes would be lost, as the watches continue after them.
+    pub fn adopt(
+        &mut self,
+        directory: TargetDirectory,
+        revisions: PartRevisions,
+        is_from_upstream: bool,
+    ) -> bool {
+        let is_taken = |part| {
+            let (theirs, ours) = (revisions.part(part), self.revisions.part(part));
+            theirs > ours || is_from_upstream && theirs == ours
+        };
+        let is_older = |part| revisions.part(part) < self.revisions.part(part);
+        let is_current = !StorePart::ALL.into_iter().any(is_older);
+        let taken = StorePart::ALL.map(is_taken);
+        if taken == [false; 2] {
+            return is_current;
+        }
+        let mut next = (*self.directory).clone();
+        let [takes_zones, takes_targets] = taken;
+        if takes_zones {
+            self.revisions.operator = revisions.operator;
+            next.evacuated = directory.evacuated;
         }
-        (self.operator_as_of, self.target_as_of) = (directory.as_of, directory.as_of);
-        // The other host may keep a lapsed entry too, and the removal is not delivered again.
-        self.lapsed
-            .retain(|id, _| directory.targets.contains_key(id));
-        self.directory = Arc::new(directory);
-        true
+        if takes_targets {
+            self.revisions.targets = revisions.targets;
+            // The other host may keep a lapsed entry too, and the removal is not delivered again.
+            self.lapsed
+                .retain(|id, _| directory.targets.contains_key(id));
+            next.targets = directory.targets;
+        }
+        self.set_directory(next);
+        is_current
+    }
+
+    /// Records that another host has the same content up to its revisions.
+    pub fn confirm_revisions(&mut self, revisions: PartRevisions) {
+        for part in StorePart::ALL {
+            let known = self.revisions.part_mut(part);
+            *known = revisions.part(part).max(*known);
+        }
+        let mut next = (*self.directory).clone();
+        next.as_of = self.revisions.both();
+        self.directory = Arc::new(next);
+    }
+
+    fn set_directory(&mut self, mut next: TargetDirectory) {
+        next.as_of = self.revisions.both();
+        next.update_digest();
+        self.directory = Arc::new(next);
     }
 
     /// Records an answer of the store to this host. Returns the time for which its calls had failed, if the last one
@@ -116,14 +155,6 @@
         self.outage.has_registration_ended(read_at, now)
     }
 
-    /// Returns the revision up to which a part was read.
-    pub fn as_of(&self, part: StorePart) -> StoreRevision {
-        match part {
-            StorePart::Operator => self.operator_as_of,
-            StorePart::Targets => self.target_as_of,
-        }
-    }
-
     /// Applies a full read of the evacuated zones. Zones that are missing count as restored.
     pub fn replace_zones(
         &mut self,
@@ -163,10 +194,7 @@
         as_of: StoreRevision,
         now: MonoTime,
     ) {
-        let known = match part {
-            StorePart::Operator => &mut self.operator_as_of,
-            StorePart::Targets => &mut self.target_as_of,
-        };
+        let known = self.revisions.part_mut(part);
         if as_of < *known {
             return;
         }
@@ -176,9 +204,7 @@
             self.apply_one(&mut next, change, now);
         }
         remove_lapsed(&mut self.lapsed, &mut next, now);
-        next.as_of = self.operator_as_of.min(self.target_as_of);
-        next.update_digest();
-        self.directory = Arc::new(next);
+        self.set_directory(next);
     }
 
     fn apply_one(&mut self, next: &mut TargetDirectory, change: DirectoryChange, now: MonoTime) {
--- a/crates/directory/tests/tracker.rs
+++ b/crates/directory/tests/tracker.rs
@@ -150,7 +150,8 @@
     let revision = StoreRevision::new(15);
     tracker.apply(StorePart::Targets, draining, revision, at(10));
     tracker.apply(StorePart::Operator, Vec::new(), revision, at(10));
-    assert!(!tracker.adopt(older, true));
+    let revisions = PartRevisions::new(older.as_of);
+    assert!(!tracker.adopt(older, revisions, true));
     assert_eq!(open_ids(&tracker), ["t-2"]);
 }
 
@@ -219,32 +220,65 @@
 #[test]
 fn directory_of_a_peer_does_not_undo_a_later_change() {
     let mut tracker = tracker_with_two_targets();
-    let mut peer = (**tracker.directory()).clone();
+    let peer = (**tracker.directory()).clone();
     let read_at = StoreRevision::new(20);
     let draining = vec![updated("t-1", TargetPhase::Draining)];
     tracker.apply(StorePart::Targets, draining, read_at, at(100));
     assert_eq!(open_ids(&tracker), ["t-2"]);
     assert!(tracker.directory().as_of < StoreRevision::new(15));
-    peer.as_of = StoreRevision::new(15);
-    assert!(!tracker.adopt(peer.clone(), true));
+    let before = PartRevisions::new(StoreRevision::new(15));
+    assert!(!tracker.adopt(peer.clone(), before, true));
     assert_eq!(open_ids(&tracker), ["t-2"]);
     // A directory that is as recent in both parts is adopted.
-    peer.as_of = read_at;
-    assert!(tracker.adopt(peer, false));
+    assert!(tracker.adopt(peer, PartRevisions::new(read_at), false));
+}
+
+/// Guards against two hosts that refuse each other's directory, because each has read another part of the store later:
+/// neither learned what the other one knew before its own next read.
+#[test]
+fn each_part_of_a_directory_is_adopted_by_its_own_revision() {
+    let (mut first, mut second) = (tracker_with_two_targets(), tracker_with_two_targets());
+    let zone = ZoneId::new("b").unwrap();
+    let evacuated = vec![DirectoryChange::ZoneEvacuated(zone.clone())];
+    first.apply(
+        StorePart::Operator,
+        evacuated,
+        StoreRevision::new(20),
+        at(100),
+    );
+    let draining = vec![updated("t-1", TargetPhase::Draining)];
+    second.apply(
+        StorePart::Targets,
+        draining,
+        StoreRevision::new(30),
+        at(100),
+    );
+    let (of_first, of_second) = (
+        (**first.directory()).clone(),
+        (**second.directory()).clone(),
+    );
+    let (first_read, second_read) = (first.revisions(), second.revisions());
+    first.adopt(of_second, second_read, false);
+    second.adopt(of_first, first_read, false);
+    for tracker in [&first, &second] {
+        assert_eq!(open_ids(tracker), ["t-2"]);
+        assert!(tracker.directory().evacuated.contains(&zone));
+        assert_eq!(tracker.directory().content, first.directory().content);
+    }
 }
 
 /// Returns a tracker in which the entry of `t-1` lapsed at 6 s, and that adopted the directory of a peer which keeps
 /// the entry too.
 fn tracker_with_adopted_lapsed_entry() -> DirectoryTracker {
     let mut tracker = tracker_with_two_targets();
-    let mut peer = (**tracker.directory()).clone();
+    let peer = (**tracker.directory()).clone();
     tracker.on_failure(at(1000));
     tracker.on_contact(at(6000));
     let removed = DirectoryChange::TargetRemoved(TargetId::new("t-1").unwrap());
     let read_at = StoreRevision::new(20);
     tracker.apply(StorePart::Targets, vec![removed], read_at, at(6000));
-    peer.as_of = StoreRevision::new(30);
-    assert!(tracker.adopt(peer, false));
+    let revisions = PartRevisions::new(StoreRevision::new(30));
+    assert!(tracker.adopt(peer, revisions, false));
     assert_eq!(open_ids(&tracker), ["t-1", "t-2"]);
     tracker
 }
--- a/crates/gateway/src/follow_loop.rs
+++ b/crates/gateway/src/follow_loop.rs
@@ -106,10 +106,12 @@
             false => FOLLOW_WAIT,
         };
         let index = state.store_cache.index();
+        let (directory, revisions) = state.store_cache.directory_with_revisions();
         let request = FollowRequest {
             member: state.gossip.own(),
             config: index.map(|index| index.config().version()),
-            content: state.store_cache.directory().content,
+            content: directory.content,
+            revisions,
             wait_millis: whole_millis(wait),
             is_dispatcher,
         };
@@ -142,24 +144,24 @@
         state.store_cache.adopt_config(config, host.as_str());
     }
     let is_current = match answer.directory {
-        Some(directory) => {
+        DirectoryUpdate::Replaced(directory) => {
             let is_from_upstream = !state.is_dispatcher();
-            state
-                .store_cache
-                .adopt_directory(directory, is_from_upstream)
+            let cache = &state.store_cache;
+            cache.adopt_directory(directory, answer.revisions, is_from_upstream)
         }
-        None => {
-            state.store_cache.on_same_directory(answer.as_of);
+        DirectoryUpdate::Same => {
+            state.store_cache.on_same_directory(answer.revisions);
             true
         }
+        // The other host has waited for a later state before it answered.
+        DirectoryUpdate::Older => true,
     };
     // The answer was created after `held_millis` on the other host, so not earlier than this time here.
     let created_at = sent_at.after(Duration::from_millis(answer.held_millis.into()));
-    // A rejected directory is older than the local one, so its age says nothing about that.
-    let target_age = answer.target_age_millis.filter(|_| is_current);
+    // What this host has is as recent as what the other one has in both parts.
     let ages = [
         (StorePart::Operator, answer.age_millis),
-        (StorePart::Targets, target_age),
+        (StorePart::Targets, answer.target_age_millis),
     ];
     for (part, age) in ages {
         if let Some(age) = age {
--- a/crates/gateway/src/peer_service.rs
+++ b/crates/gateway/src/peer_service.rs
@@ -1,6 +1,7 @@
 //! Handles messages from other hosts.
 
 use std::{
+    cmp::Ordering,
     sync::Arc,
     time::Duration, //
 };
@@ -72,13 +73,20 @@
     let has_changed = |_: &u64| {
         let index = state.store_cache.index();
         let version = index.map(|index| index.config().version());
-        let content = state.store_cache.directory().content;
-        version > request.config || content != request.content || state.is_stopping()
+        let (directory, revisions) = state.store_cache.directory_with_revisions();
+        let is_later = is_directory_later(directory.content, revisions, &request);
+        version > request.config || is_later || state.is_stopping()
     };
     // A timeout means that nothing has changed.
     let _ = tokio::time::timeout(wait, changes.wait_for(has_changed)).await;
     let now = state.now();
-    let (index, directory) = (state.store_cache.index(), state.store_cache.directory());
+    let index = state.store_cache.index();
+    let (directory, revisions) = state.store_cache.directory_with_revisions();
+    let update = match is_directory_later(directory.content, revisions, &request) {
+        true => DirectoryUpdate::Replaced((*directory).clone()),
+        false if directory.content == request.content => DirectoryUpdate::Same,
+        false => DirectoryUpdate::Older,
+    };
     let config = index.map(|index| index.config().clone());
     let config = config.filter(|config| Some(config.version()) > request.config);
     let age_millis = |part| {
@@ -91,13 +99,27 @@
         age_millis: age_millis(StorePart::Operator),
         target_age_millis: age_millis(StorePart::Targets),
         config: config.map(|config| (*config).clone()),
-        as_of: directory.as_of,
-        directory: (directory.content != request.content).then(|| (*directory).clone()),
+        directory: update,
+        revisions,
         usage: usage_for(state, &request),
         follower_count: state.follower_count(),
     })))
 }
 
+/// Returns `true` if a follower can take over a part of this host's directory. It takes over a different state of the same
+/// revisions from the host that it follows; another dispatcher does not.
+fn is_directory_later(
+    content: ContentDigest,
+    revisions: PartRevisions,
+    request: &FollowRequest,
+) -> bool {
+    let compare = |part| revisions.part(part).cmp(&request.revisions.part(part));
+    let orders = StorePart::ALL.map(compare);
+    let is_same_read = orders == [Ordering::Equal; 2];
+    let is_later = orders.contains(&Ordering::Greater) || is_same_read && !request.is_dispatcher;
+    content != request.content && is_later
+}
+
 /// Returns the team usage for hosts that need it. Hosts of other zones get the usage charged at this dispatcher,
 /// and the hosts that would take over from it get the total. Other followers get nothing.
 fn usage_for(state: &GatewayState, request: &FollowRequest) -> Vec<TeamUsage> {
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -225,19 +225,28 @@
         }
     }
 
-    /// Replaces the directory by another host's if that was read later, and returns `true` if it was replaced.
-    /// If it comes from the host that this one follows, the same revision suffices.
-    pub fn adopt_directory(&self, directory: TargetDirectory, is_from_upstream: bool) -> bool {
-        self.update_directory("peer", |tracker| tracker.adopt(directory, is_from_upstream))
+    /// Returns the target directory and the revisions up to which its parts were read.
+    pub fn directory_with_revisions(&self) -> (Arc<TargetDirectory>, PartRevisions) {
+        let tracker = lock(&self.tracker);
+        (tracker.directory().clone(), tracker.revisions())
     }
 
-    /// Records that another host has confirmed the same directory content as of a revision.
-    pub fn on_same_directory(&self, as_of: StoreRevision) {
-        let mut directory = (*self.directory()).clone();
-        if as_of > directory.as_of {
-            directory.as_of = as_of;
-            lock(&self.tracker).adopt(directory, false);
-        }
+    /// Takes over the parts of another host's directory that were read later, and returns `false` if one was read
+    /// earlier. If the directory comes from the host that this one follows, the same revision suffices.
+    pub fn adopt_directory(
+        &self,
+        directory: TargetDirectory,
+        revisions: PartRevisions,
+        is_from_upstream: bool,
+    ) -> bool {
+        self.update_directory("peer", |tracker| {
+            tracker.adopt(directory, revisions, is_from_upstream)
+        })
+    }
+
+    /// Records that another host has the same directory content up to its revisions.
+    pub fn on_same_directory(&self, revisions: PartRevisions) {
+        lock(&self.tracker).confirm_revisions(revisions);
     }
 
     /// Replaces the evacuated zones by those of a full read.
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -1,6 +1,7 @@
 //! The encoding of messages: one byte for the format version, one for the kind, then the fields in bincode.
 //!
-//! Version 2 added the suspect flag of a target's load, and version 3 the age of the targets' entries. A host decodes
+//! Version 2 added the suspect flag of a target's load, and version 3 the ages and revisions of both parts of the
+//! store. A host decodes
 //! all versions and answers in the version of the request, so that hosts of two releases work together during a
 //! rolling upgrade.
 
@@ -43,7 +44,7 @@
     pub const V1: Self = Self(1);
     /// Version that added the suspect flag of a target's load.
     pub const V2: Self = Self(2);
-    /// Version that added the age of the targets' entries.
+    /// Version that added the ages and revisions of both parts of the store.
     pub const V3: Self = Self(3);
 
     /// Creates a version from a number, which need not be a supported version.
--- a/crates/peer/src/format_v2.rs
+++ b/crates/peer/src/format_v2.rs
@@ -1,5 +1,6 @@
 //! Messages of format version 2, where they differ from the current version.
 
+use chicorycroft_core::prelude::*;
 use chicorycroft_directory::prelude::*;
 use chicorycroft_dispatch::prelude::*;
 use chicorycroft_membership::prelude::*;
@@ -9,12 +10,49 @@
 };
 
 use crate::gateway::{
+    DirectoryUpdate,
     FollowAnswer,
     FollowRequest,
     GatewayMessage,
     RelayedCall, //
 };
 
+/// A long poll in format version 2, without the revisions of the directory.
+#[derive(Deserialize, Serialize)]
+pub(crate) struct FollowRequestV2 {
+    member: MemberRecord,
+    config: Option<ConfigVersion>,
+    content: ContentDigest,
+    wait_millis: u32,
+    is_dispatcher: bool,
+}
+
+impl From<&FollowRequest> for FollowRequestV2 {
+    fn from(request: &FollowRequest) -> Self {
+        Self {
+            member: request.member.clone(),
+            config: request.config,
+            content: request.content,
+            wait_millis: request.wait_millis,
+            is_dispatcher: request.is_dispatcher,
+        }
+    }
+}
+
+impl From<FollowRequestV2> for FollowRequest {
+    fn from(request: FollowRequestV2) -> Self {
+        Self {
+            member: request.member,
+            config: request.config,
+            content: request.content,
+            // Any directory with another content counts as later.
+            revisions: PartRevisions::default(),
+            wait_millis: request.wait_millis,
+            is_dispatcher: request.is_dispatcher,
+        }
+    }
+}
+
 /// The answer to a long poll in format version 2, with one age for both parts.
 #[derive(Deserialize, Serialize)]
 pub(crate) struct FollowAnswerV2 {
@@ -35,8 +73,11 @@
             held_millis: answer.held_millis,
             age_millis: answer.age_millis,
             config: answer.config.clone(),
-            directory: answer.directory.clone(),
-            as_of: answer.as_of,
+            directory: match &answer.directory {
+                DirectoryUpdate::Replaced(directory) => Some(directory.clone()),
+                DirectoryUpdate::Same | DirectoryUpdate::Older => None,
+            },
+            as_of: answer.revisions.both(),
             usage: answer.usage.clone(),
             follower_count: answer.follower_count,
         }
@@ -51,8 +92,10 @@
             age_millis: answer.age_millis,
             target_age_millis: answer.age_millis,
             config: answer.config,
-            directory: answer.directory,
-            as_of: answer.as_of,
+            directory: answer
+                .directory
+                .map_or(DirectoryUpdate::Same, DirectoryUpdate::Replaced),
+            revisions: PartRevisions::new(answer.as_of),
             usage: answer.usage,
             follower_count: answer.follower_count,
         }
@@ -63,7 +106,7 @@
 #[derive(Deserialize, Serialize)]
 pub(crate) enum GatewayMessageV2 {
     Gossip(Vec<MemberRecord>),
-    Follow(FollowRequest),
+    Follow(FollowRequestV2),
     FollowAnswer(Box<FollowAnswerV2>),
     Admit(AdmitRequest),
     Admitted(AdmitAnswer),
@@ -75,7 +118,7 @@
     fn from(message: &GatewayMessage) -> Self {
         match message {
             GatewayMessage::Gossip(records) => Self::Gossip(records.clone()),
-            GatewayMessage::Follow(request) => Self::Follow(request.clone()),
+            GatewayMessage::Follow(request) => Self::Follow(request.into()),
             GatewayMessage::FollowAnswer(answer) => {
                 Self::FollowAnswer(Box::new(answer.as_ref().into()))
             }
@@ -91,7 +134,7 @@
     fn from(message: GatewayMessageV2) -> Self {
         match message {
             GatewayMessageV2::Gossip(records) => Self::Gossip(records),
-            GatewayMessageV2::Follow(request) => Self::Follow(request),
+            GatewayMessageV2::Follow(request) => Self::Follow(request.into()),
             GatewayMessageV2::FollowAnswer(answer) => {
                 Self::FollowAnswer(Box::new((*answer).into()))
             }
--- a/crates/peer/src/gateway.rs
+++ b/crates/peer/src/gateway.rs
@@ -18,12 +18,25 @@
     pub config: Option<ConfigVersion>,
     /// Digest of the directory that it has.
     pub content: ContentDigest,
+    /// Revisions up to which the parts of that directory were read.
+    pub revisions: PartRevisions,
     /// Longest time to delay the answer while nothing changes, in milliseconds.
     pub wait_millis: u32,
     /// Whether the host grants permits to others. The answer then includes the rate usage of teams.
     pub is_dispatcher: bool,
 }
 
+/// The directory of a host, compared with that of the host that follows it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum DirectoryUpdate {
+    /// The contents are equal.
+    Same,
+    /// The contents differ, and no part was read later than on the requesting host.
+    Older,
+    /// The contents differ, and a part was read later.
+    Replaced(TargetDirectory),
+}
+
 /// The answer to a [`FollowRequest`]: what has changed.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct FollowAnswer {
@@ -37,10 +50,10 @@
     pub target_age_millis: Option<u32>,
     /// The configuration, if the requesting host has a lower version.
     pub config: Option<GatewayConfig>,
-    /// The directory, if the requesting host has a different one.
-    pub directory: Option<TargetDirectory>,
-    /// Revision up to which the store was read.
-    pub as_of: StoreRevision,
+    /// The directory, compared with that of the requesting host.
+    pub directory: DirectoryUpdate,
+    /// Revisions up to which the parts of the directory were read.
+    pub revisions: PartRevisions,
     /// Usage of the teams at this host since its start.
     pub usage: Vec<TeamUsage>,
     /// Number of hosts that poll this host for changes.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -43,6 +43,7 @@
             RequestId, //
         },
         gateway::{
+            DirectoryUpdate,
             FollowAnswer,
             FollowRequest,
             GatewayMessage,
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -104,8 +104,8 @@
         age_millis: Some(120),
         target_age_millis: Some(300),
         config: None,
-        directory: Some(TargetDirectory::new()),
-        as_of: StoreRevision::new(9),
+        directory: DirectoryUpdate::Replaced(TargetDirectory::new()),
+        revisions: PartRevisions::new(StoreRevision::new(9)),
         usage: Vec::new(),
         follower_count: 3,
     }
