Ask other hosts to read the store as soon as it does not serve a dispatcher

Callers saw: requests to a target that had left, 2,658 ms after the store's acknowledgement (bound 2,500 ms). Cause: each host waited, by its rank, for an age of 1.25 to 2 s before it read the store, counted from a contact that was up to 0.5 s younger than the last read of targets; the dispatcher followed its first four hosts only. With these refused, the sum is 2.75 s, or has no limit. Change: a dispatcher whose call failed or got no answer in time asks four hosts at once to watch the store; those that are served stay asked, the others are replaced after 0.45 s by twice as many (ReaderSearch). Followers that reach no dispatcher read by their copy's age, as shares of the bound.

--- a/crates/directory/src/change_budget.rs
+++ b/crates/directory/src/change_budget.rs
@@ -33,6 +33,16 @@
 /// Share for the answer of a second source, in thousandths.
 const ANSWER_MILLE: u32 = 100;
 
+/// Share from which the first follower reads the store itself, in thousandths: more than the age of a copy that it gets
+/// from its dispatcher by a long poll as usual.
+const READ_MILLE: u32 = 600;
+
+/// Addition to [`READ_MILLE`] for each host of the zone that started earlier, in thousandths.
+const READ_STEP_MILLE: u32 = 50;
+
+/// Maximum number of [`READ_STEP_MILLE`]s that are added.
+const READ_STEPS_MAX: u32 = 4;
+
 /// Time limits that follow from the bound for changes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ChangeBudget {
@@ -82,6 +92,33 @@
         self.share(CALL_MILLE)
     }
 
+    /// Returns the highest age of a copy that the store serves as usual.
+    pub fn current_age(self) -> Duration {
+        self.share(COLLECT_MILLE + CHECK_MILLE)
+    }
+
+    /// Returns the age from which a copy shows that an answer is overdue.
+    pub fn late_age(self) -> Duration {
+        self.current_age() + self.silence_limit()
+    }
+
+    /// Returns the long-poll wait of a follower.
+    pub fn follow_wait(self) -> Duration {
+        self.share(COLLECT_MILLE)
+    }
+
+    /// Returns the long-poll wait of a dispatcher that asks another host to read the store.
+    pub fn ask_wait(self) -> Duration {
+        self.share(CHECK_MILLE)
+    }
+
+    /// Returns the age from which a follower reads the store itself. The hosts that started first read first, so that
+    /// few calls are made while the store is down; `rank` is the number of hosts that started earlier.
+    pub fn read_age(self, rank: usize) -> Duration {
+        let steps = u32::try_from(rank).map_or(READ_STEPS_MAX, |rank| rank.min(READ_STEPS_MAX));
+        self.share(READ_MILLE + READ_STEP_MILLE * steps)
+    }
+
     /// Returns the interval at which a host checks whether its sources are served.
     pub fn check_period(self) -> Duration {
         self.share(CHECK_MILLE)
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`targets`]: the registered targets and the evacuated zones.
 //! - [`tracker`]: applies changes of the store to the directory, and keeps entries that lapse in a store outage.
 //! - [`change_budget`]: time limits of the steps from a change in the store to its use.
+//! - [`reader_search`]: selects the hosts that a dispatcher asks to read the store in its place.
 //! - [`outage`]: tells an outage of the store from a refusal of this host alone.
 //! - [`contact`]: age of this host's copy of the store, and whether keys may still be trusted.
 //!
@@ -14,6 +15,7 @@
 pub mod config;
 pub mod contact;
 pub mod outage;
+pub mod reader_search;
 pub mod routing;
 pub mod targets;
 pub mod tracker;
@@ -39,6 +41,10 @@
             StoreContact,
             StorePart, //
         },
+        reader_search::{
+            OwnCopy,
+            ReaderSearch, //
+        },
         routing::{
             RouteIndex,
             RoutingError, //
--- a/crates/directory/tests/change_budget.rs
+++ b/crates/directory/tests/change_budget.rs
@@ -24,3 +24,29 @@
         }
     }
 }
+
+/// Guards against a dispatcher without a served source for longer than the bound: the store does not answer it, and the
+/// first hosts that it asks are refused, too.
+#[test]
+fn second_round_of_asked_readers_keeps_within_the_bound() {
+    for budget in BOUNDS.map(ChangeBudget::new) {
+        let asked_at = budget.late_age() + budget.check_period();
+        let first_round = asked_at + budget.answer_time();
+        assert!(first_round <= budget.bound() * 6 / 10, "{first_round:?}");
+        let trial_time = budget.silence_limit() + budget.answer_time();
+        let second_round = asked_at + trial_time + budget.check_period() + budget.answer_time();
+        assert!(second_round <= budget.bound(), "{second_round:?}");
+    }
+}
+
+/// Guards against a host without a dispatcher in reach that reads the store too late, and against followers that read
+/// it in ordinary operation.
+#[test]
+fn followers_read_in_time_and_not_too_early() {
+    for budget in BOUNDS.map(ChangeBudget::new) {
+        let last = budget.read_age(usize::MAX) + budget.check_period() + budget.answer_time();
+        assert!(last <= budget.bound(), "{last:?}");
+        let usual = budget.current_age() + budget.follow_wait();
+        assert!(usual < budget.read_age(1), "{usual:?}");
+    }
+}
--- a/crates/gateway/src/follow_loop.rs
+++ b/crates/gateway/src/follow_loop.rs
@@ -1,8 +1,8 @@
 //! Receives updates of the store's contents and of team usage from other hosts, by long polling.
 //!
 //! A host follows the dispatcher of its zone. A dispatcher follows the dispatchers of the other zones, for
-//! the team usage there, and the next host in rank of its own zone, which reads the store if the dispatcher
-//! cannot. The store may refuse that host too, so a dispatcher whose calls fail follows several of the next hosts.
+//! the team usage there, and the next host in rank of its own zone, which would take over from it. A dispatcher that
+//! the store does not serve also follows hosts that it asks to read the store.
 
 use std::{
     sync::Arc,
@@ -29,40 +29,37 @@
 /// directory immediately; its next one comes with its watch of the store, about every 0.5 s.
 const STALE_ANSWER_PAUSE: Duration = Duration::from_millis(200);
 
-/// Long-poll wait of a follower: time for which the other host delays its answer while nothing changes.
-const FOLLOW_WAIT: Duration = Duration::from_millis(500);
-
 /// Long-poll wait between dispatchers. It bounds the delay until the other zones learn what a team has spent.
 const DISPATCHER_WAIT: Duration = Duration::from_millis(250);
 
 /// Timeout for an answer, in addition to the long-poll wait.
 const ANSWER_LIMIT: Duration = Duration::from_millis(500);
 
-/// Interval at which the set of followed hosts is updated.
-const CHECK_PERIOD: Duration = Duration::from_millis(200);
-
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(200);
 
-/// Number of hosts of its zone that a dispatcher follows while its calls to the store fail. If the store refuses half
-/// of all hosts, it refuses all four in one zone of 16.
-const STORE_READERS_FOLLOWED: usize = 4;
+/// A host that this one follows.
+#[derive(Clone, Debug)]
+struct Upstream {
+    member: MemberRecord,
+    /// Whether it should read the store, because the store does not serve this host.
+    is_read_wanted: bool,
+}
 
 /// Returns the hosts that this one should follow now.
-fn upstreams(state: &GatewayState) -> Vec<MemberRecord> {
+fn upstreams(state: &GatewayState) -> Vec<Upstream> {
     let now = state.now();
     let own = &state.settings.zone;
     let ranked = state.gossip.ranked(own, now);
     let is_self = |record: &MemberRecord| record.host == state.settings.host;
+    let follow = |member| Upstream {
+        member,
+        is_read_wanted: false,
+    };
     if ranked.first().is_some_and(|first| !is_self(first)) {
-        return ranked.into_iter().take(1).collect();
+        return ranked.into_iter().take(1).map(follow).collect();
     }
-    let own_zone_count = match state.store_cache.is_store_failing() {
-        true => STORE_READERS_FOLLOWED,
-        false => 1,
-    };
-    let next_in_rank = ranked.into_iter().skip(1);
-    let mut upstreams: Vec<MemberRecord> = next_in_rank.take(own_zone_count).collect();
+    let mut upstreams = own_zone_upstreams(state, ranked);
     let mut zones: Vec<ZoneId> = Vec::new();
     for record in state.gossip.records() {
         if record.zone != *own && !zones.contains(&record.zone) {
@@ -70,40 +67,71 @@
         }
     }
     for zone in zones {
-        upstreams.extend(state.gossip.ranked(&zone, now).into_iter().take(1));
+        let ranked = state.gossip.ranked(&zone, now);
+        upstreams.extend(ranked.into_iter().take(1).map(follow));
     }
     upstreams
 }
 
+/// Returns the hosts of its zone that a dispatcher follows: the next one in rank, and those that it asks to read the
+/// store.
+fn own_zone_upstreams(state: &GatewayState, ranked: Vec<MemberRecord>) -> Vec<Upstream> {
+    let now = state.now();
+    let others: Vec<MemberRecord> = ranked.into_iter().skip(1).collect();
+    let names: Vec<HostId> = others.iter().map(|record| record.host.clone()).collect();
+    let own = OwnCopy {
+        age: state.store_cache.copy_age(now),
+        is_store_failing: state.store_cache.is_store_failing(),
+    };
+    let mut search = state.reader_search();
+    search.update(&names, own, state.change_budget(), now);
+    let upstreams = others.into_iter().enumerate();
+    let upstreams = upstreams.map(|(rank, member)| {
+        let is_read_wanted = search.is_asked(&member.host);
+        let upstream = Upstream {
+            member,
+            is_read_wanted,
+        };
+        (rank == 0 || is_read_wanted).then_some(upstream)
+    });
+    upstreams.flatten().collect()
+}
+
 /// Runs one task for each host that this one follows, for as long as the process runs.
 pub async fn follow(state: Arc<GatewayState>) {
-    let mut tasks: IndexMap<HostId, JoinHandle<()>> = IndexMap::new();
+    let mut tasks: IndexMap<(HostId, bool), JoinHandle<()>> = IndexMap::new();
     loop {
         let upstreams = upstreams(&state);
-        tasks.retain(|host, task| {
-            let is_wanted = upstreams.iter().any(|upstream| upstream.host == *host);
+        let key = |upstream: &Upstream| (upstream.member.host.clone(), upstream.is_read_wanted);
+        let wanted: Vec<(HostId, bool)> = upstreams.iter().map(key).collect();
+        tasks.retain(|running, task| {
+            let is_wanted = wanted.contains(running);
             if !is_wanted {
                 task.abort();
             }
             is_wanted && !task.is_finished()
         });
         for upstream in upstreams {
-            let host = upstream.host.clone();
             let task_state = state.clone();
             tasks
-                .entry(host)
+                .entry(key(&upstream))
                 .or_insert_with(|| tokio::spawn(follow_host(task_state, upstream)));
         }
-        tokio::time::sleep(CHECK_PERIOD).await;
+        tokio::time::sleep(state.change_budget().check_period()).await;
     }
 }
 
-async fn follow_host(state: Arc<GatewayState>, upstream: MemberRecord) {
+async fn follow_host(state: Arc<GatewayState>, upstream: Upstream) {
+    let Upstream {
+        member,
+        is_read_wanted,
+    } = upstream;
     loop {
         let is_dispatcher = state.is_dispatcher();
-        let wait = match is_dispatcher {
-            true => DISPATCHER_WAIT,
-            false => FOLLOW_WAIT,
+        let wait = match (is_dispatcher, is_read_wanted) {
+            (_, true) => state.change_budget().ask_wait(),
+            (true, false) => DISPATCHER_WAIT,
+            (false, false) => state.change_budget().follow_wait(),
         };
         let index = state.store_cache.index();
         let (directory, revisions) = state.store_cache.directory_with_revisions();
@@ -113,18 +141,19 @@
             content: directory.content,
             revisions,
             wait_millis: whole_millis(wait),
+            is_read_wanted,
             is_dispatcher,
         };
         let sent_at = state.now();
         let message = GatewayMessage::Follow(request);
-        match call_member(&state, &upstream, message, wait + ANSWER_LIMIT).await {
+        match call_member(&state, &member, message, wait + ANSWER_LIMIT).await {
             Ok(GatewayMessage::FollowAnswer(answer)) => {
                 if !apply_answer(&state, *answer, sent_at) {
                     tokio::time::sleep(STALE_ANSWER_PAUSE).await;
                 }
             }
             Ok(_) => {
-                log::warn!("event=peer_answer_unexpected host={}", upstream.host);
+                log::warn!("event=peer_answer_unexpected host={}", member.host);
                 tokio::time::sleep(FAILURE_PAUSE).await;
             }
             // `call_member` has logged the loss of the host.
@@ -169,6 +198,9 @@
             state.store_cache.confirm_aged(part, age, created_at);
         }
     }
+    if answer.is_served {
+        state.reader_search().on_served(&host, now);
+    }
     let incarnation = answer.member.incarnation;
     let is_own_zone = answer.member.zone == state.settings.zone;
     let is_follower = !state.is_dispatcher();
--- a/crates/gateway/src/peer_service.rs
+++ b/crates/gateway/src/peer_service.rs
@@ -64,6 +64,9 @@
 async fn on_follow(state: &GatewayState, request: FollowRequest) -> PeerMessage {
     let arrival = state.now();
     state.gossip.merge(request.member.clone(), arrival);
+    if request.is_read_wanted {
+        state.on_read_wanted();
+    }
     // The usage of a dispatcher's followers is part of the dispatcher's own reports.
     if !request.is_dispatcher {
         state.on_follower(&request.member.host);
@@ -98,6 +101,9 @@
         held_millis: whole_millis(now.since(arrival)),
         age_millis: age_millis(StorePart::Operator),
         target_age_millis: age_millis(StorePart::Targets),
+        is_served: state
+            .store_cache
+            .is_served(state.change_budget().late_age(), now),
         config: config.map(|config| (*config).clone()),
         directory: update,
         revisions,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc, PoisonError, RwLock,
+        Arc, Mutex, MutexGuard, PoisonError, RwLock,
         atomic::{
             AtomicBool,
             Ordering, //
@@ -19,6 +19,7 @@
 use chicorycroft_membership::prelude::*;
 use chicorycroft_peer::prelude::*;
 use tokio::sync::{
+    Notify,
     Semaphore,
     oneshot, //
 };
@@ -34,6 +35,9 @@
 /// every 0.5 s.
 const FOLLOWER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time for which a host reads the store for another one after that asked for it.
+const READ_WANTED_FOR: Duration = Duration::from_secs(1);
+
 /// Fleet size that a host assumes while it starts. Deployments have 32 hosts or more.
 const FLEET_SIZE_ASSUMED: u32 = 32;
 
@@ -85,6 +89,10 @@
     seeds: RwLock<Vec<SocketAddr>>,
     followers: ShardMap<HostId, MonoTime>,
     reports: ShardMap<HostId, DispatcherReport>,
+    reader_search: Mutex<ReaderSearch>,
+    /// Time until which another host wants this one to read the store.
+    read_wanted_until: Mutex<MonoTime>,
+    read_wanted: Notify,
     is_stopping: AtomicBool,
 }
 
@@ -116,6 +124,9 @@
             seeds: RwLock::new(settings.seeds.clone()),
             followers: ShardMap::new(),
             reports: ShardMap::new(),
+            reader_search: Mutex::new(ReaderSearch::new()),
+            read_wanted_until: Mutex::new(MonoTime::START),
+            read_wanted: Notify::new(),
             is_stopping: AtomicBool::new(false),
             settings,
         }
@@ -136,6 +147,33 @@
         self.followers.insert(host.clone(), self.now());
     }
 
+    /// Returns the search for hosts that read the store in place of this one.
+    pub fn reader_search(&self) -> MutexGuard<'_, ReaderSearch> {
+        let search = self.reader_search.lock();
+        search.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn read_wanted_until(&self) -> MutexGuard<'_, MonoTime> {
+        let until = self.read_wanted_until.lock();
+        until.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records that another host wants this one to read the store.
+    pub fn on_read_wanted(&self) {
+        *self.read_wanted_until() = self.now().after(READ_WANTED_FOR);
+        self.read_wanted.notify_one();
+    }
+
+    /// Waits until another host wants this one to read the store.
+    pub async fn until_read_wanted(&self) {
+        self.read_wanted.notified().await;
+    }
+
+    /// Returns `true` if this host must watch the store: it is the dispatcher of its zone, or another host wants it to.
+    pub fn is_reader(&self) -> bool {
+        self.is_dispatcher() || self.now() < *self.read_wanted_until()
+    }
+
     /// Stores the latest report of another dispatcher.
     pub fn on_report(&self, host: &HostId, report: DispatcherReport) {
         self.reports.insert(host.clone(), report);
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -136,6 +136,15 @@
         lock(&self.tracker).on_failure(now);
     }
 
+    /// Returns `true` if the store itself, and not another host, confirmed both parts of the cached data last and within
+    /// `limit`.
+    pub fn is_served(&self, limit: Duration, now: MonoTime) -> bool {
+        let contacts = *lock(&self.contacts);
+        let is_confirmed = |part| contacts.part(part).source() == Some(ContactSource::Store);
+        let is_recent = contacts.age(now).is_some_and(|age| age.get() <= limit);
+        is_recent && StorePart::ALL.into_iter().all(is_confirmed)
+    }
+
     /// Returns `true` if the last call of this host to the store failed.
     pub fn is_store_failing(&self) -> bool {
         lock(&self.tracker).is_store_failing()
--- a/crates/gateway/src/store_loop.rs
+++ b/crates/gateway/src/store_loop.rs
@@ -1,7 +1,8 @@
 //! Reads the store when this host is responsible for it.
 //!
-//! The dispatcher of a zone watches the store. Another host reads it once when its cached data is too old.
-//! The hosts of a zone that started first read first, so the fleet makes few calls while the store is down.
+//! The dispatcher of a zone watches the store, and so do hosts that a dispatcher asks because the store does not serve
+//! it. Another host reads the store once when its cached data is too old. The hosts of a zone that started first read
+//! first, so the fleet makes few calls while the store is down.
 
 use std::{
     sync::Arc,
@@ -20,30 +21,19 @@
     },
 };
 
-/// Age of the cached data after which the first host in rank reads the store. A follower's copy is up to
-/// half a second old at its dispatcher, and one long poll of 0.5 s older here.
-const READ_AGE: Duration = Duration::from_millis(1000);
-
-/// Addition to [`READ_AGE`] for each host of the zone that started earlier. A target that leaves must be known within
-/// two seconds also if the store refuses the first hosts in rank.
-const READ_AGE_STEP: Duration = Duration::from_millis(250);
-
 /// Time after the start at which a host without data reads the store. It leaves a peer enough time to answer
 /// first.
 const FIRST_READ_DELAY: Duration = Duration::from_millis(100);
 
-/// Maximum number of [`READ_AGE_STEP`]s that are added.
-const READ_AGE_STEPS_MAX: u32 = 4;
-
-/// Waits until this host is no longer the dispatcher of its zone.
+/// Waits until this host need not watch the store any more.
 async fn until_watch_ends(state: &GatewayState) {
-    while state.is_dispatcher() {
+    while state.is_reader() {
         tokio::time::sleep(state.change_budget().check_period()).await;
     }
 }
 
-/// Reads and watches both parts of the store as the dispatcher of a zone, until another host takes over.
-async fn read_as_dispatcher(state: &GatewayState, store: &StoreClient) {
+/// Reads and watches both parts of the store, until another host takes over.
+async fn watch_store(state: &GatewayState, store: &StoreClient) {
     let [operator, targets] = StorePart::ALL.map(|part| PartReader::new(state, store, part));
     tokio::select! {
         () = operator.follow() => {}
@@ -75,8 +65,7 @@
     let Some(age) = state.store_cache.copy_age(now) else {
         return now.since(started_at) > FIRST_READ_DELAY;
     };
-    let rank = u32::try_from(state.rank()).unwrap_or(u32::MAX);
-    age.get() > READ_AGE + READ_AGE_STEP * rank.min(READ_AGE_STEPS_MAX)
+    age.get() > state.change_budget().read_age(state.rank())
 }
 
 /// Reads or watches the store as needed for as long as the process runs.
@@ -85,8 +74,8 @@
     let started_at = state.now();
     loop {
         let is_alone = state.gossip.known_count() == 1;
-        if state.is_dispatcher() && (!is_alone || should_read(&state, started_at)) {
-            read_as_dispatcher(&state, &store).await;
+        if state.is_reader() && (!is_alone || should_read(&state, started_at)) {
+            watch_store(&state, &store).await;
         } else if should_read(&state, started_at) {
             read_once(&state, &store).await;
         } else {
@@ -95,7 +84,10 @@
                 true => FIRST_READ_DELAY / 2,
                 false => state.change_budget().check_period(),
             };
-            tokio::time::sleep(period).await;
+            tokio::select! {
+                () = tokio::time::sleep(period) => {}
+                () = state.until_read_wanted() => {}
+            }
         }
     }
 }
--- a/crates/peer/src/format_v2.rs
+++ b/crates/peer/src/format_v2.rs
@@ -48,6 +48,7 @@
             // Any directory with another content counts as later.
             revisions: PartRevisions::default(),
             wait_millis: request.wait_millis,
+            is_read_wanted: false,
             is_dispatcher: request.is_dispatcher,
         }
     }
@@ -91,6 +92,7 @@
             held_millis: answer.held_millis,
             age_millis: answer.age_millis,
             target_age_millis: answer.age_millis,
+            is_served: false,
             config: answer.config,
             directory: answer
                 .directory
--- a/crates/peer/src/gateway.rs
+++ b/crates/peer/src/gateway.rs
@@ -22,6 +22,8 @@
     pub revisions: PartRevisions,
     /// Longest time to delay the answer while nothing changes, in milliseconds.
     pub wait_millis: u32,
+    /// Whether the other host should read the store, because the store does not serve this one.
+    pub is_read_wanted: bool,
     /// Whether the host grants permits to others. The answer then includes the rate usage of teams.
     pub is_dispatcher: bool,
 }
@@ -48,6 +50,8 @@
     pub age_millis: Option<u32>,
     /// Age of the host's copy of the targets' entries, in milliseconds.
     pub target_age_millis: Option<u32>,
+    /// Whether the store itself, and not another host, confirmed the copy of this host a short time ago.
+    pub is_served: bool,
     /// The configuration, if the requesting host has a lower version.
     pub config: Option<GatewayConfig>,
     /// The directory, compared with that of the requesting host.
