Follow the directory while requests wait for a slot

Cause: the targets of a pool followed the directory only when another request arrived, so that a waiting request could be granted a target that had left during its wait. Change: the periodic service of the queues updates each pool. Measured: waiting_request_gets_no_target_that_left_meanwhile failed with the old order of calls, which granted t-0 at 300 ms, and passes. Conclusion: a wait adds nothing to the age of what a dispatcher uses.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -110,8 +110,8 @@
         let cold_rate = terms.map_or(RequestRate::ZERO, |terms| terms.cold_rate);
         let key = (request.service.clone(), request.zone.clone());
         let answer = self.pools.with_or_insert(&key, ServicePool::new, |pool| {
-            let scope = (&request.service, request.zone.as_ref());
-            pool.update(directory, scope, (cold_rate, share.is_followed), now);
+            pool.set_cold_terms(cold_rate, share.is_followed);
+            pool.update(directory, (&request.service, request.zone.as_ref()), now);
             pool.admit(request, || self.next_number(), now)
         });
         self.charge_retry(request, answer, now)
@@ -158,10 +158,12 @@
         released.unwrap_or_default()
     }
 
-    /// Serves all queues. Called periodically, because waits and blocks end without a message.
-    pub fn serve_queues(&self, now: MonoTime) -> QueueChange {
+    /// Serves all queues with the targets of a directory. Called periodically, because waits and blocks end without a
+    /// message, and because targets leave while requests wait for them.
+    pub fn serve_queues(&self, directory: &TargetDirectory, now: MonoTime) -> QueueChange {
         let mut all = QueueChange::default();
-        self.pools.for_each(|_, pool| {
+        self.pools.for_each(|(service, zone), pool| {
+            pool.update(directory, (service, zone.as_ref()), now);
             let change = pool.serve_queue(|| self.next_number(), now);
             all.granted.extend(change.granted);
             all.expired.extend(change.expired);
--- a/crates/dispatch/src/service_pool.rs
+++ b/crates/dispatch/src/service_pool.rs
@@ -163,16 +163,19 @@
         }
     }
 
+    /// Sets the request rate of cold targets and whether they get requests at all.
+    pub fn set_cold_terms(&mut self, cold_rate: RequestRate, allows_cold_targets: bool) {
+        (self.cold_rate, self.allows_cold_targets) = (cold_rate, allows_cold_targets);
+    }
+
     /// Replaces the targets by those that the directory lists for the service and zone, if its content has changed.
     /// `None` as the zone means all zones.
     pub fn update(
         &mut self,
         directory: &TargetDirectory,
         (service, zone): (&ServiceId, Option<&ZoneId>),
-        (cold_rate, allows_cold_targets): (RequestRate, bool),
         now: MonoTime,
     ) {
-        (self.cold_rate, self.allows_cold_targets) = (cold_rate, allows_cold_targets);
         if self.directory_digest == Some(directory.content) {
             return;
         }
--- a/crates/dispatch/tests/dispatcher/waiting.rs
+++ b/crates/dispatch/tests/dispatcher/waiting.rs
@@ -104,8 +104,13 @@
         &waiting_request("1", "a", 1),
         at(1),
     ));
-    assert!(dispatcher.serve_queues(at(1400)).expired.is_empty());
-    let change = dispatcher.serve_queues(at(1501));
+    assert!(
+        dispatcher
+            .serve_queues(&directory, at(1400))
+            .expired
+            .is_empty()
+    );
+    let change = dispatcher.serve_queues(&directory, at(1501));
     assert_eq!(change.expired[0].0, waiting);
 }
 
@@ -237,3 +242,25 @@
     // Ten completions per second for 1.5 s; four slots with requests of 250 ms would serve 24.
     assert_eq!(waiting.count(), 15);
 }
+
+/// Guards against a grant for a target that left while the request waited for a slot: the targets of a pool followed the
+/// directory only when another request arrived.
+#[test]
+fn waiting_request_gets_no_target_that_left_meanwhile() {
+    let (dispatcher, directory) = (ZoneDispatcher::new(0), directory_of(1));
+    let held = fill_slots(&dispatcher, &directory, "crowd");
+    let request = waiting_request("w", "crowd", 1);
+    let waiting = ticket(admit(&dispatcher, &directory, &request, at(100)));
+    let without_target = directory_of(0);
+    assert!(
+        dispatcher
+            .serve_queues(&without_target, at(200))
+            .granted
+            .is_empty()
+    );
+    let freed = release(&dispatcher, &held[0], AttemptResult::Good, at(300));
+    assert!(freed.granted.is_empty(), "{freed:?}");
+    let change = dispatcher.serve_queues(&without_target, at(1700));
+    let expired: Vec<TicketNumber> = change.expired.iter().map(|(ticket, _)| *ticket).collect();
+    assert_eq!(expired, [waiting]);
+}
--- a/crates/gateway/src/permit_service.rs
+++ b/crates/gateway/src/permit_service.rs
@@ -191,7 +191,9 @@
     loop {
         tokio::time::sleep(QUEUE_PERIOD).await;
         if !state.tickets.is_empty() {
-            notify_waiting(&state, state.dispatcher.serve_queues(state.now()));
+            let directory = state.store_cache.directory();
+            let change = state.dispatcher.serve_queues(&directory, state.now());
+            notify_waiting(&state, change);
         }
     }
 }
