Count a copy as confirmed at the end of an empty wait

Cause: the operators' watch confirmed a copy as of the time of its call, so that a copy which the store serves as usual seemed up to two waits old. Change: an empty answer confirms as of the end of the wait, for which the store has delayed it. Other readers are asked after failed and overdue calls, and by age only when two waits and an overdue answer have passed; followers read from 0.7 of the bound on. Conclusion: the sums of ChangeBudget still hold (tests of change_budget).

--- a/crates/directory/src/change_budget.rs
+++ b/crates/directory/src/change_budget.rs
@@ -33,12 +33,12 @@
 /// Share for the answer of a second source, in thousandths.
 const ANSWER_MILLE: u32 = 100;
 
-/// Share from which the first follower reads the store itself, in thousandths: more than the age of a copy that it gets
-/// from its dispatcher by a long poll as usual.
-const READ_MILLE: u32 = 600;
+/// Share from which the first host in rank reads the store itself, in thousandths: more than the age of a copy that a
+/// follower gets from its dispatcher by a long poll as usual.
+const READ_MILLE: u32 = 700;
 
 /// Addition to [`READ_MILLE`] for each host of the zone that started earlier, in thousandths.
-const READ_STEP_MILLE: u32 = 50;
+const READ_STEP_MILLE: u32 = 25;
 
 /// Maximum number of [`READ_STEP_MILLE`]s that are added.
 const READ_STEPS_MAX: u32 = 4;
@@ -92,14 +92,15 @@
         self.share(CALL_MILLE)
     }
 
-    /// Returns the highest age of a copy that the store serves as usual.
+    /// Returns the age that a copy has at most while nothing changes and the store serves it as usual.
     pub fn current_age(self) -> Duration {
         self.share(COLLECT_MILLE + CHECK_MILLE)
     }
 
-    /// Returns the age from which a copy shows that an answer is overdue.
+    /// Returns the age from which a copy shows that the store has not served it as usual. The operators' watch confirms a
+    /// copy as of the time of its call, so that a copy may be two waits old.
     pub fn late_age(self) -> Duration {
-        self.current_age() + self.silence_limit()
+        self.share(2 * COLLECT_MILLE + SILENCE_MILLE)
     }
 
     /// Returns the long-poll wait of a follower.
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -141,7 +141,12 @@
                 cache.on_store_answer(now);
             }
             cache.apply(self.part, &events, now);
-            cache.confirm(self.part, sent_at);
+            // The store delays an empty answer for the whole wait.
+            let confirmed_at = match events.items.is_empty() {
+                true => sent_at.after(wait).min(now),
+                false => sent_at,
+            };
+            cache.confirm(self.part, confirmed_at);
             tokio::time::sleep(pause).await;
         }
         Ok(())
