Send followers the changed entries in place of the whole directory

Cause: each change of one entry made a dispatcher send the whole directory to each host of its zone: with 421 targets and 30 followers close to a megabyte, which fills the 10 Mbit/s link of a small host for most of a second, twice a second while targets are replaced. Permits and answers of the store wait behind it. Change: a host keeps its last four directories and returns the changes since the one that the follower has. The result is checked by its digest; a follower whose directory is unknown or has changed meanwhile gets the whole one. A new configuration is still sent whole.

--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`config`]: routes, services, teams and limits of one version, validated together.
 //! - [`routing`]: lookup of the route, the team and the service of a request.
 //! - [`targets`]: the registered targets and the evacuated zones.
+//! - [`delta`]: the difference between two directories.
 //! - [`tracker`]: applies changes of the store to the directory, and keeps entries that lapse in a store outage.
 //! - [`change_budget`]: time limits of the steps from a change in the store to its use.
 //! - [`reader_search`]: selects the hosts that a dispatcher asks to read the store in its place.
@@ -14,6 +15,7 @@
 pub mod change_budget;
 pub mod config;
 pub mod contact;
+pub mod delta;
 pub mod outage;
 pub mod reader_search;
 pub mod routing;
@@ -41,6 +43,10 @@
             StoreContact,
             StorePart, //
         },
+        delta::{
+            DirectoryDelta,
+            DirectoryHistory, //
+        },
         reader_search::{
             OwnCopy,
             ReaderSearch, //
--- a/crates/gateway/src/follow_loop.rs
+++ b/crates/gateway/src/follow_loop.rs
@@ -172,14 +172,18 @@
     if let Some(config) = answer.config {
         state.store_cache.adopt_config(config, host.as_str());
     }
+    let is_from_upstream = !state.is_dispatcher();
+    let cache = &state.store_cache;
+    let adopt = |directory| cache.adopt_directory(directory, answer.revisions, is_from_upstream);
     let is_current = match answer.directory {
-        DirectoryUpdate::Replaced(directory) => {
-            let is_from_upstream = !state.is_dispatcher();
-            let cache = &state.store_cache;
-            cache.adopt_directory(directory, answer.revisions, is_from_upstream)
-        }
+        DirectoryUpdate::Replaced(directory) => adopt(directory),
+        DirectoryUpdate::Changed(delta) => match delta.apply(&cache.directory()) {
+            Some(directory) => adopt(directory),
+            // The directory of this host has changed since the request. The next request states the new content.
+            None => return true,
+        },
         DirectoryUpdate::Same => {
-            state.store_cache.on_same_directory(answer.revisions);
+            cache.on_same_directory(answer.revisions);
             true
         }
         // The other host has waited for a later state before it answered.
--- a/crates/gateway/src/peer_service.rs
+++ b/crates/gateway/src/peer_service.rs
@@ -85,7 +85,13 @@
     let now = state.now();
     let index = state.store_cache.index();
     let (directory, revisions) = state.store_cache.directory_with_revisions();
-    let update = match is_directory_later(directory.content, revisions, &request) {
+    let is_later = is_directory_later(directory.content, revisions, &request);
+    let changes = || state.store_cache.changes_since(request.content, &directory);
+    let update = match is_later {
+        true if request.revisions != PartRevisions::default() => changes().map_or_else(
+            || DirectoryUpdate::Replaced((*directory).clone()),
+            DirectoryUpdate::Changed,
+        ),
         true => DirectoryUpdate::Replaced((*directory).clone()),
         false if directory.content == request.content => DirectoryUpdate::Same,
         false => DirectoryUpdate::Older,
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -28,6 +28,7 @@
 pub struct StoreCache {
     index: RwLock<Option<Arc<RouteIndex>>>,
     tracker: Mutex<DirectoryTracker>,
+    history: Mutex<DirectoryHistory>,
     contacts: Mutex<CopyContacts>,
     /// Whether the copy of each part was late when it was used last, in the order of [`StorePart::ALL`].
     is_late: [AtomicBool; 2],
@@ -56,6 +57,7 @@
         Self {
             index: RwLock::new(None),
             tracker: Mutex::new(DirectoryTracker::new()),
+            history: Mutex::new(DirectoryHistory::new()),
             contacts: Mutex::new(CopyContacts::new()),
             is_late: Default::default(),
             changes: watch::Sender::new(0),
@@ -179,15 +181,17 @@
         update: impl FnOnce(&mut DirectoryTracker) -> T,
     ) -> T {
         let mut tracker = lock(&self.tracker);
-        let before = tracker.directory().content;
+        let before = tracker.directory().clone();
         let result = update(&mut tracker);
         let directory = tracker.directory().clone();
         drop(tracker);
-        if before == directory.content {
+        let previous = before.content;
+        if previous == directory.content {
             return result;
         }
+        lock(&self.history).push(before);
         log::info!(
-            "event=directory_changed content={} previous={before} as_of={} source={source} targets={} \
+            "event=directory_changed content={} previous={previous} as_of={} source={source} targets={} \
              evacuated={}",
             directory.content,
             directory.as_of,
@@ -240,6 +244,17 @@
         (tracker.directory().clone(), tracker.revisions())
     }
 
+    /// Returns the changes of a directory since it had a content, or `None` if that is not known any more.
+    pub fn changes_since(
+        &self,
+        content: ContentDigest,
+        directory: &TargetDirectory,
+    ) -> Option<DirectoryDelta> {
+        let history = lock(&self.history);
+        let base = history.find(content)?;
+        Some(DirectoryDelta::new(base, directory))
+    }
+
     /// Takes over the parts of another host's directory that were read later, and returns `false` if one was read
     /// earlier. If the directory comes from the host that this one follows, the same revision suffices.
     pub fn adopt_directory(
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -7,6 +7,7 @@
 
 use chicorycroft_adapter::prelude::*;
 use chicorycroft_core::prelude::*;
+use chicorycroft_directory::prelude::*;
 use chicorycroft_dispatch::prelude::*;
 use chicorycroft_gateway::{
     peer_calls::{
@@ -32,7 +33,8 @@
 
 use crate::test_gateway::{
     TestGateway,
-    host_settings, //
+    host_settings,
+    open_count, //
 };
 
 const LIMIT: Duration = Duration::from_secs(5);
@@ -159,3 +161,41 @@
     );
     assert_eq!(state.dispatcher.usage().len(), 1);
 }
+
+/// Guards against a dispatcher whose link is filled for most of a second by each change, because it sends the whole
+/// directory to every host of its zone.
+#[tokio::test]
+async fn answer_to_a_follower_has_the_changed_entries_only() {
+    let gateway = TestGateway::new(1).await;
+    let (store, target) = (&gateway.store, &gateway.targets[0]);
+    for number in 0..300 {
+        let entry = target.entry("rate", "a", "ready");
+        store.put(&format!("servers/s-{number}"), &entry);
+    }
+    gateway.wait_until(|host| open_count(host) == 301).await;
+    let state = gateway.host.state();
+    let (known, revisions) = state.store_cache.directory_with_revisions();
+    store.remove("servers/s-7");
+    gateway.wait_until(|host| open_count(host) == 300).await;
+    let request = FollowRequest {
+        member: state.gossip.own(),
+        config: Some(ConfigVersion::new(1)),
+        content: known.content,
+        revisions,
+        wait_millis: 100,
+        is_read_wanted: false,
+        is_dispatcher: false,
+    };
+    let message = PeerMessage::Gateway(GatewayMessage::Follow(request));
+    let answer = peer_service::on_message(state.clone(), message).await;
+    let codec = PeerCodec::new();
+    let bytes = codec.encode(&answer, codec.highest()).unwrap();
+    assert!(bytes.len() < 1000, "{} bytes", bytes.len());
+    let PeerMessage::Gateway(GatewayMessage::FollowAnswer(answer)) = answer else {
+        panic!("expected the answer to a follower");
+    };
+    let DirectoryUpdate::Changed(delta) = answer.directory else {
+        panic!("expected changes, got {:?}", answer.directory);
+    };
+    assert_eq!(delta.apply(&known).unwrap().targets.len(), 300);
+}
--- a/crates/peer/src/format_v2.rs
+++ b/crates/peer/src/format_v2.rs
@@ -76,7 +76,10 @@
             config: answer.config.clone(),
             directory: match &answer.directory {
                 DirectoryUpdate::Replaced(directory) => Some(directory.clone()),
-                DirectoryUpdate::Same | DirectoryUpdate::Older => None,
+                // Changes are returned only for revisions that a request of this version does not state.
+                DirectoryUpdate::Same | DirectoryUpdate::Older | DirectoryUpdate::Changed(_) => {
+                    None
+                }
             },
             as_of: answer.revisions.both(),
             usage: answer.usage.clone(),
--- a/crates/peer/src/gateway.rs
+++ b/crates/peer/src/gateway.rs
@@ -37,6 +37,8 @@
     Older,
     /// The contents differ, and a part was read later.
     Replaced(TargetDirectory),
+    /// As [`Self::Replaced`], as changes of the directory of the requesting host.
+    Changed(DirectoryDelta),
 }
 
 /// The answer to a [`FollowRequest`]: what has changed.
