Allow messages between hosts that hold the longest configuration

Callers saw: a route that had been added was not served by hosts that learn of it from their dispatcher. Cause: a message could hold 256 KiB. The answer with a configuration of 4,500 routes, which the platform's store holds, was refused as too long, and each host that asked for it took its dispatcher for lost. Change: messages hold 2 MiB. The transport test uses the limit itself in place of a number above the old one. Conclusion: a configuration of the store's largest value passes between hosts. Configurations of the size to design for are above that value and need another way.

--- a/crates/gateway/tests/gateway/configuration.rs
+++ b/crates/gateway/tests/gateway/configuration.rs
@@ -8,6 +8,8 @@
 
 use crate::test_gateway::{
     TestGateway,
+    WAIT_TIMEOUT,
+    call,
     open_count,
     wait_until, //
 };
@@ -154,3 +156,31 @@
         .wait_until(|_| cache.directory().targets.len() == 1)
         .await;
 }
+
+/// Guards against an added route that is served by the dispatcher only, because the configuration is too long for a
+/// message between hosts, and against hosts that take their dispatcher for lost then.
+#[tokio::test]
+async fn long_configuration_is_in_force_on_all_hosts() {
+    let gateway = TestGateway::new(1).await;
+    let follower = gateway.start_follower("edge-2").await;
+    let mut document = config(2, &["key-1"]);
+    let route = document["routes"]["open"].clone();
+    for number in 0..4500 {
+        let mut added = route.clone();
+        added["prefix"] = format!("/added-in-a-long-configuration/{number}/").into();
+        document["routes"][format!("added-{number}")] = added;
+    }
+    // The platform's store holds values of up to 1 MiB.
+    assert!(document.to_string().len() < 1 << 20);
+    gateway.store.put_config(&document);
+    let has_version = |host: &GatewayHost| version(host) == 2;
+    wait_until(WAIT_TIMEOUT, || has_version(&gateway.host)).await;
+    wait_until(follower.state().settings.change_bound, || {
+        has_version(&follower)
+    })
+    .await;
+    let address = follower.caller_address();
+    let added = "GET /added-in-a-long-configuration/4321/x";
+    assert_eq!(call(address, added, "", "").await.status, 200);
+    assert!(follower.state().remote_dispatcher().is_some());
+}
--- a/crates/gateway/tests/gateway/test_gateway.rs
+++ b/crates/gateway/tests/gateway/test_gateway.rs
@@ -118,6 +118,23 @@
         gateway
     }
 
+    /// Starts another host of the same zone and waits until it follows this one and lists all targets.
+    pub(crate) async fn start_follower(&self, host: &str) -> GatewayHost {
+        let settings = GatewaySettings {
+            seeds: vec![self.host.state().settings.peer_address],
+            ..host_settings(host, self.store.address())
+        };
+        let follower = GatewayHost::start(settings, GatewayClock::new())
+            .await
+            .unwrap();
+        wait_until(WAIT_TIMEOUT, || {
+            let is_following = follower.state().remote_dispatcher().is_some();
+            is_following && open_count(&follower) == open_count(&self.host)
+        })
+        .await;
+        follower
+    }
+
     /// Waits until the gateway reaches a state, and panics after [`WAIT_TIMEOUT`].
     pub(crate) async fn wait_until(&self, has_state: impl Fn(&GatewayHost) -> bool) {
         wait_until(WAIT_TIMEOUT, || has_state(&self.host)).await;
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -32,8 +32,9 @@
     },
 };
 
-/// Largest message, in bytes. It has room for the largest answer with parts and its envelope.
-pub const MESSAGE_BYTES_MAX: usize = 256 << 10;
+/// Largest message, in bytes. It has room for a configuration of the largest size that the platform's store holds, 1 MiB,
+/// and a directory of 17,000 targets.
+pub const MESSAGE_BYTES_MAX: usize = 2 << 20;
 
 /// Version of the message encoding.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
--- a/crates/peer/tests/transport.rs
+++ b/crates/peer/tests/transport.rs
@@ -10,7 +10,10 @@
 };
 
 use bytes::Bytes;
-use chicorycroft_peer::prelude::*;
+use chicorycroft_peer::{
+    codec::MESSAGE_BYTES_MAX,
+    prelude::*, //
+};
 use http::{
     Request,
     Response, //
@@ -179,7 +182,9 @@
         assert_eq!(message, PeerMessage::Refused(expected), "{path}");
     }
     let oversized = Request::post(format!("http://{address}/peer/message"));
-    let oversized = oversized.body(Full::from(vec![2; 300 << 10])).unwrap();
+    let oversized = oversized
+        .body(Full::from(vec![2; MESSAGE_BYTES_MAX + 1]))
+        .unwrap();
     let response = sender.send_request(oversized).await.unwrap();
     let (_, message) = PeerCodec::new().decode(&body_of(response).await).unwrap();
     assert_eq!(message, PeerMessage::Refused(RefusalReason::TooLarge));
