Test restarts between two versions and hosts with different versions

Cause: no test forced a configuration that comes back older between two hosts or over a restart; the tests of older and invalid versions had one host and no restart. Change: two tests with a refused dispatcher and a process that restarts while the version changes.

--- a/crates/gateway/tests/gateway/configuration.rs
+++ b/crates/gateway/tests/gateway/configuration.rs
@@ -11,14 +11,10 @@
     WAIT_TIMEOUT,
     call,
     open_count,
+    version,
     wait_until, //
 };
 
-fn version(host: &GatewayHost) -> u64 {
-    let index = host.state().store_cache.index();
-    index.map_or(0, |index| index.config().version().get())
-}
-
 /// Guards against a withdrawn key that still works, and against an older configuration version that replaces a
 /// newer one.
 #[tokio::test]
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -7,7 +7,6 @@
 
 use chicorycroft_adapter::prelude::*;
 use chicorycroft_core::prelude::*;
-use chicorycroft_directory::prelude::*;
 use chicorycroft_dispatch::prelude::*;
 use chicorycroft_gateway::{
     peer_calls::{
--- a/crates/gateway/tests/gateway/refused_reads.rs
+++ b/crates/gateway/tests/gateway/refused_reads.rs
@@ -9,8 +9,10 @@
 
 use crate::test_gateway::{
     WAIT_TIMEOUT,
+    call,
     host_settings,
     open_count,
+    version,
     wait_until, //
 };
 
@@ -29,6 +31,22 @@
     fronts: Vec<StoreFront>,
 }
 
+/// Starts a host with an address of the store for itself.
+async fn start_host(
+    store: &StoreStandIn,
+    number: usize,
+    seed: Option<&GatewayHost>,
+) -> (GatewayHost, StoreFront) {
+    let front = store.start_front().await.unwrap();
+    let seeds = seed.map(|host| host.state().settings.peer_address);
+    let settings = GatewaySettings {
+        seeds: seeds.into_iter().collect(),
+        ..host_settings(&format!("edge-{number}"), front.address())
+    };
+    let host = GatewayHost::start(settings, GatewayClock::new()).await;
+    (host.unwrap(), front)
+}
+
 impl HostGroup {
     /// Starts hosts and waits until they know each other and all targets.
     async fn new(host_count: usize, target_count: usize) -> Self {
@@ -42,17 +60,8 @@
         }
         let (mut hosts, mut fronts): (Vec<GatewayHost>, Vec<StoreFront>) = (Vec::new(), Vec::new());
         for number in 1..=host_count {
-            let front = store.start_front().await.unwrap();
-            let first = hosts.first();
-            let settings = GatewaySettings {
-                seeds: first
-                    .map(|host| host.state().settings.peer_address)
-                    .into_iter()
-                    .collect(),
-                ..host_settings(&format!("edge-{number}"), front.address())
-            };
-            let host = GatewayHost::start(settings, GatewayClock::new()).await;
-            hosts.push(host.unwrap());
+            let (host, front) = start_host(&store, number, hosts.first()).await;
+            hosts.push(host);
             fronts.push(front);
             // The order of the starts is the order in which hosts become dispatchers.
             sleep(Duration::from_millis(5)).await;
@@ -110,3 +119,34 @@
     group.refuse_first(6);
     group.drain_targets(1).await;
 }
+
+/// Guards against a configuration that comes back older: two hosts hand each other different versions, and the dispatcher
+/// has the earlier one.
+#[tokio::test]
+async fn hosts_with_different_versions_agree_on_the_later_one() {
+    let group = HostGroup::new(3, 1).await;
+    group.refuse_first(1);
+    for number in 2..5 {
+        group.store.put_config(&config(number, &["key-1"]));
+        wait_until(DRAIN_BOUND, || {
+            group.hosts.iter().all(|host| version(host) == number)
+        })
+        .await;
+    }
+    sleep(DRAIN_BOUND).await;
+    assert!(group.hosts.iter().all(|host| version(host) == 4));
+}
+
+/// Guards against a process that restarts between two versions and serves callers by the earlier one.
+#[tokio::test]
+async fn process_that_restarts_between_two_versions_serves_the_later_one() {
+    let mut group = HostGroup::new(2, 1).await;
+    let restarting = group.hosts.remove(1);
+    restarting.stop().await;
+    group.store.put_config(&config(2, &["key-2"]));
+    let (host, _front) = start_host(&group.store, 2, group.hosts.first()).await;
+    wait_until(WAIT_TIMEOUT, || host.state().is_ready()).await;
+    assert_eq!(version(&host), 2);
+    let answer = call(host.caller_address(), "GET /look/1", "key-1", "").await;
+    assert_eq!(answer.status, 401);
+}
--- a/crates/gateway/tests/gateway/test_gateway.rs
+++ b/crates/gateway/tests/gateway/test_gateway.rs
@@ -69,6 +69,12 @@
     directory.open_targets(&service).count()
 }
 
+/// Returns the version of the configuration in force on a host, or 0 before the first one.
+pub(crate) fn version(host: &GatewayHost) -> u64 {
+    let index = host.state().store_cache.index();
+    index.map_or(0, |index| index.config().version().get())
+}
+
 /// Waits until a state is reached, and panics after `limit`.
 pub(crate) async fn wait_until(limit: Duration, has_state: impl Fn() -> bool) {
     let end = Instant::now() + limit;
