Send nothing more to a target that says that it leaves

Callers saw: requests to a target that had said so in its answers; the header is new and was not read. Cause: only the store's entry told of a leaving target. Change: the adapter reads the header into TargetSignals. The host that saw it excludes that incarnation of the target from then on, also without the store or a dispatcher, and the release of the permit tells the dispatcher, which grants it to nobody. A later incarnation under the same id is not affected. Format version 3 carries the signals; version 2 does not. Measured: target_that_says_it_leaves_gets_no_further_request failed before (an answer of t-0) and passes; target_that_says_it_leaves_is_not_granted_to_any_host. Conclusion: what a host saw reaches its dispatcher before the store's entry does.

--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`routing`]: lookup of the route, the team and the service of a request.
 //! - [`targets`]: the registered targets and the evacuated zones.
 //! - [`delta`]: the difference between two directories.
+//! - [`signals`]: what a target says about itself in an answer.
 //! - [`tracker`]: applies changes of the store to the directory, and keeps entries that lapse in a store outage.
 //! - [`change_budget`]: time limits of the steps from a change in the store to its use.
 //! - [`reader_search`]: selects the hosts that a dispatcher asks to read the store in its place.
@@ -19,6 +20,7 @@
 pub mod outage;
 pub mod reader_search;
 pub mod routing;
+pub mod signals;
 pub mod targets;
 pub mod tracker;
 
@@ -55,6 +57,7 @@
             RouteIndex,
             RoutingError, //
         },
+        signals::TargetSignals,
         targets::{
             ContentDigest,
             PartRevisions,
--- /dev/null
+++ b/crates/directory/src/signals.rs
@@ -0,0 +1,13 @@
+//! What a target says about itself in an answer.
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// Statements of a target about itself in one answer.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TargetSignals {
+    /// Whether the target leaves. It finishes its requests and wants no new ones.
+    pub is_leaving: bool,
+}
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -142,6 +142,7 @@
             permit: grant.permit,
             result: AttemptResult::Cancelled,
             elapsed_millis: 0,
+            signals: TargetSignals::default(),
         };
         self.release(&notice, now);
         PoolAnswer::NoBudget
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,7 +4,7 @@
 //! - [`evidence`]: trust in a target, derived from the results of its recent attempts.
 //! - [`pacer`]: request rate of a cold target.
 //! - [`completion_window`]: completion rate of a pool over the last second.
-//! - [`unreachable_targets`]: targets that one host recently failed to connect to.
+//! - [`excluded_targets`]: targets that one host sends nothing to, although the directory lists them.
 //! - [`target_slots`]: the concurrency limit of one target.
 //! - [`waiting_queue`]: requests that wait for a slot.
 //! - [`service_pool`]: the targets of a service in a zone, and target selection.
@@ -17,13 +17,13 @@
 pub mod completion_window;
 pub mod dispatcher;
 pub mod evidence;
+pub mod excluded_targets;
 pub mod messages;
 pub mod pacer;
 pub mod service_pool;
 pub mod target_slots;
 pub mod team_bucket;
 pub mod time_budget;
-pub mod unreachable_targets;
 pub mod waiting_queue;
 
 /// The most commonly used items of this crate.
@@ -34,6 +34,7 @@
             ZoneDispatcher, //
         },
         evidence::TargetTrust,
+        excluded_targets::ExcludedTargets,
         messages::{
             AdmitAnswer,
             AdmitRequest,
@@ -54,6 +55,5 @@
             TimeBudget,
             hedge_delay, //
         },
-        unreachable_targets::UnreachableTargets,
     };
 }
--- a/crates/dispatch/src/messages.rs
+++ b/crates/dispatch/src/messages.rs
@@ -11,6 +11,7 @@
     define_counter,
     prelude::*, //
 };
+use chicorycroft_directory::prelude::*;
 use serde::{
     Deserialize,
     Serialize, //
@@ -167,6 +168,8 @@
     pub result: AttemptResult,
     /// Time from sending the request to the answer, in milliseconds.
     pub elapsed_millis: u32,
+    /// What the target said about itself.
+    pub signals: TargetSignals,
 }
 
 /// Requests that a dispatcher has charged to a team since its start.
--- a/crates/dispatch/src/service_pool.rs
+++ b/crates/dispatch/src/service_pool.rs
@@ -351,7 +351,8 @@
             self.mean_latency = (self.mean_latency * 15 + elapsed) / 16;
         }
         let target = self.targets.get_mut(&notice.target);
-        target.is_some_and(|target| target.release(notice.permit, notice.result, now))
+        target
+            .is_some_and(|target| target.release(notice.permit, notice.result, notice.signals, now))
     }
 
     fn expire(&mut self, now: MonoTime) {
--- a/crates/dispatch/src/target_slots.rs
+++ b/crates/dispatch/src/target_slots.rs
@@ -43,6 +43,8 @@
     granted_at: Option<MonoTime>,
     /// Whether the address belongs to another target by now.
     is_misdirected: bool,
+    /// Whether the target said that it leaves, which the directory may show later.
+    is_leaving: bool,
 }
 
 impl TargetSlots {
@@ -60,6 +62,7 @@
             listed_at: now,
             granted_at: None,
             is_misdirected: false,
+            is_leaving: false,
         }
     }
 
@@ -97,13 +100,14 @@
     }
 
     /// Returns `true` if the target has a free slot. A cold target gets one request at a time, paced; a target
-    /// whose address belongs to another one gets none.
+    /// that leaves or whose address belongs to another one gets none.
     pub fn has_free_slot(&self, now: MonoTime) -> bool {
         let limit = match self.pacer.is_cold(now) {
             true => 1,
             false => usize::from(self.entry.slots.get()),
         };
-        !self.is_misdirected && self.permits.len() < limit && self.pacer.may_send(now)
+        let is_usable = !self.is_misdirected && !self.is_leaving;
+        is_usable && self.permits.len() < limit && self.pacer.may_send(now)
     }
 
     /// Returns `true` if a blocked target may get a request now. A target that fails nearly all requests at once
@@ -160,12 +164,19 @@
         self.pacer.on_sent(cold_rate, now);
     }
 
-    /// Frees a slot and records the result of its request. Returns `true` if the result blocks a target that
-    /// was not blocked. A permit that is not open, such as an expired one, has no effect.
-    pub fn release(&mut self, permit: PermitNumber, result: AttemptResult, now: MonoTime) -> bool {
+    /// Frees a slot and records the result of its request and what the target said about itself. Returns `true` if the
+    /// result blocks a target that was not blocked. A permit that is not open, such as an expired one, has no effect.
+    pub fn release(
+        &mut self,
+        permit: PermitNumber,
+        result: AttemptResult,
+        signals: TargetSignals,
+        now: MonoTime,
+    ) -> bool {
         if self.permits.swap_remove(&permit).is_none() {
             return false;
         }
+        self.is_leaving |= signals.is_leaving;
         self.is_misdirected |= result == AttemptResult::Misdirected;
         self.evidence.record(result, now)
     }
--- a/crates/dispatch/tests/dispatcher/common.rs
+++ b/crates/dispatch/tests/dispatcher/common.rs
@@ -129,6 +129,19 @@
     }
 }
 
+/// Returns the notice of an attempt that ended after 250 ms.
+pub(crate) fn notice(grant: &DispatchGrant, result: AttemptResult) -> ReleaseNotice {
+    ReleaseNotice {
+        service: service(),
+        zone: Some(zone()),
+        target: grant.target.clone(),
+        permit: grant.permit,
+        result,
+        elapsed_millis: 250,
+        signals: TargetSignals::default(),
+    }
+}
+
 /// Releases a permit with the result of its attempt.
 pub(crate) fn release(
     dispatcher: &ZoneDispatcher,
@@ -136,13 +149,5 @@
     result: AttemptResult,
     now: MonoTime,
 ) -> QueueChange {
-    let notice = ReleaseNotice {
-        service: service(),
-        zone: Some(zone()),
-        target: grant.target.clone(),
-        permit: grant.permit,
-        result,
-        elapsed_millis: 250,
-    };
-    dispatcher.release(&notice, now).1
+    dispatcher.release(&notice(grant, result), now).1
 }
--- a/crates/dispatch/tests/dispatcher/selection.rs
+++ b/crates/dispatch/tests/dispatcher/selection.rs
@@ -241,10 +241,10 @@
 /// Guards against a host that keeps connecting to a target that it cannot reach.
 #[test]
 fn host_excludes_unreachable_targets() {
-    let unreachable = UnreachableTargets::new();
-    unreachable.on_unreachable(&target(1), at(0));
-    assert_eq!(unreachable.excluded(at(2900)), [target(1)]);
-    assert!(unreachable.excluded(at(3000)).is_empty());
+    let (targets, directory) = (ExcludedTargets::new(), directory_of(2));
+    targets.on_unreachable(&target(1), at(0));
+    assert_eq!(targets.excluded(&directory, at(2900)), [target(1)]);
+    assert!(targets.excluded(&directory, at(3000)).is_empty());
 }
 
 /// Guards against targets that fail all requests within milliseconds and attract the load of the pool, because
@@ -296,3 +296,29 @@
         first.target
     );
 }
+
+/// Guards against grants to other hosts for a target that said to one host that it leaves, and against a target that
+/// stays excluded although it has started again under the same id.
+#[test]
+fn target_that_says_it_leaves_is_not_granted_to_any_host() {
+    let (dispatcher, targets) = (ZoneDispatcher::new(0), ExcludedTargets::new());
+    let directory = directory_of(1);
+    let held = grant(&dispatcher, &directory, &request("1"), at(0));
+    let notice = ReleaseNotice {
+        signals: TargetSignals { is_leaving: true },
+        ..notice(&held, AttemptResult::Good)
+    };
+    dispatcher.release(&notice, at(100));
+    targets.on_leaving(&entry(0), at(100));
+    let answer = admit(&dispatcher, &directory, &request("2"), at(200));
+    assert!(matches!(answer, PoolAnswer::Busy { .. }), "{answer:?}");
+    assert_eq!(targets.excluded(&directory, at(60_000)), [target(0)]);
+    let restarted = TargetEntry {
+        born: 2,
+        ..entry(0)
+    };
+    assert!(!targets.is_leaving(&restarted));
+    let directory = self::directory(vec![restarted]);
+    assert!(targets.excluded(&directory, at(60_000)).is_empty());
+    grant(&dispatcher, &directory, &request("3"), at(60_000));
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -77,6 +77,8 @@
     pub response: Option<Response<Bytes>>,
     /// Reason for the log.
     pub reason: &'static str,
+    /// What the target said about itself.
+    pub signals: TargetSignals,
 }
 
 impl ExchangeOutcome {
@@ -86,6 +88,7 @@
             proof,
             response: None,
             reason,
+            signals: TargetSignals::default(),
         }
     }
 }
@@ -184,6 +187,11 @@
     if headers::request_id(&parts.headers) != Some(outgoing.id.as_str()) {
         return broken("answer-to-another-request");
     }
+    let signals = headers::target_signals(&parts.headers);
+    let broken = |reason| ExchangeOutcome {
+        signals,
+        ..broken(reason)
+    };
     let body = AnswerBody::new(body, connection.read_meter.clone());
     let (body, _memory) = match read_whole(&state.body_memory, body, ANSWER_BYTES_MAX).await {
         Ok(read) => read,
@@ -196,7 +204,10 @@
         Err(BodyReadError::Cut | BodyReadError::TooSlow) => return broken("cut-in-answer"),
     };
     let keep_alive = headers::keep_alive(&parts.headers);
-    let outcome = classify(Response::from_parts(parts, body));
+    let outcome = ExchangeOutcome {
+        signals,
+        ..classify(Response::from_parts(parts, body))
+    };
     if outcome.proof == RunProof::NotRun {
         connection.on_refused(&outgoing.id);
     }
@@ -249,5 +260,6 @@
         proof: RunProof::Ran,
         response: Some(response),
         reason: "answered",
+        signals: TargetSignals::default(),
     }
 }
--- a/crates/gateway/src/permit_client.rs
+++ b/crates/gateway/src/permit_client.rs
@@ -6,6 +6,7 @@
 };
 
 use chicorycroft_core::prelude::*;
+use chicorycroft_directory::prelude::*;
 use chicorycroft_dispatch::prelude::*;
 use chicorycroft_membership::prelude::*;
 use chicorycroft_peer::prelude::*;
@@ -77,9 +78,14 @@
         self.hedge_delay
     }
 
-    /// Releases the permit with the result of its attempt.
-    pub fn complete(mut self, result: AttemptResult) {
-        self.notice.result = result;
+    /// Releases the permit of a request that was not sent.
+    pub fn cancel(self) {
+        self.complete(AttemptResult::Cancelled, TargetSignals::default());
+    }
+
+    /// Releases the permit with the result of its attempt and what the target said about itself.
+    pub fn complete(mut self, result: AttemptResult, signals: TargetSignals) {
+        (self.notice.result, self.notice.signals) = (result, signals);
         self.is_completed = true;
     }
 }
@@ -183,6 +189,7 @@
             permit: grant.permit,
             result: AttemptResult::Cancelled,
             elapsed_millis: 0,
+            signals: TargetSignals::default(),
         },
         granted_at: state.now(),
         hedge_delay: hedge_delay(mean_latency),
--- a/crates/gateway/src/request_attempts.rs
+++ b/crates/gateway/src/request_attempts.rs
@@ -154,10 +154,10 @@
         }
     }
 
-    /// Returns the targets that must not be selected: those already tried and those this host recently failed
-    /// to reach.
+    /// Returns the targets that must not be selected: those already tried and those that this host excludes.
     fn excluded_targets(&self) -> Vec<TargetId> {
-        let mut excluded = self.state.unreachable.excluded(self.state.now());
+        let directory = self.state.store_cache.directory();
+        let mut excluded = self.state.excluded.excluded(&directory, self.state.now());
         excluded.extend(self.tried.iter().cloned());
         excluded
     }
@@ -237,11 +237,14 @@
         let directory = self.state.store_cache.directory();
         // This host may learn that a target is leaving before its dispatcher does.
         let entry = directory.targets.get(permit.target());
-        match entry.filter(|entry| directory.is_open(entry)) {
+        let is_open = |entry: &&TargetEntry| {
+            directory.is_open(entry) && !self.state.excluded.is_leaving(entry)
+        };
+        match entry.filter(is_open) {
             Some(entry) => Ok((permit, entry.clone())),
             None => {
                 self.tried.push(permit.target().clone());
-                permit.complete(AttemptResult::Cancelled);
+                permit.cancel();
                 Err(BUSY_ANSWER)
             }
         }
@@ -256,7 +259,7 @@
                 Err(refusal) => return self.refuse(&refusal),
             };
             if !self.budget().is_sendable() {
-                permit.complete(AttemptResult::Cancelled);
+                permit.cancel();
                 return self.refuse(&BUSY_ANSWER);
             }
             let outcome = self.attempt(permit, entry).await;
@@ -344,9 +347,12 @@
                 time_left().as_millis()
             );
             if outcome.result == AttemptResult::Unreachable {
-                state.unreachable.on_unreachable(&entry.id, state.now());
+                state.excluded.on_unreachable(&entry.id, state.now());
+            }
+            if outcome.signals.is_leaving && state.excluded.on_leaving(&entry, state.now()) {
+                log::info!("event=target_leaving id={} target={}", plan.id, entry.id);
             }
-            permit.complete(outcome.result);
+            permit.complete(outcome.result, outcome.signals);
             outcome
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -80,8 +80,8 @@
     pub peers: PeerClient,
     /// Idle connections to targets.
     pub connections: ConnectionPool,
-    /// Targets that this host recently failed to reach.
-    pub unreachable: UnreachableTargets,
+    /// Targets that this host sends nothing to.
+    pub excluded: ExcludedTargets,
     /// Counters and histograms.
     pub metrics: GatewayMetrics,
     /// Memory for bodies of requests and answers; one permit stands for 1 KiB.
@@ -118,7 +118,7 @@
             tickets: ShardMap::new(),
             peers: PeerClient::new(),
             connections: ConnectionPool::new(),
-            unreachable: UnreachableTargets::new(),
+            excluded: ExcludedTargets::new(),
             metrics,
             body_memory: Arc::new(Semaphore::new(BODY_KIB_MAX)),
             seeds: RwLock::new(settings.seeds.clone()),
--- a/crates/gateway/tests/gateway/requests.rs
+++ b/crates/gateway/tests/gateway/requests.rs
@@ -14,6 +14,7 @@
 
 use crate::test_gateway::{
     TestGateway,
+    call,
     call_with_id, //
 };
 
@@ -261,3 +262,30 @@
     let answer = gateway.call("POST /buy/1", "key-1", "x").await;
     assert_eq!(answer.body.len(), 2 << 20);
 }
+
+/// Guards against requests to a target that says in its answers that it leaves, while the store still lists it as ready.
+#[tokio::test]
+async fn target_that_says_it_leaves_gets_no_further_request() {
+    let gateway = TestGateway::new(2).await;
+    let follower = gateway.start_follower("edge-2").await;
+    let leaving = &gateway.targets[0];
+    leaving.set_default_behaviour(Some(TargetBehaviour::Leaving));
+    while leaving.requests().is_empty() {
+        assert_eq!(gateway.call("GET /look/1", "key-1", "").await.status, 200);
+    }
+    let sent_before = leaving.requests().len();
+    for host in [&gateway.host, &follower] {
+        let address = host.caller_address();
+        // One target has two slots.
+        let lines = ["GET /look/2", "POST /buy/2", "GET /look/3", "POST /buy/3"];
+        let [first, second, third, fourth] = lines.map(|line| call(address, line, "key-1", ""));
+        let answers = tokio::join!(first, second, third, fourth);
+        for answer in [answers.0, answers.1, answers.2, answers.3] {
+            assert_eq!(
+                (answer.status, answer.body.as_str()),
+                (200, "answer of t-1")
+            );
+        }
+    }
+    assert_eq!(leaving.requests().len(), sent_before);
+}
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -1,7 +1,7 @@
 //! The encoding of messages: one byte for the format version, one for the kind, then the fields in bincode.
 //!
 //! Version 2 added the suspect flag of a target's load, and version 3 the ages and revisions of both parts of the
-//! store. A host decodes
+//! store, and what targets say about themselves. A host decodes
 //! all versions and answers in the version of the request, so that hosts of two releases work together during a
 //! rolling upgrade.
 
--- a/crates/peer/src/format_v2.rs
+++ b/crates/peer/src/format_v2.rs
@@ -107,6 +107,69 @@
     }
 }
 
+/// Release of a permit in format version 2, without what the target said about itself.
+#[derive(Deserialize, Serialize)]
+pub(crate) struct ReleaseNoticeV2 {
+    service: ServiceId,
+    zone: Option<ZoneId>,
+    target: TargetId,
+    permit: PermitNumber,
+    result: AttemptResult,
+    elapsed_millis: u32,
+}
+
+impl From<&ReleaseNotice> for ReleaseNoticeV2 {
+    fn from(notice: &ReleaseNotice) -> Self {
+        Self {
+            service: notice.service.clone(),
+            zone: notice.zone.clone(),
+            target: notice.target.clone(),
+            permit: notice.permit,
+            result: notice.result,
+            elapsed_millis: notice.elapsed_millis,
+        }
+    }
+}
+
+impl From<ReleaseNoticeV2> for ReleaseNotice {
+    fn from(notice: ReleaseNoticeV2) -> Self {
+        Self {
+            service: notice.service,
+            zone: notice.zone,
+            target: notice.target,
+            permit: notice.permit,
+            result: notice.result,
+            elapsed_millis: notice.elapsed_millis,
+            signals: TargetSignals::default(),
+        }
+    }
+}
+
+/// A relayed call in format version 2.
+#[derive(Deserialize, Serialize)]
+pub(crate) enum RelayedCallV2 {
+    Admit(AdmitRequest),
+    Release(ReleaseNoticeV2),
+}
+
+impl From<&RelayedCall> for RelayedCallV2 {
+    fn from(call: &RelayedCall) -> Self {
+        match call {
+            RelayedCall::Admit(request) => Self::Admit(request.clone()),
+            RelayedCall::Release(notice) => Self::Release(notice.into()),
+        }
+    }
+}
+
+impl From<RelayedCallV2> for RelayedCall {
+    fn from(call: RelayedCallV2) -> Self {
+        match call {
+            RelayedCallV2::Admit(request) => Self::Admit(request),
+            RelayedCallV2::Release(notice) => Self::Release(notice.into()),
+        }
+    }
+}
+
 /// A message between gateway hosts in format version 2.
 #[derive(Deserialize, Serialize)]
 pub(crate) enum GatewayMessageV2 {
@@ -115,8 +178,8 @@
     FollowAnswer(Box<FollowAnswerV2>),
     Admit(AdmitRequest),
     Admitted(AdmitAnswer),
-    Release(ReleaseNotice),
-    Relayed(RelayedCall),
+    Release(ReleaseNoticeV2),
+    Relayed(RelayedCallV2),
 }
 
 impl From<&GatewayMessage> for GatewayMessageV2 {
@@ -129,8 +192,8 @@
             }
             GatewayMessage::Admit(request) => Self::Admit(request.clone()),
             GatewayMessage::Admitted(answer) => Self::Admitted(answer.clone()),
-            GatewayMessage::Release(notice) => Self::Release(notice.clone()),
-            GatewayMessage::Relayed(call) => Self::Relayed(call.clone()),
+            GatewayMessage::Release(notice) => Self::Release(notice.into()),
+            GatewayMessage::Relayed(call) => Self::Relayed(call.into()),
         }
     }
 }
@@ -145,8 +208,8 @@
             }
             GatewayMessageV2::Admit(request) => Self::Admit(request),
             GatewayMessageV2::Admitted(answer) => Self::Admitted(answer),
-            GatewayMessageV2::Release(notice) => Self::Release(notice),
-            GatewayMessageV2::Relayed(call) => Self::Relayed(call),
+            GatewayMessageV2::Release(notice) => Self::Release(notice.into()),
+            GatewayMessageV2::Relayed(call) => Self::Relayed(call.into()),
         }
     }
 }
