Leave a target alone for as long as it asks in a refusal

Callers saw: requests refused by an overloaded target over and over; the target's own time was not read. Cause: a refused attempt only lowered the trust in its target for all hosts, and the target was asked again at once. Change: the adapter reads the time of a target's 503. The host that got it sends the target nothing until then, and names it in its requests for permits. Measured: target_that_wants_no_request_for_a_time_gets_none failed before (105 requests in 1.3 s where the first one asked for a pause of 1.5 s) and passes. Conclusion: the pause concerns one host; others follow their own refusals.

--- a/crates/directory/src/signals.rs
+++ b/crates/directory/src/signals.rs
@@ -10,4 +10,6 @@
 pub struct TargetSignals {
     /// Whether the target leaves. It finishes its requests and wants no new ones.
     pub is_leaving: bool,
+    /// Time for which it wants no requests from the host that it answered, in milliseconds; 0 if it stated none.
+    pub pause_millis: u32,
 }
--- a/crates/dispatch/src/excluded_targets.rs
+++ b/crates/dispatch/src/excluded_targets.rs
@@ -4,6 +4,8 @@
 //! host excludes the target locally. The target stays in use for the others, and the dispatcher blocks it
 //! only on more than one report of a failed connection.
 //!
+//! An overloaded target may refuse a request and state how long it wants none from the host that sent it.
+//!
 //! A target that says that it leaves is excluded for good, also on a host that has lost contact with the store and its
 //! dispatcher.
 
@@ -42,8 +44,20 @@
 
     /// Records a failed connection to a target and excludes it for 3 s.
     pub fn on_unreachable(&self, target: &TargetId, now: MonoTime) {
+        self.exclude(target, EXCLUDE_FOR, now);
+    }
+
+    /// Excludes a target for a time, and no shorter than before.
+    pub fn exclude(&self, target: &TargetId, time: Duration, now: MonoTime) {
+        let end = now.after(time);
         self.excluded_until
-            .insert(target.clone(), now.after(EXCLUDE_FOR));
+            .with_or_insert(target, || end, |until| *until = end.max(*until));
+    }
+
+    /// Returns `true` if the target that wrote `entry` gets no request from this host at `now`.
+    pub fn is_excluded(&self, entry: &TargetEntry, now: MonoTime) -> bool {
+        let is_paused = self.excluded_until.with(&entry.id, |until| now < *until);
+        is_paused.unwrap_or(false) || self.is_leaving(entry)
     }
 
     /// Records that the incarnation of a target that wrote `entry` leaves. Returns `true` if that was not known.
@@ -58,7 +72,7 @@
     }
 
     /// Returns `true` if the incarnation of a target that wrote `entry` said that it leaves.
-    pub fn is_leaving(&self, entry: &TargetEntry) -> bool {
+    fn is_leaving(&self, entry: &TargetEntry) -> bool {
         let is_same = |leaving: &mut LeavingTarget| leaving.born == entry.born;
         self.leaving.with(&entry.id, is_same).unwrap_or(false)
     }
--- a/crates/dispatch/tests/dispatcher/selection.rs
+++ b/crates/dispatch/tests/dispatcher/selection.rs
@@ -305,7 +305,10 @@
     let directory = directory_of(1);
     let held = grant(&dispatcher, &directory, &request("1"), at(0));
     let notice = ReleaseNotice {
-        signals: TargetSignals { is_leaving: true },
+        signals: TargetSignals {
+            is_leaving: true,
+            ..TargetSignals::default()
+        },
         ..notice(&held, AttemptResult::Good)
     };
     dispatcher.release(&notice, at(100));
@@ -317,7 +320,7 @@
         born: 2,
         ..entry(0)
     };
-    assert!(!targets.is_leaving(&restarted));
+    assert!(!targets.is_excluded(&restarted, at(60_000)));
     let directory = self::directory(vec![restarted]);
     assert!(targets.excluded(&directory, at(60_000)).is_empty());
     grant(&dispatcher, &directory, &request("3"), at(60_000));
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -187,7 +187,7 @@
     if headers::request_id(&parts.headers) != Some(outgoing.id.as_str()) {
         return broken("answer-to-another-request");
     }
-    let signals = headers::target_signals(&parts.headers);
+    let signals = headers::target_signals(parts.status, &parts.headers);
     let broken = |reason| ExchangeOutcome {
         signals,
         ..broken(reason)
--- a/crates/gateway/src/request_attempts.rs
+++ b/crates/gateway/src/request_attempts.rs
@@ -237,8 +237,9 @@
         let directory = self.state.store_cache.directory();
         // This host may learn that a target is leaving before its dispatcher does.
         let entry = directory.targets.get(permit.target());
+        let now = self.state.now();
         let is_open = |entry: &&TargetEntry| {
-            directory.is_open(entry) && !self.state.excluded.is_leaving(entry)
+            directory.is_open(entry) && !self.state.excluded.is_excluded(entry, now)
         };
         match entry.filter(is_open) {
             Some(entry) => Ok((permit, entry.clone())),
@@ -349,6 +350,16 @@
             if outcome.result == AttemptResult::Unreachable {
                 state.excluded.on_unreachable(&entry.id, state.now());
             }
+            let pause = Duration::from_millis(outcome.signals.pause_millis.into());
+            if !pause.is_zero() {
+                state.excluded.exclude(&entry.id, pause, state.now());
+                log::info!(
+                    "event=target_paused id={} target={} pause_ms={}",
+                    plan.id,
+                    entry.id,
+                    pause.as_millis()
+                );
+            }
             if outcome.signals.is_leaving && state.excluded.on_leaving(&entry, state.now()) {
                 log::info!("event=target_leaving id={} target={}", plan.id, entry.id);
             }
--- a/crates/gateway/tests/gateway/requests.rs
+++ b/crates/gateway/tests/gateway/requests.rs
@@ -289,3 +289,35 @@
     }
     assert_eq!(leaving.requests().len(), sent_before);
 }
+
+/// Guards against requests to a target that wants none from this host for a time, and against a target that gets none
+/// after that time.
+#[tokio::test]
+async fn target_that_wants_no_request_for_a_time_gets_none() {
+    let gateway = TestGateway::new(2).await;
+    let target = &gateway.targets[0];
+    let pause = Duration::from_millis(1500);
+    target.set_next_behaviours([TargetBehaviour::ShedFor(pause)]);
+    while target.requests().is_empty() {
+        assert_eq!(gateway.call("GET /look/1", "key-1", "").await.status, 200);
+    }
+    let refused_at = Instant::now();
+    while refused_at.elapsed() < pause - Duration::from_millis(200) {
+        // One target has two slots.
+        let lines = ["GET /look/2", "POST /buy/2", "GET /look/3", "POST /buy/3"];
+        let calls = lines.map(|line| gateway.call(line, "key-1", ""));
+        let [first, second, third, fourth] = calls;
+        let answers = tokio::join!(first, second, third, fourth);
+        for answer in [answers.0, answers.1, answers.2, answers.3] {
+            assert_eq!(answer.status, 200);
+        }
+    }
+    assert_eq!(target.requests().len(), 1);
+    tokio::time::sleep_until(refused_at + pause).await;
+    for _ in 0..4 {
+        let calls = ["GET /look/4", "GET /look/5", "GET /look/6"];
+        let [first, second, third] = calls.map(|line| gateway.call(line, "key-1", ""));
+        tokio::join!(first, second, third);
+    }
+    assert!(target.requests().len() > 1);
+}
