Test odd entries among those of targets

Other operators saw: machines that end, or no longer follow the list, because of an entry that is deeply nested, has a number that is too large or a port out of range. Cause: not reproduced here. The JSON reader limits nesting and ranges, and an entry that cannot be decoded counts as removed. Change: a test with nine odd entries and a key without an id, on a host that watches and on one that starts. Measured: odd_entries_of_targets_do_not_concern_the_others passes on this code without a change.

--- a/crates/gateway/tests/gateway/configuration.rs
+++ b/crates/gateway/tests/gateway/configuration.rs
@@ -180,3 +180,50 @@
     assert_eq!(call(address, added, "", "").await.status, 200);
     assert!(follower.state().remote_dispatcher().is_some());
 }
+
+/// Guards against a host that ends, or no longer follows the list of targets, because another writer left an odd entry
+/// there: deeply nested, with a number that is too large, or with a port out of range.
+#[tokio::test]
+async fn odd_entries_of_targets_do_not_concern_the_others() {
+    let gateway = TestGateway::new(1).await;
+    let target = &gateway.targets[0];
+    let valid = target.entry("rate", "a", "ready").to_string();
+    let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let with_address = |address: &str| {
+        let found = target.address().to_string();
+        valid.replace(&found, address)
+    };
+    let odd = [
+        nested.clone(),
+        format!("{{\"extra\":{nested},{}", &valid[1..]),
+        valid.replace("\"slots\":2", "\"slots\":1e400"),
+        valid.replace("\"slots\":2", "\"slots\":99999999999999999999999"),
+        valid.replace("\"seq\":1", "\"seq\":-1"),
+        valid.replace("\"warmupLeftS\":0", "\"warmupLeftS\":1e308"),
+        with_address("127.0.0.1:65536"),
+        with_address("127.0.0.1:-1"),
+        "\u{0}".to_owned(),
+    ];
+    for (number, text) in odd.iter().enumerate() {
+        assert_ne!(*text, valid, "{number}");
+        gateway
+            .store
+            .put_text(&format!("servers/odd-{number}"), text);
+    }
+    gateway
+        .store
+        .put(&target.key(), &target.entry("rate", "a", "draining"));
+    gateway.store.put_text("servers/", "no id");
+    let added = TargetStandIn::start("t-new").await.unwrap();
+    gateway
+        .store
+        .put(&added.key(), &added.entry("rate", "a", "ready"));
+    // The second entry is valid but for a field that is not read.
+    gateway.wait_until(|host| open_count(host) == 2).await;
+    // A process that starts reads all entries at once.
+    let follower = gateway.start_follower("edge-2").await;
+    for host in [&gateway.host, &follower] {
+        let answer = call(host.caller_address(), "GET /look/1", "key-1", "").await;
+        assert_eq!(answer.status, 200);
+    }
+}
