Answer callers before the end of the grace time of a planned stop

Other operators saw: requests that came late in the grace time were passed on and cut without an answer at its end. Cause: it happens here. A request that arrives up to 2.6 s after the signal has its route's time; if its target needs longer than the grace time, the forced close cut the connection, and the caller could not tell what had become of it. Change: all callers get an answer 0.5 s before the end of the grace time: 504 if a target may run the request, 503 or 408 if not. Requests that arrive during a stop pass the time that is left to their targets.

--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -52,6 +52,10 @@
 /// Time between the forced close of open connections and the platform's kill.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 
+/// Time before the forced close of connections by which callers get an answer: the connection is closed once the caller
+/// has it, and a close with unread bytes would reset the connection.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
+
 /// Hosts that are notified of a planned stop directly. Gossip carries the notice to the others.
 const HOSTS_NOTIFIED: usize = 4;
 
@@ -187,7 +191,9 @@
     ///
     /// Returns `true` if all requests completed within the stop limit.
     pub async fn stop(mut self) -> bool {
-        self.state.begin_stop();
+        let stop_limit = self.state.settings.stop_limit;
+        let answer_limit = stop_limit.saturating_sub(STOP_MARGIN + ANSWER_TIME);
+        self.state.begin_stop(answer_limit);
         let others = self.state.gossip.records().into_iter().skip(1);
         for record in others.take(HOSTS_NOTIFIED) {
             // Runs in the background: waiting for a host that is down would use up the stop limit.
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -163,27 +163,38 @@
         outcome: refusal.answer.name().into(),
         reason: refusal.reason,
     };
-    let (plan, memory) = match plan_request(state, parts, body, id, arrival).await {
+    let planned = tokio::select! {
+        planned = plan_request(state, parts, body, id, arrival) => planned,
+        () = state.until_answers_due() => {
+            Err(RequestRefusal::new(RefusalAnswer::SlowBody, "stopping"))
+        }
+    };
+    let (plan, memory) = match planned {
         Ok(planned) => planned,
         Err(refusal) => return refuse(refusal),
     };
     let left = plan.deadline.since(state.now());
     let mut attempts = RequestAttempts::new(state.clone(), plan);
-    let outcome = tokio::time::timeout(left, attempts.run()).await;
+    let outcome = tokio::select! {
+        outcome = attempts.run() => Some(outcome),
+        () = tokio::time::sleep(left) => None,
+        // Without an answer, the end of the process would cut the connection.
+        () = state.until_answers_due() => None,
+    };
     drop(memory);
     match outcome {
-        Ok(RequestOutcome::Answered(response)) => forward_response(response),
-        Ok(RequestOutcome::Refused(answer, wait, reason)) => refuse(RequestRefusal {
+        Some(RequestOutcome::Answered(response)) => forward_response(response),
+        Some(RequestOutcome::Refused(answer, wait, reason)) => refuse(RequestRefusal {
             answer,
             retry_after: wait.or_else(|| RequestRefusal::new(answer, reason).retry_after),
             reason,
         }),
         // The deadline passed during an attempt, which the target may have run.
-        Err(_) if attempts.proof() != RunProof::NotRun => refuse(RequestRefusal::new(
+        None if attempts.proof() != RunProof::NotRun => refuse(RequestRefusal::new(
             RefusalAnswer::TimedOut,
             "no-answer-in-time",
         )),
-        Err(_) => refuse(RequestRefusal::new(
+        None => refuse(RequestRefusal::new(
             RefusalAnswer::Unavailable,
             "no-slot-in-time",
         )),
@@ -237,7 +248,10 @@
     if team.is_some() && !state.store_cache.may_trust_keys(bound, state.now()) {
         return Err(refuse(RefusalAnswer::Unavailable, "keys-too-old"));
     }
-    let budget = TimeBudget::new(headers::deadline(&parts.headers), route.timeout);
+    let caller_time = headers::deadline(&parts.headers).into_iter();
+    // A target stops its work when the time that it is given has passed.
+    let caller_time = caller_time.chain(state.stop_time_left()).min();
+    let budget = TimeBudget::new(caller_time, route.timeout);
     let service = destination_of(route, id.map_or("", SmolStr::as_str));
     let service = service.ok_or_else(|| refuse(RefusalAnswer::Unavailable, "no-destination"))?;
     let (priority, team) = (index.priority(route, team), team.cloned());
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,10 +18,14 @@
 use chicorycroft_dispatch::prelude::*;
 use chicorycroft_membership::prelude::*;
 use chicorycroft_peer::prelude::*;
-use tokio::sync::{
-    Notify,
-    Semaphore,
-    oneshot, //
+use tokio::{
+    sync::{
+        Notify,
+        Semaphore,
+        oneshot,
+        watch, //
+    },
+    time::Instant,
 };
 
 use crate::{
@@ -94,6 +98,8 @@
     read_wanted_until: Mutex<MonoTime>,
     read_wanted: Notify,
     is_stopping: AtomicBool,
+    /// Time of a planned stop by which all callers must have their answers.
+    answers_due: watch::Sender<Option<Instant>>,
 }
 
 impl GatewayState {
@@ -128,6 +134,7 @@
             read_wanted_until: Mutex::new(MonoTime::START),
             read_wanted: Notify::new(),
             is_stopping: AtomicBool::new(false),
+            answers_due: watch::Sender::new(None),
             settings,
         }
     }
@@ -260,12 +267,32 @@
         own.unwrap_or(ranked.len())
     }
 
-    /// Begins a planned stop: readiness checks fail, and gossip marks this host as leaving.
-    pub fn begin_stop(&self) {
+    /// Begins a planned stop: readiness checks fail, and gossip marks this host as leaving. All callers get their answers
+    /// within `limit`.
+    pub fn begin_stop(&self, limit: Duration) {
         self.is_stopping.store(true, Ordering::Relaxed);
+        self.answers_due.send_replace(Some(Instant::now() + limit));
         self.gossip.leave();
     }
 
+    /// Waits until all callers must have their answers because of a planned stop.
+    pub async fn until_answers_due(&self) {
+        let mut changes = self.answers_due.subscribe();
+        // The sender lives as long as this state, so that the wait does not fail.
+        let due = changes.wait_for(Option::is_some).await;
+        let due = due.ok().and_then(|due| *due);
+        match due {
+            Some(due) => tokio::time::sleep_until(due).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Returns the time until all callers must have their answers, or `None` without a planned stop.
+    pub fn stop_time_left(&self) -> Option<Duration> {
+        let due = *self.answers_due.borrow();
+        due.map(|due| due.saturating_duration_since(Instant::now()))
+    }
+
     /// Returns `true` once a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         self.is_stopping.load(Ordering::Relaxed)
--- a/crates/gateway/tests/gateway/stops.rs
+++ b/crates/gateway/tests/gateway/stops.rs
@@ -12,7 +12,9 @@
 
 use crate::test_gateway::{
     TestGateway,
-    call, //
+    call,
+    call_for,
+    version, //
 };
 
 /// Guards against a planned stop that aborts a request in progress, or one that arrives before the load balancer
@@ -58,3 +60,33 @@
     // The host stays open for 2.6 s after it reports unready, and no request is in progress.
     assert!(start.elapsed() < Duration::from_millis(3500));
 }
+
+/// Guards against requests that arrive late in the grace time of a planned stop, are passed on to a target, and are cut
+/// without an answer at the end of that time.
+#[tokio::test]
+async fn request_that_outlasts_the_grace_time_is_answered() {
+    let gateway = TestGateway::new(2).await;
+    let mut document = config(2, &["key-1"]);
+    for route in ["buy", "open"] {
+        document["routes"][route]["timeoutS"] = 20.into();
+    }
+    gateway.store.put_config(&document);
+    gateway.wait_until(|host| version(host) == 2).await;
+    for target in &gateway.targets {
+        target.set_default_behaviour(Some(TargetBehaviour::Hang));
+    }
+    let (address, grace) = (
+        gateway.host.caller_address(),
+        gateway.host.state().settings.stop_limit,
+    );
+    let start = Instant::now();
+    let stop = tokio::spawn(gateway.host.stop());
+    // The host accepts connections for 2.6 s, until the load balancer has removed it.
+    tokio::time::sleep_until(start + Duration::from_millis(2300)).await;
+    let late = call_for(address, "POST /buy/1", Duration::from_secs(20));
+    let idempotent = call_for(address, "GET /open/1", Duration::from_secs(20));
+    let (late, idempotent) = tokio::join!(late, idempotent);
+    assert_eq!((late.status, idempotent.status), (504, 504));
+    assert!(start.elapsed() < grace);
+    assert!(stop.await.unwrap(), "a connection was cut");
+}
--- a/crates/gateway/tests/gateway/test_gateway.rs
+++ b/crates/gateway/tests/gateway/test_gateway.rs
@@ -28,6 +28,9 @@
 /// Longest time that a test waits for an expected state or response.
 pub(crate) const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time for which callers wait unless a test says otherwise.
+const DEADLINE: Duration = Duration::from_secs(3);
+
 /// A gateway process with a store and the targets of one service.
 pub(crate) struct TestGateway {
     pub(crate) store: StoreStandIn,
@@ -172,10 +175,26 @@
     line: &str,
     key: &str,
     body: &str,
+) -> CallerAnswer {
+    send(address, (id, DEADLINE), line, key, body).await
+}
+
+/// Sends a request over a new connection and waits for the response for up to `deadline`.
+pub(crate) async fn call_for(address: SocketAddr, line: &str, deadline: Duration) -> CallerAnswer {
+    send(address, ("id-1", deadline), line, "key-1", "").await
+}
+
+async fn send(
+    address: SocketAddr,
+    (id, deadline): (&str, Duration),
+    line: &str,
+    key: &str,
+    body: &str,
 ) -> CallerAnswer {
     let mut stream = TcpStream::connect(address).await.unwrap();
+    let deadline = deadline.as_millis();
     let head = format!(
-        "{line} HTTP/1.1\r\nhost: shop.example\r\nx-request-id: {id}\r\nx-deadline-ms: 3000\r\n\
+        "{line} HTTP/1.1\r\nhost: shop.example\r\nx-request-id: {id}\r\nx-deadline-ms: {deadline}\r\n\
          authorization: Bearer {key}\r\n{FORGED_TEAM}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
         body.len()
     );
