Keep to the request rates that targets state

Callers saw: no failure of their own; a target in need got up to twice the requests that it had stated. Cause: the header is new and was not read. A dispatcher paced cold targets only. Change: the adapter reads the rate, releases carry it to the dispatcher of the target's zone, and that paces the target (TargetLimiter). It uses the whole rate if most hosts of its zone follow it and half of it otherwise, so that two dispatchers which do not know of each other use one and a half times the rate at most; one without followers sends nothing. A host that knows a rate returns a permit of a dispatcher that has had no answer of the target yet, which tells it. The rate ends with the first answer without it to a request that was sent later. Expected waits count what the targets take, so that what a pool cannot serve is refused at once.

--- a/crates/directory/src/signals.rs
+++ b/crates/directory/src/signals.rs
@@ -1,5 +1,6 @@
 //! What a target says about itself in an answer.
 
+use chicorycroft_core::prelude::*;
 use serde::{
     Deserialize,
     Serialize, //
@@ -12,4 +13,6 @@
     pub is_leaving: bool,
     /// Time for which it wants no requests from the host that it answered, in milliseconds; 0 if it stated none.
     pub pause_millis: u32,
+    /// Requests per second that it takes from all hosts together; `None` if it stated no limit.
+    pub rate_limit: Option<RequestRate>,
 }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -21,24 +21,15 @@
         TicketNumber, //
     },
     service_pool::{
+        FleetShare,
         PoolAnswer,
         QueueChange,
         ServicePool, //
     },
+    target_slots::ReleaseEffect,
     team_bucket::TeamBucket,
 };
 
-/// The part of the fleet that a dispatcher decides for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct FleetShare {
-    /// Fraction of each team's rate and burst that the dispatcher may use. It follows from the fraction of the
-    /// hosts whose spending the dispatcher receives.
-    pub fraction: CapacityRatio,
-    /// Whether other hosts request their permits from this dispatcher. One without followers sends nothing to cold
-    /// targets, as another dispatcher may do so already.
-    pub is_followed: bool,
-}
-
 /// Retry budget of a service at one dispatcher. With three zones it allows at most 15 retries in a hundred requests
 /// and 39 free ones in ten seconds, below the platform's limits of a fifth and 56.
 const RETRY_TERMS: BudgetTerms = BudgetTerms {
@@ -110,7 +101,7 @@
         let cold_rate = terms.map_or(RequestRate::ZERO, |terms| terms.cold_rate);
         let key = (request.service.clone(), request.zone.clone());
         let answer = self.pools.with_or_insert(&key, ServicePool::new, |pool| {
-            pool.set_cold_terms(cold_rate, share.is_followed);
+            pool.set_terms(cold_rate, share);
             pool.update(directory, (&request.service, request.zone.as_ref()), now);
             pool.admit(request, || self.next_number(), now)
         });
@@ -142,19 +133,19 @@
             permit: grant.permit,
             result: AttemptResult::Cancelled,
             elapsed_millis: 0,
-            signals: TargetSignals::default(),
+            signals: None,
         };
         self.release(&notice, now);
         PoolAnswer::NoBudget
     }
 
-    /// Releases a permit and serves the queue of its pool. The first value is `true` if the result blocks a target
-    /// that was not blocked.
-    pub fn release(&self, notice: &ReleaseNotice, now: MonoTime) -> (bool, QueueChange) {
+    /// Releases a permit and serves the queue of its pool. The first value tells what the release changed about the
+    /// target.
+    pub fn release(&self, notice: &ReleaseNotice, now: MonoTime) -> (ReleaseEffect, QueueChange) {
         let key = (notice.service.clone(), notice.zone.clone());
         let released = self.pools.with(&key, |pool| {
-            let is_blocked = pool.release(notice, now);
-            (is_blocked, pool.serve_queue(|| self.next_number(), now))
+            let effect = pool.release(notice, now);
+            (effect, pool.serve_queue(|| self.next_number(), now))
         });
         released.unwrap_or_default()
     }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`pacer`]: request rate of a cold target.
 //! - [`completion_window`]: completion rate of a pool over the last second.
 //! - [`excluded_targets`]: targets that one host sends nothing to, although the directory lists them.
+//! - [`target_limit`]: the request rate that a target states.
 //! - [`target_slots`]: the concurrency limit of one target.
 //! - [`waiting_queue`]: requests that wait for a slot.
 //! - [`service_pool`]: the targets of a service in a zone, and target selection.
@@ -21,6 +22,7 @@
 pub mod messages;
 pub mod pacer;
 pub mod service_pool;
+pub mod target_limit;
 pub mod target_slots;
 pub mod team_bucket;
 pub mod time_budget;
@@ -29,10 +31,7 @@
 /// The most commonly used items of this crate.
 pub mod prelude {
     pub use crate::{
-        dispatcher::{
-            FleetShare,
-            ZoneDispatcher, //
-        },
+        dispatcher::ZoneDispatcher,
         evidence::TargetTrust,
         excluded_targets::ExcludedTargets,
         messages::{
@@ -47,9 +46,15 @@
             whole_millis, //
         },
         service_pool::{
+            FleetShare,
             PoolAnswer,
             QueueChange, //
         },
+        target_limit::{
+            LimitState,
+            StatedLimits,
+            TargetLimiter, //
+        },
         team_bucket::REPORT_VALID_FOR,
         time_budget::{
             TimeBudget,
--- a/crates/dispatch/src/messages.rs
+++ b/crates/dispatch/src/messages.rs
@@ -18,7 +18,10 @@
 };
 use smol_str::SmolStr;
 
-use crate::evidence::TargetTrust;
+use crate::{
+    evidence::TargetTrust,
+    target_limit::LimitState, //
+};
 
 define_counter!(
     /// Number of a permit, unique within its dispatcher.
@@ -91,6 +94,8 @@
     pub mean_latency_millis: u32,
     /// Trust in the target at the time of the grant.
     pub trust: TargetTrust,
+    /// What the dispatcher knows about the rate limit of the target.
+    pub limit: LimitState,
 }
 
 /// Answer of a dispatcher to an [`AdmitRequest`].
@@ -168,8 +173,8 @@
     pub result: AttemptResult,
     /// Time from sending the request to the answer, in milliseconds.
     pub elapsed_millis: u32,
-    /// What the target said about itself.
-    pub signals: TargetSignals,
+    /// What the target said about itself; `None` without an answer.
+    pub signals: Option<TargetSignals>,
 }
 
 /// Requests that a dispatcher has charged to a team since its start.
--- a/crates/dispatch/src/service_pool.rs
+++ b/crates/dispatch/src/service_pool.rs
@@ -23,7 +23,10 @@
         TicketNumber,
         whole_millis, //
     },
-    target_slots::TargetSlots,
+    target_slots::{
+        ReleaseEffect,
+        TargetSlots, //
+    },
     waiting_queue::WaitingQueue,
 };
 
@@ -55,6 +58,21 @@
 /// seconds old in one of three.
 const FRESH_FOR: Duration = Duration::from_millis(400);
 
+/// The part of the fleet that a dispatcher decides for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct FleetShare {
+    /// Fraction of each team's rate and burst that the dispatcher may use. It follows from the fraction of the
+    /// hosts whose spending the dispatcher receives.
+    pub fraction: CapacityRatio,
+    /// Fraction of the rate that a target states which the dispatcher may use. It is whole only if most hosts of the zone
+    /// follow the dispatcher, so that two dispatchers which have not discovered each other use one and a half times the
+    /// rate at most, as the platform allows.
+    pub zone_fraction: CapacityRatio,
+    /// Whether other hosts request their permits from this dispatcher. One without followers sends nothing to cold
+    /// targets and to those that state a limit, as another dispatcher may do so already.
+    pub is_followed: bool,
+}
+
 /// Decision of a pool about a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum PoolAnswer {
@@ -94,7 +112,7 @@
     /// Moving average over the good answers.
     mean_latency: Duration,
     cold_rate: RequestRate,
-    allows_cold_targets: bool,
+    share: FleetShare,
     /// Digest of the directory that the targets were last taken from.
     directory_digest: Option<ContentDigest>,
     /// Arrival of the last idempotent request.
@@ -156,16 +174,20 @@
             permit_teams: IndexMap::new(),
             mean_latency: INITIAL_LATENCY,
             cold_rate: RequestRate::ZERO,
-            allows_cold_targets: true,
+            share: FleetShare {
+                fraction: CapacityRatio::from_mille(CapacityRatio::MAX_MILLE),
+                zone_fraction: CapacityRatio::from_mille(CapacityRatio::MAX_MILLE),
+                is_followed: true,
+            },
             directory_digest: None,
             idempotent_at: None,
             completions: CompletionWindow::new(),
         }
     }
 
-    /// Sets the request rate of cold targets and whether they get requests at all.
-    pub fn set_cold_terms(&mut self, cold_rate: RequestRate, allows_cold_targets: bool) {
-        (self.cold_rate, self.allows_cold_targets) = (cold_rate, allows_cold_targets);
+    /// Sets the request rate of cold targets and the part of the fleet that the dispatcher decides for.
+    pub fn set_terms(&mut self, cold_rate: RequestRate, share: FleetShare) {
+        (self.cold_rate, self.share) = (cold_rate, share);
     }
 
     /// Replaces the targets by those that the directory lists for the service and zone, if its content has changed.
@@ -240,10 +262,13 @@
         let serving = self.targets.values().filter(|target| {
             !target.is_cold(now) && target.evidence().trust(now) != TargetTrust::Blocked
         });
-        let slots: u32 = serving
-            .map(|target| u32::from(target.entry().slots.get()))
+        let rate: f64 = serving
+            .map(|target| target.capacity(self.mean_latency))
             .sum();
-        let interval = self.mean_latency / slots.max(1);
+        let interval = match rate > 0.0 {
+            true => Duration::from_secs_f64(rate.recip()),
+            false => self.mean_latency,
+        };
         let interval = interval.max(self.completions.mean_interval(now).unwrap_or_default());
         let ahead = u32::try_from(self.queue.ahead_of(priority)).unwrap_or(u32::MAX);
         interval.saturating_mul(ahead.saturating_add(1))
@@ -259,13 +284,16 @@
         let id = id.clone();
         let permit = PermitNumber::new(number);
         let target = self.targets.get_mut(&id)?;
-        target.grant(permit, request.time_left(), self.cold_rate, now);
+        let rates = (self.cold_rate, self.share.zone_fraction);
+        target.grant(permit, request.time_left(), rates, now);
+        let limit = target.limit();
         self.permit_teams.insert(permit, request.team.clone());
         Some(DispatchGrant {
             permit,
             target: id,
             mean_latency_millis: whole_millis(self.mean_latency),
             trust,
+            limit,
         })
     }
 
@@ -278,8 +306,9 @@
         let may_use_blocked = u32::try_from(blocked.count()).unwrap_or(0) > blocked_max;
         let is_coverage_low = self.is_coverage_low(now);
         let candidates = self.targets.iter().filter_map(|(id, target)| {
-            let is_usable = target.has_free_slot(now)
-                && (self.allows_cold_targets || !target.is_cold(now))
+            let is_paced = target.is_cold(now) || target.is_limited();
+            let is_usable = target.has_free_slot(self.share.zone_fraction, now)
+                && (self.share.is_followed || !is_paced)
                 && !request.tried.contains(id);
             let trust = target.trust(stuck_after, now);
             let is_trial = is_trial(request, (id, target), (trust, is_coverage_low), now);
@@ -342,8 +371,8 @@
             .is_some_and(|at| now.since(at) < TRIAL_IDLE)
     }
 
-    /// Releases a permit and records its result. Returns `true` if the result blocks a target that was not blocked.
-    pub fn release(&mut self, notice: &ReleaseNotice, now: MonoTime) -> bool {
+    /// Releases a permit and records its result and what the target said about itself.
+    pub fn release(&mut self, notice: &ReleaseNotice, now: MonoTime) -> ReleaseEffect {
         self.permit_teams.swap_remove(&notice.permit);
         self.completions.record(now);
         if notice.result == AttemptResult::Good {
@@ -352,7 +381,8 @@
         }
         let target = self.targets.get_mut(&notice.target);
         target
-            .is_some_and(|target| target.release(notice.permit, notice.result, notice.signals, now))
+            .map(|target| target.release(notice, now))
+            .unwrap_or_default()
     }
 
     fn expire(&mut self, now: MonoTime) {
--- a/crates/dispatch/src/target_slots.rs
+++ b/crates/dispatch/src/target_slots.rs
@@ -13,9 +13,14 @@
     },
     messages::{
         AttemptResult,
-        PermitNumber, //
+        PermitNumber,
+        ReleaseNotice, //
     },
     pacer::ColdPacer,
+    target_limit::{
+        LimitState,
+        TargetLimiter, //
+    },
 };
 
 /// Time for which a permit outlives its request, so that a release in transit still finds it.
@@ -24,6 +29,15 @@
 /// Time between requests to a blocked target that fails nearly all of them.
 const TRIAL_PAUSE: Duration = Duration::from_millis(300);
 
+/// What a release changed about its target.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ReleaseEffect {
+    /// Whether the result blocks a target that was not blocked.
+    pub is_blocked: bool,
+    /// What is known about the rate limit, if that has changed.
+    pub limit: Option<LimitState>,
+}
+
 /// A permit whose request is in flight.
 #[derive(Clone, Copy, Debug)]
 struct OpenPermit {
@@ -38,6 +52,7 @@
     permits: IndexMap<PermitNumber, OpenPermit>,
     evidence: TargetEvidence,
     pacer: ColdPacer,
+    limiter: TargetLimiter,
     /// Time at which the directory listed this incarnation.
     listed_at: MonoTime,
     granted_at: Option<MonoTime>,
@@ -59,6 +74,7 @@
             permits: IndexMap::new(),
             evidence: TargetEvidence::new(),
             pacer,
+            limiter: TargetLimiter::new(),
             listed_at: now,
             granted_at: None,
             is_misdirected: false,
@@ -99,15 +115,36 @@
         self.pacer.is_cold(now)
     }
 
-    /// Returns `true` if the target has a free slot. A cold target gets one request at a time, paced; a target
+    /// Returns what is known about the rate limit that the target states.
+    pub fn limit(&self) -> LimitState {
+        self.limiter.state()
+    }
+
+    /// Returns `true` if the target states a rate limit.
+    pub fn is_limited(&self) -> bool {
+        matches!(self.limit(), LimitState::Limited(_))
+    }
+
+    /// Returns the requests per second that the target can serve with a mean latency.
+    pub fn capacity(&self, mean_latency: Duration) -> f64 {
+        let by_slots = f64::from(self.entry.slots.get()) / mean_latency.as_secs_f64().max(1e-6);
+        match self.limit() {
+            LimitState::Limited(rate) => by_slots.min(rate.as_micros() as f64 / 1e6),
+            LimitState::Unknown | LimitState::Unlimited => by_slots,
+        }
+    }
+
+    /// Returns `true` if the target has a free slot for a dispatcher with `share` of the rate that the target may state.
+    /// A cold target gets one request at a time, paced; a limited one gets its rate; a target
     /// that leaves or whose address belongs to another one gets none.
-    pub fn has_free_slot(&self, now: MonoTime) -> bool {
+    pub fn has_free_slot(&self, share: CapacityRatio, now: MonoTime) -> bool {
         let limit = match self.pacer.is_cold(now) {
             true => 1,
             false => usize::from(self.entry.slots.get()),
         };
         let is_usable = !self.is_misdirected && !self.is_leaving;
-        is_usable && self.permits.len() < limit && self.pacer.may_send(now)
+        let may_send = self.pacer.may_send(now) && self.limiter.may_send(share, now);
+        is_usable && self.permits.len() < limit && may_send
     }
 
     /// Returns `true` if a blocked target may get a request now. A target that fails nearly all requests at once
@@ -147,12 +184,12 @@
     }
 
     /// Occupies a slot with a permit that expires shortly after the request's time is over. `cold_rate` is the
-    /// request rate that the target handles while it is cold.
+    /// request rate that the target handles while it is cold, and `share` the dispatcher's part of a stated rate.
     pub fn grant(
         &mut self,
         permit: PermitNumber,
         time_left: Duration,
-        cold_rate: RequestRate,
+        (cold_rate, share): (RequestRate, CapacityRatio),
         now: MonoTime,
     ) {
         let open = OpenPermit {
@@ -162,23 +199,26 @@
         self.permits.insert(permit, open);
         self.granted_at = Some(now);
         self.pacer.on_sent(cold_rate, now);
+        self.limiter.on_sent(share, now);
     }
 
-    /// Frees a slot and records the result of its request and what the target said about itself. Returns `true` if the
-    /// result blocks a target that was not blocked. A permit that is not open, such as an expired one, has no effect.
-    pub fn release(
-        &mut self,
-        permit: PermitNumber,
-        result: AttemptResult,
-        signals: TargetSignals,
-        now: MonoTime,
-    ) -> bool {
-        if self.permits.swap_remove(&permit).is_none() {
-            return false;
+    /// Frees a slot and records the result of its request and what the target said about itself. A permit that is not
+    /// open, such as an expired one, has no effect.
+    pub fn release(&mut self, notice: &ReleaseNotice, now: MonoTime) -> ReleaseEffect {
+        let Some(permit) = self.permits.swap_remove(&notice.permit) else {
+            return ReleaseEffect::default();
+        };
+        let mut effect = ReleaseEffect::default();
+        if let Some(signals) = notice.signals {
+            self.is_leaving |= signals.is_leaving;
+            let is_changed = self
+                .limiter
+                .on_answer(signals.rate_limit, permit.granted_at, now);
+            effect.limit = is_changed.then_some(self.limit());
         }
-        self.is_leaving |= signals.is_leaving;
-        self.is_misdirected |= result == AttemptResult::Misdirected;
-        self.evidence.record(result, now)
+        self.is_misdirected |= notice.result == AttemptResult::Misdirected;
+        effect.is_blocked = self.evidence.record(notice.result, now);
+        effect
     }
 
     /// Frees the slots of expired permits, whose hosts did not release them.
--- a/crates/dispatch/tests/dispatcher/common.rs
+++ b/crates/dispatch/tests/dispatcher/common.rs
@@ -10,6 +10,7 @@
 /// Share of a dispatcher that decides for the whole fleet and has followers.
 pub(crate) const WHOLE: FleetShare = FleetShare {
     fraction: CapacityRatio::from_mille(1000),
+    zone_fraction: CapacityRatio::from_mille(1000),
     is_followed: true,
 };
 
@@ -138,7 +139,7 @@
         permit: grant.permit,
         result,
         elapsed_millis: 250,
-        signals: TargetSignals::default(),
+        signals: None,
     }
 }
 
--- a/crates/dispatch/tests/dispatcher/main.rs
+++ b/crates/dispatch/tests/dispatcher/main.rs
@@ -7,6 +7,7 @@
 )]
 
 mod common;
+mod limits;
 mod selection;
 mod team_bucket;
 mod time_budget;
--- a/crates/dispatch/tests/dispatcher/selection.rs
+++ b/crates/dispatch/tests/dispatcher/selection.rs
@@ -305,10 +305,10 @@
     let directory = directory_of(1);
     let held = grant(&dispatcher, &directory, &request("1"), at(0));
     let notice = ReleaseNotice {
-        signals: TargetSignals {
+        signals: Some(TargetSignals {
             is_leaving: true,
             ..TargetSignals::default()
-        },
+        }),
         ..notice(&held, AttemptResult::Good)
     };
     dispatcher.release(&notice, at(100));
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -77,8 +77,8 @@
     pub response: Option<Response<Bytes>>,
     /// Reason for the log.
     pub reason: &'static str,
-    /// What the target said about itself.
-    pub signals: TargetSignals,
+    /// What the target said about itself; `None` without an answer.
+    pub signals: Option<TargetSignals>,
 }
 
 impl ExchangeOutcome {
@@ -88,7 +88,7 @@
             proof,
             response: None,
             reason,
-            signals: TargetSignals::default(),
+            signals: None,
         }
     }
 }
@@ -187,7 +187,7 @@
     if headers::request_id(&parts.headers) != Some(outgoing.id.as_str()) {
         return broken("answer-to-another-request");
     }
-    let signals = headers::target_signals(parts.status, &parts.headers);
+    let signals = Some(headers::target_signals(parts.status, &parts.headers));
     let broken = |reason| ExchangeOutcome {
         signals,
         ..broken(reason)
@@ -260,6 +260,6 @@
         proof: RunProof::Ran,
         response: Some(response),
         reason: "answered",
-        signals: TargetSignals::default(),
+        signals: None,
     }
 }
--- a/crates/gateway/src/permit_client.rs
+++ b/crates/gateway/src/permit_client.rs
@@ -59,6 +59,7 @@
     notice: ReleaseNotice,
     granted_at: MonoTime,
     hedge_delay: Duration,
+    limit: LimitState,
     is_completed: bool,
 }
 
@@ -78,13 +79,19 @@
         self.hedge_delay
     }
 
-    /// Releases the permit of a request that was not sent.
-    pub fn cancel(self) {
-        self.complete(AttemptResult::Cancelled, TargetSignals::default());
+    /// Returns what the dispatcher knows about the rate limit of the target.
+    pub fn limit(&self) -> LimitState {
+        self.limit
+    }
+
+    /// Releases the permit of a request that was not sent. `signals` is what the target said about itself to this host
+    /// before, if the dispatcher does not know it.
+    pub fn cancel(self, signals: Option<TargetSignals>) {
+        self.complete(AttemptResult::Cancelled, signals);
     }
 
     /// Releases the permit with the result of its attempt and what the target said about itself.
-    pub fn complete(mut self, result: AttemptResult, signals: TargetSignals) {
+    pub fn complete(mut self, result: AttemptResult, signals: Option<TargetSignals>) {
         (self.notice.result, self.notice.signals) = (result, signals);
         self.is_completed = true;
     }
@@ -189,10 +196,11 @@
             permit: grant.permit,
             result: AttemptResult::Cancelled,
             elapsed_millis: 0,
-            signals: TargetSignals::default(),
+            signals: None,
         },
         granted_at: state.now(),
         hedge_delay: hedge_delay(mean_latency),
+        limit: grant.limit,
         is_completed: false,
     }))
 }
--- a/crates/gateway/src/permit_service.rs
+++ b/crates/gateway/src/permit_service.rs
@@ -112,12 +112,13 @@
     waited: Duration,
 ) {
     log::info!(
-        "event=permit_granted id={} permit={} target={} trust={} service={} team={} charged={} \
+        "event=permit_granted id={} permit={} target={} trust={} limit={} service={} team={} charged={} \
          share={} as_of={as_of} waited_ms={}",
         request.request,
         grant.permit,
         grant.target,
         grant.trust,
+        grant.limit,
         request.service,
         request.team.as_ref().map_or("-", TeamId::as_str),
         request.charged_team.is_some(),
@@ -173,8 +174,15 @@
 
 /// Releases a permit and grants the freed slot to queued requests.
 pub fn release(state: &GatewayState, notice: &ReleaseNotice) {
-    let (is_blocked, change) = state.dispatcher.release(notice, state.now());
-    if is_blocked {
+    let (effect, change) = state.dispatcher.release(notice, state.now());
+    if let Some(limit) = effect.limit {
+        log::info!(
+            "event=target_limit target={} service={} limit={limit}",
+            notice.target,
+            notice.service
+        );
+    }
+    if effect.is_blocked {
         log::info!(
             "event=target_blocked target={} service={} result={} elapsed_ms={}",
             notice.target,
--- a/crates/gateway/src/request_attempts.rs
+++ b/crates/gateway/src/request_attempts.rs
@@ -37,6 +37,9 @@
 /// Maximum number of attempts started for one request, including those that did not reach their target.
 const STARTED_MAX: u32 = 5;
 
+/// Maximum number of permits of one zone in a row that a request does not use because this host knows better.
+const UNUSABLE_GRANTS_MAX: usize = 3;
+
 /// Properties of a request that do not change between attempts.
 #[derive(Clone, Debug)]
 pub struct RequestPlan {
@@ -206,25 +209,41 @@
         }
     }
 
+    /// Requests a permit from the dispatcher of a zone, and again if this host knows better than to use it.
     async fn request_permit(
         &mut self,
         zone: &ZoneId,
-        request: AdmitRequest,
+        mut request: AdmitRequest,
         search: &mut ZoneSearch,
     ) -> Result<PermittedTarget, AdmitAnswer> {
-        let answer = request_zone_permit(&self.state, zone, &request).await;
-        search.record(zone, &answer);
-        self.accept_permit(answer)
+        for _ in 0..UNUSABLE_GRANTS_MAX {
+            let answer = request_zone_permit(&self.state, zone, &request).await;
+            search.record(zone, &answer);
+            match self.accept_permit(answer)? {
+                Some(permitted) => return Ok(permitted),
+                None => {
+                    request.tried = self.excluded_targets();
+                    request.charged_team = None;
+                }
+            }
+        }
+        Err(BUSY_ANSWER)
     }
 
     /// Obtains a permit from this host's own dispatcher, for use when no other dispatcher answers.
     async fn find_target_locally(&mut self) -> Result<PermittedTarget, AdmitAnswer> {
         let request = self.admit_request(None, Duration::ZERO, TargetTrust::Blocked);
         let answer = request_local_permit(&self.state, &request).await;
-        self.accept_permit(answer)
+        self.accept_permit(answer)?.ok_or(BUSY_ANSWER)
     }
 
-    fn accept_permit(&mut self, answer: PermitAnswer) -> Result<PermittedTarget, AdmitAnswer> {
+    /// Returns the target of a granted permit, or `None` if this host knows that the target must not be used: it may
+    /// learn that a target leaves before its dispatcher does, and a new dispatcher does not know which targets stated a
+    /// rate limit. The release of the permit tells it.
+    fn accept_permit(
+        &mut self,
+        answer: PermitAnswer,
+    ) -> Result<Option<PermittedTarget>, AdmitAnswer> {
         let permit = match answer {
             PermitAnswer::Granted(permit) => *permit,
             PermitAnswer::Refused(refusal) => {
@@ -234,21 +253,26 @@
             PermitAnswer::NoAnswer => return Err(AdmitAnswer::NoTarget),
         };
         self.is_charged = true;
-        let directory = self.state.store_cache.directory();
-        // This host may learn that a target is leaving before its dispatcher does.
+        let (directory, now) = (self.state.store_cache.directory(), self.state.now());
         let entry = directory.targets.get(permit.target());
-        let now = self.state.now();
         let is_open = |entry: &&TargetEntry| {
             directory.is_open(entry) && !self.state.excluded.is_excluded(entry, now)
         };
-        match entry.filter(is_open) {
-            Some(entry) => Ok((permit, entry.clone())),
-            None => {
-                self.tried.push(permit.target().clone());
-                permit.cancel();
-                Err(BUSY_ANSWER)
-            }
+        let Some(entry) = entry.filter(is_open) else {
+            self.tried.push(permit.target().clone());
+            permit.cancel(None);
+            return Ok(None);
+        };
+        let stated = self.state.stated_limits.limit_of(&entry.id, entry.born);
+        if stated.is_some() && permit.limit() == LimitState::Unknown {
+            self.tried.push(entry.id.clone());
+            permit.cancel(Some(TargetSignals {
+                rate_limit: stated,
+                ..TargetSignals::default()
+            }));
+            return Ok(None);
         }
+        Ok(Some((permit, entry.clone())))
     }
 
     /// Sends attempts until one succeeds or no further attempt is allowed.
@@ -260,7 +284,7 @@
                 Err(refusal) => return self.refuse(&refusal),
             };
             if !self.budget().is_sendable() {
-                permit.cancel();
+                permit.cancel(None);
                 return self.refuse(&BUSY_ANSWER);
             }
             let outcome = self.attempt(permit, entry).await;
@@ -350,18 +374,8 @@
             if outcome.result == AttemptResult::Unreachable {
                 state.excluded.on_unreachable(&entry.id, state.now());
             }
-            let pause = Duration::from_millis(outcome.signals.pause_millis.into());
-            if !pause.is_zero() {
-                state.excluded.exclude(&entry.id, pause, state.now());
-                log::info!(
-                    "event=target_paused id={} target={} pause_ms={}",
-                    plan.id,
-                    entry.id,
-                    pause.as_millis()
-                );
-            }
-            if outcome.signals.is_leaving && state.excluded.on_leaving(&entry, state.now()) {
-                log::info!("event=target_leaving id={} target={}", plan.id, entry.id);
+            if let Some(signals) = outcome.signals {
+                record_signals(&state, &plan, &entry, signals);
             }
             permit.complete(outcome.result, outcome.signals);
             outcome
@@ -397,3 +411,28 @@
         }
     }
 }
+
+/// Records what a target said about itself in an answer to a request.
+fn record_signals(
+    state: &GatewayState,
+    plan: &RequestPlan,
+    entry: &TargetEntry,
+    signals: TargetSignals,
+) {
+    let now = state.now();
+    let pause = Duration::from_millis(signals.pause_millis.into());
+    if !pause.is_zero() {
+        state.excluded.exclude(&entry.id, pause, now);
+        log::info!(
+            "event=target_paused id={} target={} pause_ms={}",
+            plan.id,
+            entry.id,
+            pause.as_millis()
+        );
+    }
+    if signals.is_leaving && state.excluded.on_leaving(entry, now) {
+        log::info!("event=target_leaving id={} target={}", plan.id, entry.id);
+    }
+    let limits = &state.stated_limits;
+    limits.on_answer(&entry.id, entry.born, signals.rate_limit);
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -86,6 +86,8 @@
     pub connections: ConnectionPool,
     /// Targets that this host sends nothing to.
     pub excluded: ExcludedTargets,
+    /// Rate limits that targets stated to this host.
+    pub stated_limits: StatedLimits,
     /// Counters and histograms.
     pub metrics: GatewayMetrics,
     /// Memory for bodies of requests and answers; one permit stands for 1 KiB.
@@ -125,6 +127,7 @@
             peers: PeerClient::new(),
             connections: ConnectionPool::new(),
             excluded: ExcludedTargets::new(),
+            stated_limits: StatedLimits::new(),
             metrics,
             body_memory: Arc::new(Semaphore::new(BODY_KIB_MAX)),
             seeds: RwLock::new(settings.seeds.clone()),
@@ -217,10 +220,24 @@
         };
         FleetShare {
             fraction: CapacityRatio::from_mille(mille),
+            zone_fraction: self.zone_fraction(followers),
             is_followed: followers > 0 || self.is_only_host(),
         }
     }
 
+    /// Returns the fraction of the rates that targets state which this host's dispatcher may use: the whole if it has
+    /// more than half of the hosts of its zone, which only one dispatcher can have.
+    fn zone_fraction(&self, followers: u32) -> CapacityRatio {
+        let own = &self.settings.zone;
+        let records = self.gossip.records();
+        let known = records.iter().filter(|record| record.zone == *own);
+        let has_most = 2 * (followers as usize + 1) > known.count();
+        CapacityRatio::from_mille(match has_most {
+            true => CapacityRatio::MAX_MILLE,
+            false => CapacityRatio::MAX_MILLE / 2,
+        })
+    }
+
     /// Returns `true` during the startup period, in which gossip may not have delivered most records yet.
     pub fn is_starting(&self, now: MonoTime) -> bool {
         now.since(MonoTime::START) < STARTUP_PERIOD
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -7,7 +7,6 @@
 
 use chicorycroft_adapter::prelude::*;
 use chicorycroft_core::prelude::*;
-use chicorycroft_directory::prelude::*;
 use chicorycroft_dispatch::prelude::*;
 use chicorycroft_gateway::{
     peer_calls::{
@@ -96,7 +95,7 @@
         permit: PermitNumber::new(7),
         result: AttemptResult::Good,
         elapsed_millis: 20,
-        signals: TargetSignals::default(),
+        signals: None,
     };
     let release = GatewayMessage::Release(notice);
     notify(&state, address, release.clone(), LIMIT)
--- a/crates/gateway/tests/gateway/requests.rs
+++ b/crates/gateway/tests/gateway/requests.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use chicorycroft_core::prelude::*;
 use chicorycroft_platform_standin::{
     prelude::*,
     target::SIGNATURE, //
@@ -321,3 +322,25 @@
     }
     assert!(target.requests().len() > 1);
 }
+
+/// Guards against a dispatcher that has just taken over and does not know that a target stated a rate limit: a host that
+/// knows it returns the permit.
+#[tokio::test]
+async fn dispatcher_learns_a_stated_limit_from_a_returned_permit() {
+    let gateway = TestGateway::new(1).await;
+    let follower = gateway.start_follower("edge-2").await;
+    let target = TargetId::new(gateway.targets[0].id()).unwrap();
+    let limit = Some(RequestRate::from_whole(1));
+    follower.state().stated_limits.on_answer(&target, 1, limit);
+    let lines = ["POST /buy/1", "POST /buy/2", "GET /look/1", "GET /look/2"];
+    let calls = lines.map(|line| call(follower.caller_address(), line, "key-1", ""));
+    let [first, second, third, fourth] = calls;
+    let answers = tokio::join!(first, second, third, fourth);
+    // The limit allows the first request after more than a second, and the route a wait of half a second.
+    for answer in [answers.0, answers.1, answers.2, answers.3] {
+        assert_eq!(answer.status, 503);
+    }
+    assert!(gateway.received_requests().is_empty());
+    let other = gateway.call("POST /buy/3", "key-1", "").await;
+    assert_eq!(other.status, 503);
+}
--- a/crates/peer/src/format_v2.rs
+++ b/crates/peer/src/format_v2.rs
@@ -107,6 +107,77 @@
     }
 }
 
+/// Permit in format version 2, without what the dispatcher knows about the rate limit of the target.
+#[derive(Deserialize, Serialize)]
+pub(crate) struct DispatchGrantV2 {
+    permit: PermitNumber,
+    target: TargetId,
+    mean_latency_millis: u32,
+    trust: TargetTrust,
+}
+
+/// Answer of a dispatcher in format version 2.
+#[derive(Deserialize, Serialize)]
+pub(crate) enum AdmitAnswerV2 {
+    Granted(DispatchGrantV2),
+    OverRate {
+        retry_millis: u32,
+    },
+    Busy {
+        retry_millis: u32,
+        has_less_trusted: bool,
+    },
+    NoTarget,
+    NoBudget,
+}
+
+impl From<&AdmitAnswer> for AdmitAnswerV2 {
+    fn from(answer: &AdmitAnswer) -> Self {
+        match answer {
+            AdmitAnswer::Granted(grant) => Self::Granted(DispatchGrantV2 {
+                permit: grant.permit,
+                target: grant.target.clone(),
+                mean_latency_millis: grant.mean_latency_millis,
+                trust: grant.trust,
+            }),
+            &AdmitAnswer::OverRate { retry_millis } => Self::OverRate { retry_millis },
+            &AdmitAnswer::Busy {
+                retry_millis,
+                has_less_trusted,
+            } => Self::Busy {
+                retry_millis,
+                has_less_trusted,
+            },
+            AdmitAnswer::NoTarget => Self::NoTarget,
+            AdmitAnswer::NoBudget => Self::NoBudget,
+        }
+    }
+}
+
+impl From<AdmitAnswerV2> for AdmitAnswer {
+    fn from(answer: AdmitAnswerV2) -> Self {
+        match answer {
+            AdmitAnswerV2::Granted(grant) => Self::Granted(DispatchGrant {
+                permit: grant.permit,
+                target: grant.target,
+                mean_latency_millis: grant.mean_latency_millis,
+                trust: grant.trust,
+                limit: LimitState::Unknown,
+            }),
+            AdmitAnswerV2::OverRate { retry_millis } => Self::OverRate { retry_millis },
+            AdmitAnswerV2::Busy {
+                retry_millis,
+                has_less_trusted,
+            } => Self::Busy {
+                retry_millis,
+                has_less_trusted,
+            },
+            AdmitAnswerV2::NoTarget => Self::NoTarget,
+            AdmitAnswerV2::NoBudget => Self::NoBudget,
+        }
+    }
+}
+
 /// Release of a permit in format version 2, without what the target said about itself.
 #[derive(Deserialize, Serialize)]
 pub(crate) struct ReleaseNoticeV2 {
@@ -140,7 +211,7 @@
             permit: notice.permit,
             result: notice.result,
             elapsed_millis: notice.elapsed_millis,
-            signals: TargetSignals::default(),
+            signals: None,
         }
     }
 }
@@ -177,7 +248,7 @@
     Follow(FollowRequestV2),
     FollowAnswer(Box<FollowAnswerV2>),
     Admit(AdmitRequest),
-    Admitted(AdmitAnswer),
+    Admitted(AdmitAnswerV2),
     Release(ReleaseNoticeV2),
     Relayed(RelayedCallV2),
 }
@@ -191,7 +262,7 @@
                 Self::FollowAnswer(Box::new(answer.as_ref().into()))
             }
             GatewayMessage::Admit(request) => Self::Admit(request.clone()),
-            GatewayMessage::Admitted(answer) => Self::Admitted(answer.clone()),
+            GatewayMessage::Admitted(answer) => Self::Admitted(answer.into()),
             GatewayMessage::Release(notice) => Self::Release(notice.into()),
             GatewayMessage::Relayed(call) => Self::Relayed(call.into()),
         }
@@ -207,7 +278,7 @@
                 Self::FollowAnswer(Box::new((*answer).into()))
             }
             GatewayMessageV2::Admit(request) => Self::Admit(request),
-            GatewayMessageV2::Admitted(answer) => Self::Admitted(answer),
+            GatewayMessageV2::Admitted(answer) => Self::Admitted(answer.into()),
             GatewayMessageV2::Release(notice) => Self::Release(notice.into()),
             GatewayMessageV2::Relayed(call) => Self::Relayed(call.into()),
         }
