--- a/crates/directory/src/reader_search.rs
+++ b/crates/directory/src/reader_search.rs
@@ -59,6 +59,11 @@
         self.asked.contains_key(host)
     }
 
+    /// Returns the number of hosts that are asked.
+    pub fn asked_count(&self) -> usize {
+        self.asked.len()
+    }
+
     /// Records an answer of a host that the store serves.
     pub fn on_served(&mut self, host: &HostId, now: MonoTime) {
         if let Some(reader) = self.asked.get_mut(host) {
@@ -67,13 +72,20 @@
     }
 
     /// Updates the asked hosts. `ranked` lists the other live hosts of the zone, the one to ask first at the front.
-    pub fn update(&mut self, ranked: &[HostId], own: OwnCopy, budget: ChangeBudget, now: MonoTime) {
+    /// Returns `true` if a trial with other hosts begins.
+    pub fn update(
+        &mut self,
+        ranked: &[HostId],
+        own: OwnCopy,
+        budget: ChangeBudget,
+        now: MonoTime,
+    ) -> bool {
         let is_older = |limit: Duration| own.age.is_none_or(|age| age.get() > limit);
         let is_late =
             is_older(budget.late_age()) || own.is_store_failing && is_older(budget.current_age());
         if !is_late && !own.is_store_failing {
             *self = Self::new();
-            return;
+            return false;
         }
         let asked_before = self.asked.len();
         self.asked.retain(|host, reader| {
@@ -89,7 +101,7 @@
             is_kept
         });
         if !is_late || !self.asked.is_empty() {
-            return;
+            return false;
         }
         self.trials += u32::from(asked_before > 0);
         let count = ASKED_FIRST << self.trials.min(DOUBLINGS_MAX);
@@ -106,5 +118,6 @@
             // All hosts were asked in vain. The store may serve some of them by now.
             self.refused.clear();
         }
+        !self.asked.is_empty()
     }
 }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -13,6 +13,7 @@
 use chicorycroft_retry::prelude::*;
 
 use crate::{
+    fleet_share::FleetShare,
     messages::{
         AdmitRequest,
         AttemptResult,
@@ -21,7 +22,6 @@
         TicketNumber, //
     },
     service_pool::{
-        FleetShare,
         PoolAnswer,
         QueueChange,
         ServicePool, //
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`evidence`]: trust in a target, derived from the results of its recent attempts.
 //! - [`pacer`]: request rate of a cold target.
 //! - [`completion_window`]: completion rate of a pool over the last second.
+//! - [`fleet_share`]: the part of the fleet that a dispatcher decides for.
 //! - [`excluded_targets`]: targets that one host sends nothing to, although the directory lists them.
 //! - [`target_limit`]: the request rate that a target states.
 //! - [`target_slots`]: the concurrency limit of one target.
@@ -19,6 +20,7 @@
 pub mod dispatcher;
 pub mod evidence;
 pub mod excluded_targets;
+pub mod fleet_share;
 pub mod messages;
 pub mod pacer;
 pub mod service_pool;
@@ -34,6 +36,7 @@
         dispatcher::ZoneDispatcher,
         evidence::TargetTrust,
         excluded_targets::ExcludedTargets,
+        fleet_share::FleetShare,
         messages::{
             AdmitAnswer,
             AdmitRequest,
@@ -46,7 +49,6 @@
             whole_millis, //
         },
         service_pool::{
-            FleetShare,
             PoolAnswer,
             QueueChange, //
         },
--- a/crates/dispatch/src/service_pool.rs
+++ b/crates/dispatch/src/service_pool.rs
@@ -14,6 +14,7 @@
 use crate::{
     completion_window::CompletionWindow,
     evidence::TargetTrust,
+    fleet_share::FleetShare,
     messages::{
         AdmitRequest,
         AttemptResult,
@@ -58,21 +59,6 @@
 /// seconds old in one of three.
 const FRESH_FOR: Duration = Duration::from_millis(400);
 
-/// The part of the fleet that a dispatcher decides for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct FleetShare {
-    /// Fraction of each team's rate and burst that the dispatcher may use. It follows from the fraction of the
-    /// hosts whose spending the dispatcher receives.
-    pub fraction: CapacityRatio,
-    /// Fraction of the rate that a target states which the dispatcher may use. It is whole only if most hosts of the zone
-    /// follow the dispatcher, so that two dispatchers which have not discovered each other use one and a half times the
-    /// rate at most, as the platform allows.
-    pub zone_fraction: CapacityRatio,
-    /// Whether other hosts request their permits from this dispatcher. One without followers sends nothing to cold
-    /// targets and to those that state a limit, as another dispatcher may do so already.
-    pub is_followed: bool,
-}
-
 /// Decision of a pool about a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum PoolAnswer {
@@ -174,11 +160,7 @@
             permit_teams: IndexMap::new(),
             mean_latency: INITIAL_LATENCY,
             cold_rate: RequestRate::ZERO,
-            share: FleetShare {
-                fraction: CapacityRatio::from_mille(CapacityRatio::MAX_MILLE),
-                zone_fraction: CapacityRatio::from_mille(CapacityRatio::MAX_MILLE),
-                is_followed: true,
-            },
+            share: FleetShare::default(),
             directory_digest: None,
             idempotent_at: None,
             completions: CompletionWindow::new(),
--- a/crates/gateway/src/follow_loop.rs
+++ b/crates/gateway/src/follow_loop.rs
@@ -84,7 +84,15 @@
         is_store_failing: state.store_cache.is_store_failing(),
     };
     let mut search = state.reader_search();
-    search.update(&names, own, state.change_budget(), now);
+    if search.update(&names, own, state.change_budget(), now) {
+        log::info!(
+            "event=readers_asked count={} age={} failing={}",
+            search.asked_count(),
+            own.age
+                .map_or_else(|| "none".to_owned(), |age| age.to_string()),
+            own.is_store_failing
+        );
+    }
     let upstreams = others.into_iter().enumerate();
     let upstreams = upstreams.map(|(rank, member)| {
         let is_read_wanted = search.is_asked(&member.host);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! - `zone_search`: collects the answers of the zones while a request looks for a target.
 //! - [`permit_client`]: obtains permits from dispatchers and releases them.
 //! - [`exchange`]: sends one attempt to a target and reads the response.
+//! - `target_signals`: records what targets say about themselves.
 //! - `answer_body`: refuses answers that consist mostly of framing.
 //! - [`connection_pool`]: idle connections to targets.
 //!
@@ -55,6 +56,7 @@
 pub mod store_cache;
 pub mod store_loop;
 pub mod store_reader;
+mod target_signals;
 mod zone_search;
 
 /// The most commonly used items of this crate.
--- a/crates/gateway/src/peer_service.rs
+++ b/crates/gateway/src/peer_service.rs
@@ -65,7 +65,7 @@
     let arrival = state.now();
     state.gossip.merge(request.member.clone(), arrival);
     if request.is_read_wanted {
-        state.on_read_wanted();
+        state.on_read_wanted(&request.member.host);
     }
     // The usage of a dispatcher's followers is part of the dispatcher's own reports.
     if !request.is_dispatcher {
@@ -85,16 +85,14 @@
     let now = state.now();
     let index = state.store_cache.index();
     let (directory, revisions) = state.store_cache.directory_with_revisions();
-    let is_later = is_directory_later(directory.content, revisions, &request);
+    // A host without revisions has just started, or is of a release that takes whole directories only.
+    let has_base = request.revisions != PartRevisions::default();
     let changes = || state.store_cache.changes_since(request.content, &directory);
-    let update = match is_later {
-        true if request.revisions != PartRevisions::default() => changes().map_or_else(
-            || DirectoryUpdate::Replaced((*directory).clone()),
-            DirectoryUpdate::Changed,
-        ),
-        true => DirectoryUpdate::Replaced((*directory).clone()),
-        false if directory.content == request.content => DirectoryUpdate::Same,
-        false => DirectoryUpdate::Older,
+    let update = match has_base.then(changes).flatten() {
+        _ if directory.content == request.content => DirectoryUpdate::Same,
+        _ if !is_directory_later(directory.content, revisions, &request) => DirectoryUpdate::Older,
+        Some(changes) => DirectoryUpdate::Changed(changes),
+        None => DirectoryUpdate::Replaced((*directory).clone()),
     };
     let config = index.map(|index| index.config().clone());
     let config = config.filter(|config| Some(config.version()) > request.config);
--- a/crates/gateway/src/request_attempts.rs
+++ b/crates/gateway/src/request_attempts.rs
@@ -31,6 +31,7 @@
         request_zone_permit, //
     },
     state::GatewayState,
+    target_signals::record_signals,
     zone_search::ZoneSearch, //
 };
 
@@ -375,7 +376,7 @@
                 state.excluded.on_unreachable(&entry.id, state.now());
             }
             if let Some(signals) = outcome.signals {
-                record_signals(&state, &plan, &entry, signals);
+                record_signals(&state, &plan.id, &entry, signals);
             }
             permit.complete(outcome.result, outcome.signals);
             outcome
@@ -411,28 +412,3 @@
         }
     }
 }
-
-/// Records what a target said about itself in an answer to a request.
-fn record_signals(
-    state: &GatewayState,
-    plan: &RequestPlan,
-    entry: &TargetEntry,
-    signals: TargetSignals,
-) {
-    let now = state.now();
-    let pause = Duration::from_millis(signals.pause_millis.into());
-    if !pause.is_zero() {
-        state.excluded.exclude(&entry.id, pause, now);
-        log::info!(
-            "event=target_paused id={} target={} pause_ms={}",
-            plan.id,
-            entry.id,
-            pause.as_millis()
-        );
-    }
-    if signals.is_leaving && state.excluded.on_leaving(entry, now) {
-        log::info!("event=target_leaving id={} target={}", plan.id, entry.id);
-    }
-    let limits = &state.stated_limits;
-    limits.on_answer(&entry.id, entry.born, signals.rate_limit);
-}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -169,8 +169,13 @@
     }
 
     /// Records that another host wants this one to read the store.
-    pub fn on_read_wanted(&self) {
-        *self.read_wanted_until() = self.now().after(READ_WANTED_FOR);
+    pub fn on_read_wanted(&self, by: &HostId) {
+        let now = self.now();
+        let previous =
+            std::mem::replace(&mut *self.read_wanted_until(), now.after(READ_WANTED_FOR));
+        if previous < now {
+            log::info!("event=store_read_wanted by={by}");
+        }
         self.read_wanted.notify_one();
     }
 
@@ -228,10 +233,8 @@
     /// Returns the fraction of the rates that targets state which this host's dispatcher may use: the whole if it has
     /// more than half of the hosts of its zone, which only one dispatcher can have.
     fn zone_fraction(&self, followers: u32) -> CapacityRatio {
-        let own = &self.settings.zone;
-        let records = self.gossip.records();
-        let known = records.iter().filter(|record| record.zone == *own);
-        let has_most = 2 * (followers as usize + 1) > known.count();
+        let known = self.gossip.zone_count(&self.settings.zone);
+        let has_most = u64::from(followers + 1) * 2 > known as u64;
         CapacityRatio::from_mille(match has_most {
             true => CapacityRatio::MAX_MILLE,
             false => CapacityRatio::MAX_MILLE / 2,
--- a/crates/gateway/tests/gateway/refused_reads.rs
+++ b/crates/gateway/tests/gateway/refused_reads.rs
@@ -12,6 +12,7 @@
     call,
     host_settings,
     open_count,
+    start_targets,
     version,
     wait_until, //
 };
@@ -52,12 +53,7 @@
     async fn new(host_count: usize, target_count: usize) -> Self {
         let store = StoreStandIn::start().await.unwrap();
         store.put_config(&config(1, &["key-1"]));
-        let mut targets = Vec::new();
-        for number in 0..target_count {
-            let target = TargetStandIn::start(&format!("t-{number}")).await.unwrap();
-            store.put(&target.key(), &target.entry("rate", "a", "ready"));
-            targets.push(target);
-        }
+        let targets = start_targets(&store, target_count).await;
         let (mut hosts, mut fronts): (Vec<GatewayHost>, Vec<StoreFront>) = (Vec::new(), Vec::new());
         for number in 1..=host_count {
             let (host, front) = start_host(&store, number, hosts.first()).await;
--- a/crates/gateway/tests/gateway/test_gateway.rs
+++ b/crates/gateway/tests/gateway/test_gateway.rs
@@ -90,6 +90,17 @@
     }
 }
 
+/// Starts a number of targets and registers them with the store.
+pub(crate) async fn start_targets(store: &StoreStandIn, count: usize) -> Vec<TargetStandIn> {
+    let mut targets = Vec::new();
+    for number in 0..count {
+        let target = TargetStandIn::start(&format!("t-{number}")).await.unwrap();
+        store.put(&target.key(), &target.entry("rate", "a", "ready"));
+        targets.push(target);
+    }
+    targets
+}
+
 impl TestGateway {
     /// Starts a gateway with a number of targets and waits until it is ready and lists all of them.
     pub(crate) async fn new(target_count: usize) -> Self {
@@ -100,12 +111,7 @@
     pub(crate) async fn with_revoke_bound(target_count: usize, revoke_bound: Duration) -> Self {
         let store = StoreStandIn::start().await.unwrap();
         store.put_config(&config(1, &["key-1"]));
-        let mut targets = Vec::new();
-        for number in 0..target_count {
-            let target = TargetStandIn::start(&format!("t-{number}")).await.unwrap();
-            store.put(&target.key(), &target.entry("rate", "a", "ready"));
-            targets.push(target);
-        }
+        let targets = start_targets(&store, target_count).await;
         let settings = GatewaySettings {
             revoke_bound,
             ..host_settings("edge-1", store.address())
--- a/crates/membership/src/host_gossip.rs
+++ b/crates/membership/src/host_gossip.rs
@@ -174,6 +174,14 @@
         records
     }
 
+    /// Returns the number of known hosts of a zone, including this host.
+    pub fn zone_count(&self, zone: &ZoneId) -> usize {
+        let mut count = usize::from(self.own.zone == *zone);
+        self.members
+            .for_each(|_, known| count += usize::from(known.record.zone == *zone));
+        count
+    }
+
     /// Returns the number of known hosts, including this one.
     pub fn known_count(&self) -> usize {
         self.members.len() + 1
