Count the revision of an equal directory only while it is equal

Cause: found while reading. A host that is told that its directory equals that of another host took over the other's revisions, also if its own directory had changed since it asked. It then ignored answers of the store between the two revisions, whose changes were lost until the next full read. The age of the other host counted, too. Change: the revisions count for the content that was compared, and the age of a part only if this host has read it up to the same revision. Measured: revision_of_an_equal_directory_does_not_count_for_a_changed_one fails without the comparison and passes. Tests of directory, gateway and node: 128 passed.

--- a/crates/directory/src/tracker.rs
+++ b/crates/directory/src/tracker.rs
@@ -22,6 +22,7 @@
     },
     outage::OutageDetector,
     targets::{
+        ContentDigest,
         PartRevisions,
         StoreRevision,
         TargetDirectory,
@@ -111,8 +112,12 @@
         is_current
     }
 
-    /// Records that another host has the same content up to its revisions.
-    pub fn confirm_revisions(&mut self, revisions: PartRevisions) {
+    /// Records that another host has a content up to its revisions. They count for this host only while it has the same
+    /// content: it would ignore the changes between its own revisions and those.
+    pub fn confirm_revisions(&mut self, content: ContentDigest, revisions: PartRevisions) {
+        if content != self.directory.content {
+            return;
+        }
         for part in StorePart::ALL {
             let known = self.revisions.part_mut(part);
             *known = revisions.part(part).max(*known);
--- a/crates/directory/tests/tracker.rs
+++ b/crates/directory/tests/tracker.rs
@@ -267,6 +267,34 @@
     }
 }
 
+/// Guards against a change that is lost: another host had the same content as this one when it was asked, at a later
+/// revision. This host has changed its content meanwhile, and would ignore the answer of the store in between.
+#[test]
+fn revision_of_an_equal_directory_does_not_count_for_a_changed_one() {
+    let mut tracker = tracker_with_two_targets();
+    let asked_with = tracker.directory().content;
+    let draining = vec![updated("t-1", TargetPhase::Draining)];
+    tracker.apply(
+        StorePart::Targets,
+        draining,
+        StoreRevision::new(20),
+        at(100),
+    );
+    let later = PartRevisions::new(StoreRevision::new(30));
+    tracker.confirm_revisions(asked_with, later);
+    let removed = DirectoryChange::TargetRemoved(TargetId::new("t-2").unwrap());
+    tracker.apply(
+        StorePart::Targets,
+        vec![removed],
+        StoreRevision::new(25),
+        at(200),
+    );
+    assert!(open_ids(&tracker).is_empty());
+    let content = tracker.directory().content;
+    tracker.confirm_revisions(content, later);
+    assert_eq!(tracker.revisions(), later);
+}
+
 /// Returns a tracker in which the entry of `t-1` lapsed at 6 s, and that adopted the directory of a peer which keeps
 /// the entry too.
 fn tracker_with_adopted_lapsed_entry() -> DirectoryTracker {
--- a/crates/gateway/src/follow_loop.rs
+++ b/crates/gateway/src/follow_loop.rs
@@ -156,7 +156,7 @@
         let message = GatewayMessage::Follow(request);
         match call_member(&state, &member, message, wait + ANSWER_LIMIT).await {
             Ok(GatewayMessage::FollowAnswer(answer)) => {
-                if !apply_answer(&state, *answer, sent_at) {
+                if !apply_answer(&state, *answer, (directory.content, sent_at)) {
                     tokio::time::sleep(STALE_ANSWER_PAUSE).await;
                 }
             }
@@ -170,9 +170,13 @@
     }
 }
 
-/// Applies an answer from a followed host. Returns `false` if its directory was rejected as older than the
-/// local one.
-fn apply_answer(state: &GatewayState, answer: FollowAnswer, sent_at: MonoTime) -> bool {
+/// Applies an answer from a followed host to a request that stated a content at a time. Returns `false` if its directory
+/// was rejected as older than the local one.
+fn apply_answer(
+    state: &GatewayState,
+    answer: FollowAnswer,
+    (content, sent_at): (ContentDigest, MonoTime),
+) -> bool {
     let now = state.now();
     let host = answer.member.host.clone();
     state.gossip.on_answer(&host, now);
@@ -191,7 +195,7 @@
             None => return true,
         },
         DirectoryUpdate::Same => {
-            cache.on_same_directory(answer.revisions);
+            cache.on_same_directory(content, answer.revisions);
             true
         }
         // The other host has waited for a later state before it answered.
@@ -199,15 +203,16 @@
     };
     // The answer was created after `held_millis` on the other host, so not earlier than this time here.
     let created_at = sent_at.after(Duration::from_millis(answer.held_millis.into()));
-    // What this host has is as recent as what the other one has in both parts.
+    let (_, own_revisions) = cache.directory_with_revisions();
     let ages = [
         (StorePart::Operator, answer.age_millis),
         (StorePart::Targets, answer.target_age_millis),
     ];
     for (part, age) in ages {
-        if let Some(age) = age {
+        let is_as_recent = own_revisions.part(part) >= answer.revisions.part(part);
+        if let Some(age) = age.filter(|_| is_as_recent) {
             let age = ContactAge::new(Duration::from_millis(age.into()));
-            state.store_cache.confirm_aged(part, age, created_at);
+            cache.confirm_aged(part, age, created_at);
         }
     }
     if answer.is_served {
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -268,9 +268,9 @@
         })
     }
 
-    /// Records that another host has the same directory content up to its revisions.
-    pub fn on_same_directory(&self, revisions: PartRevisions) {
-        lock(&self.tracker).confirm_revisions(revisions);
+    /// Records that another host has a directory content up to its revisions.
+    pub fn on_same_directory(&self, content: ContentDigest, revisions: PartRevisions) {
+        lock(&self.tracker).confirm_revisions(content, revisions);
     }
 
     /// Replaces the evacuated zones by those of a full read.
