Make fewer calls while the store serves nobody

Cause: in an outage of the store every host reads it, and each call is paid. Since the parts have readers of their own, a follower made two calls each 0.3 s, and a dispatcher asked all hosts of its zone again and again. Change: a follower reads the parts in turn and doubles its pause up to a second of a bound of two; a dispatcher whose hosts were all asked in vain asks again after one bound. A bound of zero in the settings counts as half a second, as its shares would leave no pause between calls.

--- a/crates/directory/src/change_budget.rs
+++ b/crates/directory/src/change_budget.rs
@@ -18,6 +18,12 @@
 /// Parts into which the bound is divided.
 const WHOLE_MILLE: u32 = 1000;
 
+/// Lowest bound. Shares of a lower one would be below the time of a call, and the pauses between calls next to nothing.
+const BOUND_MIN: Duration = Duration::from_millis(500);
+
+/// Maximum number of failures after which the pause of a follower no longer doubles.
+const DOUBLINGS_MAX: u32 = 2;
+
 /// Share for collecting changes between two calls, in thousandths.
 const COLLECT_MILLE: u32 = 250;
 
@@ -50,9 +56,11 @@
 }
 
 impl ChangeBudget {
-    /// Creates the limits for a bound.
-    pub const fn new(bound: Duration) -> Self {
-        Self { bound }
+    /// Creates the limits for a bound, which counts as at least half a second.
+    pub fn new(bound: Duration) -> Self {
+        Self {
+            bound: bound.max(BOUND_MIN),
+        }
     }
 
     fn share(self, mille: u32) -> Duration {
@@ -120,6 +128,12 @@
         self.share(READ_MILLE + READ_STEP_MILLE * steps)
     }
 
+    /// Returns the pause of a follower after a number of failed reads in a row. In an outage of the store every host reads,
+    /// and each call is paid; the dispatchers notice its end.
+    pub fn retry_pause(self, failures: u32) -> Duration {
+        self.silence_limit() * (1 << failures.min(DOUBLINGS_MAX))
+    }
+
     /// Returns the interval at which a host checks whether its sources are served.
     pub fn check_period(self) -> Duration {
         self.share(CHECK_MILLE)
--- a/crates/directory/src/reader_search.rs
+++ b/crates/directory/src/reader_search.rs
@@ -2,7 +2,8 @@
 //!
 //! The store may refuse some hosts and serve others, and nobody knows which. A dispatcher whose copy is late asks a few
 //! hosts in the order of their rank. Those that are served remain asked until the dispatcher is served itself. If none
-//! is served within a trial, twice as many others are asked.
+//! is served within a trial, twice as many others are asked. If all were asked in vain, the store is probably down, and the
+//! search pauses.
 
 use std::time::Duration;
 
@@ -46,6 +47,8 @@
     asked: IndexMap<HostId, AskedReader>,
     refused: IndexSet<HostId>,
     trials: u32,
+    /// End of the pause after all hosts were asked in vain.
+    paused_until: MonoTime,
 }
 
 impl ReaderSearch {
@@ -100,7 +103,7 @@
             }
             is_kept
         });
-        if !is_late || !self.asked.is_empty() {
+        if !is_late || !self.asked.is_empty() || now < self.paused_until {
             return false;
         }
         self.trials += u32::from(asked_before > 0);
@@ -115,8 +118,11 @@
             .map(|host| (host.clone(), reader))
             .collect();
         if self.asked.is_empty() {
-            // All hosts were asked in vain. The store may serve some of them by now.
-            self.refused.clear();
+            // All hosts were asked in vain. The store may serve some of them later.
+            *self = Self {
+                paused_until: now.after(budget.bound()),
+                ..Self::new()
+            };
         }
         !self.asked.is_empty()
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -40,7 +40,7 @@
 const FOLLOWER_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Time for which a host reads the store for another one after that asked for it.
-const READ_WANTED_FOR: Duration = Duration::from_secs(1);
+const READ_WANTED_FOR: Duration = Duration::from_millis(500);
 
 /// Fleet size that a host assumes while it starts. Deployments have 32 hosts or more.
 const FLEET_SIZE_ASSUMED: u32 = 32;
--- a/crates/gateway/src/store_loop.rs
+++ b/crates/gateway/src/store_loop.rs
@@ -13,13 +13,7 @@
 use chicorycroft_core::prelude::*;
 use chicorycroft_directory::prelude::*;
 
-use crate::{
-    state::GatewayState,
-    store_reader::{
-        PartReader,
-        pause_after_failure, //
-    },
-};
+use crate::{state::GatewayState, store_reader::PartReader};
 
 /// Time after the start at which a host without data reads the store. It leaves a peer enough time to answer
 /// first.
@@ -42,20 +36,30 @@
     }
 }
 
-/// Reads both parts of the store once.
-async fn read_once(state: &GatewayState, store: &StoreClient) {
-    let [operator, targets] = StorePart::ALL.map(|part| PartReader::new(state, store, part));
-    let results = tokio::join!(operator.read(), targets.read());
-    let mut has_failed = false;
-    for (reader, result) in [(operator, results.0), (targets, results.1)] {
-        if let Err(error) = result {
+/// Reads both parts of the store once. Returns `false` if a call failed.
+async fn read_once(state: &GatewayState, store: &StoreClient) -> bool {
+    for part in StorePart::ALL {
+        let reader = PartReader::new(state, store, part);
+        if let Err(error) = reader.read().await {
             reader.record_failure(&error);
-            has_failed = true;
+            return false;
         }
     }
-    if has_failed {
-        pause_after_failure().await;
-    }
+    true
+}
+
+/// Waits for `pause`, or until this host must watch the store.
+async fn pause_reads(state: &GatewayState, pause: Duration) {
+    let until_reader = async {
+        while !state.is_reader() {
+            tokio::select! {
+                () = tokio::time::sleep(state.change_budget().check_period()) => {}
+                () = state.until_read_wanted() => {}
+            }
+        }
+    };
+    // The end of the pause is no failure.
+    let _ = tokio::time::timeout(pause, until_reader).await;
 }
 
 /// Returns `true` if the cached data is old enough for this host to read the store itself. A host without data
@@ -72,17 +76,25 @@
 pub async fn read(state: Arc<GatewayState>) {
     let store = StoreClient::new(state.settings.store);
     let started_at = state.now();
+    let mut failed_reads = 0;
     loop {
         let is_alone = state.gossip.known_count() == 1;
+        let budget = state.change_budget();
         if state.is_reader() && (!is_alone || should_read(&state, started_at)) {
             watch_store(&state, &store).await;
         } else if should_read(&state, started_at) {
-            read_once(&state, &store).await;
+            failed_reads = match read_once(&state, &store).await {
+                true => 0,
+                false => {
+                    pause_reads(&state, budget.retry_pause(failed_reads)).await;
+                    failed_reads + 1
+                }
+            };
         } else {
             let has_no_config = state.store_cache.index().is_none();
             let period = match has_no_config {
                 true => FIRST_READ_DELAY / 2,
-                false => state.change_budget().check_period(),
+                false => budget.check_period(),
             };
             tokio::select! {
                 () = tokio::time::sleep(period) => {}
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -176,7 +176,7 @@
 }
 
 /// Waits before the next call to a store that did not answer. The random part spreads the calls of several hosts.
-pub async fn pause_after_failure() {
+async fn pause_after_failure() {
     let jitter = rand::rng().random_range(0..FAILURE_JITTER_MILLIS);
     tokio::time::sleep(FAILURE_PAUSE + Duration::from_millis(jitter)).await;
 }
--- a/crates/gateway/tests/gateway/refused_reads.rs
+++ b/crates/gateway/tests/gateway/refused_reads.rs
@@ -146,3 +146,20 @@
     let answer = call(host.caller_address(), "GET /look/1", "key-1", "").await;
     assert_eq!(answer.status, 401);
 }
+
+/// Guards against thousands of paid calls in an outage of the store, in which every host reads it for itself: followers
+/// pause longer after each failed read.
+#[tokio::test]
+async fn followers_make_few_calls_while_the_store_is_down() {
+    let group = HostGroup::new(3, 1).await;
+    group.refuse_first(3);
+    sleep(NOTICE_TIME).await;
+    let before = group.fronts[2].refused_count();
+    sleep(NOTICE_TIME).await;
+    let calls = group.fronts[2].refused_count() - before;
+    // One read a second, and those that the dispatcher asks for now and then.
+    assert!(
+        calls <= 16,
+        "{calls} calls of a follower in {NOTICE_TIME:?}"
+    );
+}
