Name the team in the log line of a request

Callers saw: refusals within the rate (429) whose team could be read from a dispatcher's lines only, of which a busy host keeps a part. Cause: `event=request` had no team. Change: the line has `team=`, from the time at which the key was checked. Running the attempts moved into a function of its own, so that the guard of the log line knows the plan.

--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -91,6 +91,8 @@
     state: Arc<GatewayState>,
     id: Option<SmolStr>,
     path: String,
+    /// Team whose key came with the request, once that was checked.
+    team: Option<TeamId>,
     arrival: MonoTime,
     is_recorded: bool,
 }
@@ -108,10 +110,11 @@
         let (index, age) = (state.store_cache.index(), state.store_cache.age(now));
         state.metrics.on_request(outcome, elapsed);
         log::info!(
-            "event=request id={} path={} outcome={outcome} status={status} reason={reason} config={} \
+            "event=request id={} path={} team={} outcome={outcome} status={status} reason={reason} config={} \
              age_ms={} elapsed_ms={}",
             self.id.as_deref().unwrap_or("-"),
             self.path,
+            self.team.as_ref().map_or("-", TeamId::as_str),
             index.map_or(0, |index| index.config().version().get()),
             age.map_or(0, |age| age.get().as_millis()),
             elapsed.as_millis()
@@ -132,14 +135,27 @@
     let arrival = state.now();
     let (mut parts, body) = request.into_parts();
     let id = headers::request_id(&parts.headers).map(SmolStr::new);
-    let guard = RequestGuard {
+    let mut guard = RequestGuard {
         state: state.clone(),
         id: id.clone(),
         path: parts.uri.path().to_owned(),
+        team: None,
         arrival,
         is_recorded: false,
     };
-    let answer = serve(&state, &mut parts, body, id.as_ref(), arrival).await;
+    let planned = tokio::select! {
+        planned = plan_request(&state, &mut parts, body, id.as_ref(), arrival) => planned,
+        () = state.until_answers_due() => {
+            Err(RequestRefusal::new(RefusalAnswer::SlowBody, "stopping"))
+        }
+    };
+    let answer = match planned {
+        Ok((plan, memory)) => {
+            guard.team = plan.team.clone();
+            serve(&state, plan, memory).await
+        }
+        Err(refusal) => refuse(id.as_deref(), refusal),
+    };
     guard.finish(&answer);
     let mut response = answer.response.map(full_body);
     if state.is_stopping() {
@@ -149,30 +165,26 @@
     response
 }
 
-async fn serve(
-    state: &Arc<GatewayState>,
-    parts: &mut request::Parts,
-    body: Incoming,
-    id: Option<&SmolStr>,
-    arrival: MonoTime,
-) -> CallerResponse {
-    let refuse = |refusal: RequestRefusal| CallerResponse {
+/// Converts a refusal into the response to the caller.
+fn refuse(id: Option<&str>, refusal: RequestRefusal) -> CallerResponse {
+    CallerResponse {
         response: refusal
             .answer
-            .respond(id.map(SmolStr::as_str), refusal.retry_after.map(add_jitter)),
+            .respond(id, refusal.retry_after.map(add_jitter)),
         outcome: refusal.answer.name().into(),
         reason: refusal.reason,
-    };
-    let planned = tokio::select! {
-        planned = plan_request(state, parts, body, id, arrival) => planned,
-        () = state.until_answers_due() => {
-            Err(RequestRefusal::new(RefusalAnswer::SlowBody, "stopping"))
-        }
-    };
-    let (plan, memory) = match planned {
-        Ok(planned) => planned,
-        Err(refusal) => return refuse(refusal),
-    };
+    }
+}
+
+/// Runs the attempts of a request and returns the response. `memory` holds the memory of its body.
+async fn serve(
+    state: &Arc<GatewayState>,
+    plan: RequestPlan,
+    memory: OwnedSemaphorePermit,
+) -> CallerResponse {
+    let id = plan.id.clone();
+    // A request without an id has an empty one in its plan.
+    let refuse = |refusal| refuse(Some(id.as_str()).filter(|id| !id.is_empty()), refusal);
     let left = plan.deadline.since(state.now());
     let mut attempts = RequestAttempts::new(state.clone(), plan);
     let outcome = tokio::select! {
