Charge a team only for requests that get a slot

Cause: the dispatcher of the caller's zone charged each request before it looked for a slot, and a request that found none in any zone kept its token. Ruled out: the bucket itself (four of them with reports grant the whole rate), spending counted twice, lines dropped by the log. Change: a dispatcher charges a request that it grants or lets wait, and gives the token back if the wait ends without a slot or the caller leaves. Another zone charges for the slot that it grants; only the first zone decides that the team is over its rate, as the buckets of parted zones differ. Also, in the same lines: a retry's budget is asked before a slot is granted (its permit was revoked, and a waiting request that got the slot meanwhile lost its answer), and a permit whose release is lost no longer counts for its team for ever. Tests: `dispatch: team_gets_its_whole_rate_although_zones_are_busy` (3, 4, 5 and 10 zones; with giving back disabled 180 of 400 requests), `request_that_is_not_sent_gives_its_token_back`, `lost_release_does_not_count_for_its_team_for_ever`; each fails without its part.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -16,7 +16,6 @@
     fleet_share::FleetShare,
     messages::{
         AdmitRequest,
-        AttemptResult,
         ReleaseNotice,
         TeamUsage,
         TicketNumber, //
@@ -68,7 +67,7 @@
     /// # Errors
     ///
     /// Returns the delay before a retry if the team is over its rate.
-    pub fn charge(
+    fn charge(
         &self,
         request: &AdmitRequest,
         config: &GatewayConfig,
@@ -88,7 +87,15 @@
             })
     }
 
-    /// Selects a target for a request, queues the request, or refuses it.
+    /// Returns the token of a request that is not sent with a permit of this dispatcher.
+    fn give_back<'a>(&self, teams: impl IntoIterator<Item = &'a TeamId>) {
+        for team in teams {
+            self.buckets.with(team, TeamBucket::give_back);
+        }
+    }
+
+    /// Selects a target for a request, queues the request, or refuses it. The request is charged to its team only if it
+    /// is granted or waits, as another dispatcher charges it otherwise.
     pub fn admit(
         &self,
         request: &AdmitRequest,
@@ -97,6 +104,12 @@
         share: FleetShare,
         now: MonoTime,
     ) -> PoolAnswer {
+        if request.is_repeat && !self.retries.allows_retry(&request.service, now) {
+            return PoolAnswer::NoBudget;
+        }
+        if let Err(retry_after) = self.charge(request, config, share, now) {
+            return PoolAnswer::OverRate { retry_after };
+        }
         let terms = config.service(&request.service);
         let cold_rate = terms.map_or(RequestRate::ZERO, |terms| terms.cold_rate);
         let key = (request.service.clone(), request.zone.clone());
@@ -105,38 +118,15 @@
             pool.update(directory, (&request.service, request.zone.as_ref()), now);
             pool.admit(request, || self.next_number(), now)
         });
-        self.charge_retry(request, answer, now)
-    }
-
-    /// Counts a granted request in the retry budget, and revokes the grant of a retry that the budget does not
-    /// allow.
-    fn charge_retry(
-        &self,
-        request: &AdmitRequest,
-        answer: PoolAnswer,
-        now: MonoTime,
-    ) -> PoolAnswer {
-        let PoolAnswer::Granted(grant) = &answer else {
-            return answer;
-        };
-        if !request.is_repeat {
-            self.retries.record_request(&request.service, now);
-            return answer;
-        }
-        if self.retries.try_spend(&request.service, now) {
-            return answer;
+        match &answer {
+            PoolAnswer::Granted(_) if request.is_repeat => {
+                self.retries.record_retry(&request.service, now);
+            }
+            PoolAnswer::Granted(_) => self.retries.record_request(&request.service, now),
+            PoolAnswer::Waiting(_) => {}
+            _ => self.give_back(&request.charged_team),
         }
-        let notice = ReleaseNotice {
-            service: request.service.clone(),
-            zone: request.zone.clone(),
-            target: grant.target.clone(),
-            permit: grant.permit,
-            result: AttemptResult::Cancelled,
-            elapsed_millis: 0,
-            signals: None,
-        };
-        self.release(&notice, now);
-        PoolAnswer::NoBudget
+        answer
     }
 
     /// Releases a permit and serves the queue of its pool. The first value tells what the release changed about the
@@ -147,7 +137,9 @@
             let effect = pool.release(notice, now);
             (effect, pool.serve_queue(|| self.next_number(), now))
         });
-        released.unwrap_or_default()
+        let (effect, change) = released.unwrap_or_default();
+        self.give_back(&change.expired_teams);
+        (effect, change)
     }
 
     /// Serves all queues with the targets of a directory. Called periodically, because waits and blocks end without a
@@ -159,14 +151,17 @@
             let change = pool.serve_queue(|| self.next_number(), now);
             all.granted.extend(change.granted);
             all.expired.extend(change.expired);
+            all.expired_teams.extend(change.expired_teams);
         });
+        self.give_back(&all.expired_teams);
         all
     }
 
     /// Removes a waiting request from its queue, as its caller has disconnected.
     pub fn cancel(&self, service: &ServiceId, zone: Option<&ZoneId>, ticket: TicketNumber) {
         let key = (service.clone(), zone.cloned());
-        self.pools.with(&key, |pool| pool.cancel(ticket));
+        let team = self.pools.with(&key, |pool| pool.cancel(ticket));
+        self.give_back(&team.flatten());
     }
 
     fn usage_by(&self, count_of: impl Fn(&TeamBucket) -> u64) -> Vec<TeamUsage> {
--- a/crates/dispatch/src/service_pool.rs
+++ b/crates/dispatch/src/service_pool.rs
@@ -66,6 +66,11 @@
     Granted(DispatchGrant),
     /// The request waits in the queue.
     Waiting(TicketNumber),
+    /// The team is over its rate.
+    OverRate {
+        /// Time until the team's next token.
+        retry_after: Duration,
+    },
     /// No acceptable target has a slot, and none is expected within the wait.
     Busy {
         /// Expected time until a slot is free.
@@ -86,6 +91,16 @@
     pub granted: Vec<(TicketNumber, DispatchGrant)>,
     /// Requests whose wait is over, and the expected time until a slot is free.
     pub expired: Vec<(TicketNumber, Duration)>,
+    /// Teams that were charged for the requests whose wait is over.
+    pub expired_teams: Vec<TeamId>,
+}
+
+/// A request in flight.
+#[derive(Clone, Debug)]
+struct OpenRequest {
+    team: Option<TeamId>,
+    /// Time at which its permit expires.
+    ends_at: MonoTime,
 }
 
 /// The targets of one service in one zone.
@@ -93,8 +108,8 @@
 pub struct ServicePool {
     targets: IndexMap<TargetId, TargetSlots>,
     queue: WaitingQueue,
-    /// Teams of the requests in flight, for fair queueing.
-    permit_teams: IndexMap<PermitNumber, Option<TeamId>>,
+    /// Requests in flight, for fair queueing.
+    open_requests: IndexMap<PermitNumber, OpenRequest>,
     /// Moving average over the good answers.
     mean_latency: Duration,
     cold_rate: RequestRate,
@@ -157,7 +172,7 @@
         Self {
             targets: IndexMap::new(),
             queue: WaitingQueue::new(),
-            permit_teams: IndexMap::new(),
+            open_requests: IndexMap::new(),
             mean_latency: INITIAL_LATENCY,
             cold_rate: RequestRate::ZERO,
             share: FleetShare::default(),
@@ -267,9 +282,11 @@
         let permit = PermitNumber::new(number);
         let target = self.targets.get_mut(&id)?;
         let rates = (self.cold_rate, self.share.zone_fraction);
-        target.grant(permit, request.time_left(), rates, now);
+        let ends_at = target.grant(permit, request.time_left(), rates, now);
         let limit = target.limit();
-        self.permit_teams.insert(permit, request.team.clone());
+        let team = request.team.clone();
+        self.open_requests
+            .insert(permit, OpenRequest { team, ends_at });
         Some(DispatchGrant {
             permit,
             target: id,
@@ -355,7 +372,7 @@
 
     /// Releases a permit and records its result and what the target said about itself.
     pub fn release(&mut self, notice: &ReleaseNotice, now: MonoTime) -> ReleaseEffect {
-        self.permit_teams.swap_remove(&notice.permit);
+        self.open_requests.swap_remove(&notice.permit);
         self.completions.record(now);
         if notice.result == AttemptResult::Good {
             let elapsed = Duration::from_millis(notice.elapsed_millis.into());
@@ -371,6 +388,9 @@
         for target in self.targets.values_mut() {
             target.expire(now);
         }
+        // A release that is lost must not count for the team for ever.
+        self.open_requests
+            .retain(|_, request| now < request.ends_at);
     }
 
     /// Grants free slots to waiting requests, and removes those whose wait is over.
@@ -380,16 +400,17 @@
             return change;
         }
         self.expire(now);
-        for ticket in self.queue.take_expired(now) {
+        for (ticket, request) in self.queue.take_expired(now) {
             change
                 .expired
                 .push((ticket, self.expected_wait(u8::MAX, now)));
+            change.expired_teams.extend(request.charged_team);
         }
-        let permit_teams = &self.permit_teams;
+        let open_requests = &self.open_requests;
         let open_of = |team: Option<&TeamId>| {
-            permit_teams
+            open_requests
                 .values()
-                .filter(|held| held.as_ref() == team)
+                .filter(|request| request.team.as_ref() == team)
                 .count()
         };
         for ticket in self.queue.in_order(open_of) {
@@ -408,8 +429,9 @@
         change
     }
 
-    /// Removes a waiting request from the queue, as its caller has disconnected.
-    pub fn cancel(&mut self, ticket: TicketNumber) {
-        self.queue.remove(ticket);
+    /// Removes a waiting request from the queue, as its caller has disconnected, and returns the team that was charged
+    /// for it.
+    pub fn cancel(&mut self, ticket: TicketNumber) -> Option<TeamId> {
+        self.queue.remove(ticket)?.request.charged_team
     }
 }
--- a/crates/dispatch/src/target_slots.rs
+++ b/crates/dispatch/src/target_slots.rs
@@ -183,15 +183,16 @@
         now.since(self.granted_at.unwrap_or(self.listed_at))
     }
 
-    /// Occupies a slot with a permit that expires shortly after the request's time is over. `cold_rate` is the
-    /// request rate that the target handles while it is cold, and `share` the dispatcher's part of a stated rate.
+    /// Occupies a slot with a permit that expires shortly after the request's time is over, and returns the time at
+    /// which it does. `cold_rate` is the request rate that the target handles while it is cold, and `share` the
+    /// dispatcher's part of a stated rate.
     pub fn grant(
         &mut self,
         permit: PermitNumber,
         time_left: Duration,
         (cold_rate, share): (RequestRate, CapacityRatio),
         now: MonoTime,
-    ) {
+    ) -> MonoTime {
         let open = OpenPermit {
             granted_at: now,
             ends_at: now.after(time_left + PERMIT_MARGIN),
@@ -200,6 +201,7 @@
         self.granted_at = Some(now);
         self.pacer.on_sent(cold_rate, now);
         self.limiter.on_sent(share, now);
+        open.ends_at
     }
 
     /// Frees a slot and records the result of its request and what the target said about itself. A permit that is not
--- a/crates/dispatch/src/team_bucket.rs
+++ b/crates/dispatch/src/team_bucket.rs
@@ -5,7 +5,8 @@
 //! spends and those that the others report; a dispatcher without reports refills at its share of the rate only.
 //! The bucket goes below zero on late reports, so that a burst is paid back and the sum stays at the rate. It is
 //! nearly empty at the start of its process, because an earlier process may have spent the burst. The standby of
-//! a dispatcher receives its spending for the same reason.
+//! a dispatcher receives its spending for the same reason. A request that finds no slot gives its token back, so that
+//! a team gets its whole rate also while many of its requests are refused for want of a slot.
 
 use std::time::Duration;
 
@@ -105,6 +106,17 @@
             .min(RETRY_DELAY_MAX))
     }
 
+    /// Returns the token of a request that was not sent to a target. Other dispatchers that were told of it count one
+    /// token less of the later ones.
+    pub fn give_back(&mut self) {
+        if self.spent == 0 {
+            return;
+        }
+        self.tokens += MICROS;
+        self.spent -= 1;
+        self.total -= 1;
+    }
+
     /// Returns the number of tokens spent here since the start.
     pub fn spent(&self) -> u64 {
         self.spent
--- a/crates/dispatch/src/waiting_queue.rs
+++ b/crates/dispatch/src/waiting_queue.rs
@@ -71,12 +71,12 @@
     }
 
     /// Removes and returns the requests whose wait is over.
-    pub fn take_expired(&mut self, now: MonoTime) -> Vec<TicketNumber> {
+    pub fn take_expired(&mut self, now: MonoTime) -> Vec<(TicketNumber, AdmitRequest)> {
         let mut expired = Vec::new();
         self.waiting.retain(|ticket, waiting| {
             let is_over = now >= waiting.until;
             if is_over {
-                expired.push(*ticket);
+                expired.push((*ticket, waiting.request.clone()));
             }
             !is_over
         });
--- a/crates/dispatch/tests/dispatcher/main.rs
+++ b/crates/dispatch/tests/dispatcher/main.rs
@@ -6,6 +6,7 @@
     reason = "test helpers may panic"
 )]
 
+mod charging;
 mod common;
 mod limits;
 mod selection;
--- a/crates/gateway/src/permit_service.rs
+++ b/crates/gateway/src/permit_service.rs
@@ -47,12 +47,6 @@
         return AdmitAnswer::NoTarget;
     };
     let (now, share, config) = (state.now(), state.share(), index.config());
-    if let Err(wait) = state.dispatcher.charge(request, config, share, now) {
-        log_refusal(request, config, share, "over-rate");
-        return AdmitAnswer::OverRate {
-            retry_millis: whole_millis(wait),
-        };
-    }
     let directory = state.store_cache.directory();
     let answer = state
         .dispatcher
@@ -71,6 +65,12 @@
             retry_millis: whole_millis(expected_wait),
             has_less_trusted,
         },
+        PoolAnswer::OverRate { retry_after } => {
+            log_refusal(request, config, share, "over-rate");
+            AdmitAnswer::OverRate {
+                retry_millis: whole_millis(retry_after),
+            }
+        }
         PoolAnswer::NoBudget => {
             log_refusal(request, config, share, "no-budget");
             AdmitAnswer::NoBudget
--- a/crates/gateway/src/request_attempts.rs
+++ b/crates/gateway/src/request_attempts.rs
@@ -166,14 +166,12 @@
         excluded
     }
 
-    /// Returns the zones to search, in order. The dispatcher of the local zone enforces the team rates, so it is
-    /// the first one until the request is charged, even if the zone has no targets.
+    /// Returns the zones with targets of the service in the order of the search, the local one first.
     fn zones(&self) -> Vec<ZoneId> {
         let own = &self.state.settings.zone;
         let directory = self.state.store_cache.directory();
         let mut others = directory.zones_of(&self.plan.service);
-        let has_own = others.shift_remove(own);
-        let own = (has_own || !self.is_charged).then(|| own.clone());
+        let own = others.shift_take(own);
         own.into_iter().chain(others).collect()
     }
 
@@ -188,14 +186,14 @@
         for zone in search.zones.clone() {
             let request = self.admit_request(Some(&zone), Duration::ZERO, least_trust);
             match self.request_permit(&zone, request, &mut search).await {
-                Err(AdmitAnswer::Busy { .. } | AdmitAnswer::NoTarget) => {}
+                Err(refusal) if search.continues_after(&zone, &refusal) => {}
                 result => return result,
             }
         }
         for zone in search.less_trusted_zones.clone() {
             let request = self.admit_request(Some(&zone), Duration::ZERO, TargetTrust::Blocked);
             match self.request_permit(&zone, request, &mut search).await {
-                Err(AdmitAnswer::Busy { .. } | AdmitAnswer::NoTarget) => {}
+                Err(refusal) if search.continues_after(&zone, &refusal) => {}
                 result => return result,
             }
         }
@@ -247,10 +245,7 @@
     ) -> Result<Option<PermittedTarget>, AdmitAnswer> {
         let permit = match answer {
             PermitAnswer::Granted(permit) => *permit,
-            PermitAnswer::Refused(refusal) => {
-                self.is_charged |= !matches!(refusal, AdmitAnswer::OverRate { .. });
-                return Err(refusal);
-            }
+            PermitAnswer::Refused(refusal) => return Err(refusal),
             PermitAnswer::NoAnswer => return Err(AdmitAnswer::NoTarget),
         };
         self.is_charged = true;
--- a/crates/gateway/src/zone_search.rs
+++ b/crates/gateway/src/zone_search.rs
@@ -32,9 +32,25 @@
         }
     }
 
+    /// Returns `true` if another zone may grant a request that a zone has refused. The dispatchers of all zones hold
+    /// nearly the same tokens of a team, so that only the first zone decides that it is over its rate; those of others
+    /// may be parted from it.
+    pub(crate) fn continues_after(&self, zone: &ZoneId, refusal: &AdmitAnswer) -> bool {
+        match refusal {
+            AdmitAnswer::Busy { .. } | AdmitAnswer::NoTarget => true,
+            AdmitAnswer::OverRate { .. } => self.zones.first() != Some(zone),
+            AdmitAnswer::Granted(_) | AdmitAnswer::NoBudget => false,
+        }
+    }
+
     /// Records the answer of a zone.
     pub(crate) fn record(&mut self, zone: &ZoneId, answer: &PermitAnswer) {
         self.is_unanswered &= matches!(answer, PermitAnswer::NoAnswer);
+        if let PermitAnswer::Refused(refusal @ AdmitAnswer::OverRate { .. }) = answer
+            && self.refusal == AdmitAnswer::NoTarget
+        {
+            self.refusal = refusal.clone();
+        }
         let PermitAnswer::Refused(
             busy @ AdmitAnswer::Busy {
                 has_less_trusted, ..
--- a/crates/retry/src/budget.rs
+++ b/crates/retry/src/budget.rs
@@ -71,8 +71,8 @@
         count
     }
 
-    /// Counts a retry if the window allows one more.
-    fn try_spend(&mut self, terms: BudgetTerms, now: MonoTime) -> bool {
+    /// Returns `true` if the window allows one more retry.
+    fn allows_retry(&mut self, terms: BudgetTerms, now: MonoTime) -> bool {
         let second = self.count_at(now).second;
         let is_recent = |count: &&SecondCount| count.second + WINDOW_SECONDS as u64 > second;
         let (requests, retries) = self
@@ -83,7 +83,12 @@
                 (requests + count.requests, retries + count.retries)
             });
         let allowed = requests / terms.requests_per_retry.max(1) + terms.free_retries;
-        let is_allowed = retries < allowed;
+        retries < allowed
+    }
+
+    /// Counts a retry if the window allows one more.
+    fn try_spend(&mut self, terms: BudgetTerms, now: MonoTime) -> bool {
+        let is_allowed = self.allows_retry(terms, now);
         if is_allowed {
             self.count_at(now).retries += 1;
         }
@@ -118,6 +123,22 @@
             });
     }
 
+    /// Returns `true` if the budget of a service allows a retry now, without charging it.
+    pub fn allows_retry(&self, service: &ServiceId, now: MonoTime) -> bool {
+        self.services
+            .with_or_insert(service, ServiceBudget::default, |budget| {
+                budget.allows_retry(self.terms, now)
+            })
+    }
+
+    /// Charges one retry to a service, for a caller that asked [`Self::allows_retry`] before.
+    pub fn record_retry(&self, service: &ServiceId, now: MonoTime) {
+        self.services
+            .with_or_insert(service, ServiceBudget::default, |budget| {
+                budget.count_at(now).retries += 1;
+            });
+    }
+
     /// Charges one retry to a service; returns `false` if its budget is used up.
     pub fn try_spend(&self, service: &ServiceId, now: MonoTime) -> bool {
         self.services
