Count the time behind other requests of a connection, and notice callers that leave there

Callers saw: nothing yet; targets worked on for callers that had left, and for longer than callers wait.

Cause: callers may send requests before the earlier ones are answered. The HTTP library hands them over one after the other. The deadline of a request was counted from when it was handed over, and while it waits the library does not read the connection, so that it does not notice its end. Evidence: `gateway: time_behind_another_request_counts_against_the_deadline` (869 of 900 ms were left after 400 ms) and `caller_that_leaves_is_noticed_behind_a_second_request` (never noticed) fail without the change. Order of answers, a malformed second request, a request behind an answer that closes and a planned stop were right; tests for each are new. Change: the guard of a connection records when each head arrived and reads ahead, 16 KiB at most, while heads wait. The log line of a request has `queued_ms`.

--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -85,6 +85,15 @@
     }
 }
 
+/// When a request arrived.
+#[derive(Clone, Copy, Debug)]
+struct RequestArrival {
+    /// Time at which it was handed over by the HTTP library.
+    now: MonoTime,
+    /// Time for which it had waited behind others of its connection until then.
+    queued: Duration,
+}
+
 /// Writes the log line and metrics of a request exactly once, also if the caller disconnects first and the
 /// request is dropped.
 struct RequestGuard {
@@ -93,7 +102,7 @@
     path: String,
     /// Team whose key came with the request, once that was checked.
     team: Option<TeamId>,
-    arrival: MonoTime,
+    arrival: RequestArrival,
     is_recorded: bool,
 }
 
@@ -106,17 +115,18 @@
 
     fn record(&self, outcome: &str, status: u16, reason: &str) {
         let (state, now) = (&self.state, self.state.now());
-        let elapsed = now.since(self.arrival);
+        let elapsed = now.since(self.arrival.now);
         let (index, age) = (state.store_cache.index(), state.store_cache.age(now));
         state.metrics.on_request(outcome, elapsed);
         log::info!(
             "event=request id={} path={} team={} outcome={outcome} status={status} reason={reason} config={} \
-             age_ms={} elapsed_ms={}",
+             age_ms={} queued_ms={} elapsed_ms={}",
             self.id.as_deref().unwrap_or("-"),
             self.path,
             self.team.as_ref().map_or("-", TeamId::as_str),
             index.map_or(0, |index| index.config().version().get()),
             age.map_or(0, |age| age.get().as_millis()),
+            self.arrival.queued.as_millis(),
             elapsed.as_millis()
         );
     }
@@ -132,8 +142,13 @@
 
 /// Handles one request from a caller and returns the response.
 pub async fn answer(state: Arc<GatewayState>, request: Request<Incoming>) -> Response<ProxyBody> {
-    let arrival = state.now();
+    let now = state.now();
     let (mut parts, body) = request.into_parts();
+    let queued = parts.extensions.get::<QueuedTime>();
+    let arrival = RequestArrival {
+        now,
+        queued: queued.map_or(Duration::ZERO, |queued| queued.0),
+    };
     let id = headers::request_id(&parts.headers).map(SmolStr::new);
     let mut guard = RequestGuard {
         state: state.clone(),
@@ -244,7 +259,7 @@
     parts: &mut request::Parts,
     body: Incoming,
     id: Option<&SmolStr>,
-    arrival: MonoTime,
+    arrival: RequestArrival,
 ) -> Result<(RequestPlan, OwnedSemaphorePermit), RequestRefusal> {
     let refuse = RequestRefusal::new;
     let index = state.store_cache.index();
@@ -263,7 +278,8 @@
     let caller_time = headers::deadline(&parts.headers).into_iter();
     // A target stops its work when the time that it is given has passed.
     let caller_time = caller_time.chain(state.stop_time_left()).min();
-    let budget = TimeBudget::new(caller_time, route.timeout);
+    // Callers count from the time at which they sent the request.
+    let budget = TimeBudget::new(caller_time, route.timeout).after(arrival.queued);
     let service = destination_of(route, id.map_or("", SmolStr::as_str));
     let service = service.ok_or_else(|| refuse(RefusalAnswer::Unavailable, "no-destination"))?;
     let (priority, team) = (index.priority(route, team), team.cloned());
@@ -271,7 +287,7 @@
     let body_max = limits.body_bytes_max;
     let read = read_body(&state.body_memory, body, body_max, budget.left).await;
     let (body, memory) = read.map_err(|error| refuse(error.answer(), error.name()))?;
-    let deadline = arrival.after(budget.left);
+    let deadline = arrival.now.after(budget.left);
     Ok((
         RequestPlan {
             id: id.cloned().unwrap_or_default(),
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod configuration;
 mod metrics;
 mod peers;
+mod pipelining;
 mod refused_reads;
 mod requests;
 mod stops;
--- a/crates/gateway/tests/gateway/requests.rs
+++ b/crates/gateway/tests/gateway/requests.rs
@@ -204,6 +204,27 @@
     }
 }
 
+/// Guards against a caller that gets the answer to an earlier request, because a target sent a second copy of it on a
+/// connection that was in use again.
+#[tokio::test]
+async fn late_copy_of_an_answer_reaches_no_other_request() {
+    for (line, expected) in [("POST /buy/2", 502), ("GET /look/2", 200)] {
+        let gateway = TestGateway::new(2).await;
+        let work = Duration::from_millis(20);
+        for target in &gateway.targets {
+            let behaviours = [TargetBehaviour::Answer(work), TargetBehaviour::RepeatAnswer];
+            target.set_next_behaviours(behaviours);
+        }
+        let address = gateway.host.caller_address();
+        let first = call_with_id(address, "id-1", "GET /look/1", "key-1", "").await;
+        assert_eq!(first.status, 200);
+        // The same target has the freshest answer and an open connection.
+        let second = call_with_id(address, "id-2", line, "key-1", "").await;
+        assert_eq!(second.status, expected, "{line}");
+        assert!(!second.head.contains("id-1"), "{line}: {}", second.head);
+    }
+}
+
 /// Guards against an answer that looks whole although the target closed the connection in the middle of its head.
 #[tokio::test]
 async fn answer_that_breaks_off_in_its_head_is_no_answer() {
--- a/crates/proxy/src/connection_guard.rs
+++ b/crates/proxy/src/connection_guard.rs
@@ -3,6 +3,9 @@
 //! The guard passes an HTTP/1 head on only when it is complete and valid. It replaces an invalid head by
 //! one that makes the server send a refusal and close the connection, so that the refusal is sent after
 //! the responses to earlier requests. HTTP/2 connections pass unchanged.
+//!
+//! While requests wait behind another one on a connection, the HTTP library does not read, and would not notice that the
+//! caller has left. The guard then reads ahead, up to a limit, and fails the connection at its end.
 
 use std::{
     future::Future,
@@ -26,7 +29,10 @@
         AsyncWrite,
         ReadBuf, //
     },
-    time::Sleep,
+    time::{
+        Instant,
+        Sleep, //
+    },
 };
 
 use crate::{
@@ -36,6 +42,7 @@
         check_head,
         find_head_end, //
     },
+    head_queue::HeadQueue,
     names,
     refusal::RefusalKind,
 };
@@ -49,6 +56,9 @@
 /// Buffer size of one read from the socket, in bytes.
 const READ_BYTES: usize = 8192;
 
+/// Maximum number of bytes held of requests that wait behind another one: some fifty requests without a body.
+const READ_AHEAD_BYTES_MAX: usize = 16 << 10;
+
 /// Time for which a closing connection is still read. With unread data the system would reset the
 /// connection before the caller has read the refusal.
 const LINGER_MAX: Duration = Duration::from_millis(500);
@@ -87,6 +97,10 @@
     is_first: bool,
     /// Bytes received but not validated yet.
     unchecked: BytesMut,
+    /// Time at which the last of them arrived.
+    received_at: Instant,
+    /// Heads that the HTTP library has not handed over yet.
+    heads: HeadQueue,
     /// Validated bytes that the HTTP library has not read yet.
     checked: BytesMut,
     head_timer: Option<Pin<Box<Sleep>>>,
@@ -97,7 +111,11 @@
 
 impl<S: AsyncRead + AsyncWrite + Unpin> ConnectionGuard<S> {
     /// Creates a guard for the socket of a new connection.
-    pub(crate) fn new(inner: S, head_bytes_max: usize, head_timeout: Duration) -> Self {
+    pub(crate) fn new(
+        inner: S,
+        (head_bytes_max, head_timeout): (usize, Duration),
+        heads: HeadQueue,
+    ) -> Self {
         Self {
             inner,
             head_bytes_max,
@@ -105,6 +123,8 @@
             state: GuardState::Head { scanned: 0 },
             is_first: true,
             unchecked: BytesMut::new(),
+            received_at: Instant::now(),
+            heads,
             checked: BytesMut::new(),
             head_timer: None,
             write_timer: None,
@@ -122,6 +142,7 @@
             names::GUARD_REFUSAL,
             kind.name()
         );
+        self.heads.push(self.received_at);
         self.checked.extend_from_slice(head.as_bytes());
     }
 
@@ -197,6 +218,7 @@
                     BodyFraming::Length(length) => GuardState::Length(length),
                     BodyFraming::Chunked => GuardState::Chunked(ChunkScanner::new()),
                 };
+                self.heads.push(self.received_at);
                 self.release(end);
             }
             Err(kind) => self.refuse(kind),
@@ -224,9 +246,28 @@
         }
         ready!(read)?;
         self.unchecked.extend_from_slice(buffer.filled());
+        self.received_at = Instant::now();
         Poll::Ready(Ok(buffer.filled().is_empty()))
     }
 
+    /// Reads what follows a request that waits behind another one, and fails if the caller has left.
+    fn poll_read_ahead(&mut self, context: &mut Context<'_>) -> io::Result<()> {
+        while !self.heads.is_empty() && self.unchecked.len() < READ_AHEAD_BYTES_MAX {
+            let mut space = [0; READ_BYTES];
+            let mut buffer = ReadBuf::new(&mut space);
+            match Pin::new(&mut self.inner).poll_read(context, &mut buffer) {
+                Poll::Pending => break,
+                Poll::Ready(read) => read?,
+            }
+            if buffer.filled().is_empty() {
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
+            self.unchecked.extend_from_slice(buffer.filled());
+            self.received_at = Instant::now();
+        }
+        Ok(())
+    }
+
     /// Enforces the timeout for a head. The server enforces the one for idle connections between requests.
     ///
     /// Returns `true` if a new connection has sent nothing, and refuses an incomplete head.
@@ -375,6 +416,8 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The HTTP library flushes each time that the connection wakes up, also while it does not read.
+        self.poll_read_ahead(context)?;
         Pin::new(&mut self.inner).poll_flush(context)
     }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -17,6 +17,7 @@
 mod connection_guard;
 mod framing;
 pub mod head;
+pub mod head_queue;
 pub mod keys;
 pub mod metered_stream;
 pub mod names;
@@ -49,6 +50,7 @@
             sanitize_request,
             sanitize_response, //
         },
+        head_queue::QueuedTime,
         keys::{
             CallerKey,
             KeyError,
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -61,6 +61,10 @@
         HEADER_COUNT_MAX,
         check_request, //
     },
+    head_queue::{
+        HeadQueue,
+        QueuedTime, //
+    },
     names,
     refusal::{
         ExecutionStatus,
@@ -150,47 +154,48 @@
         H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<ProxyBody>> + Send + 'static,
     {
-        let builder = self.builder();
+        let server = Arc::new(self.builder());
         let permits = Arc::new(Semaphore::new(self.limits.connections_max));
         let refusals = Arc::new(Semaphore::new(CONCURRENT_REFUSALS_MAX));
         let graceful = GracefulShutdown::new();
         let mut tasks = JoinSet::new();
+        let start = |tasks: &mut JoinSet<()>, (stream, address): (TcpStream, SocketAddr)| {
+            let Ok(permit) = permits.clone().try_acquire_owned() else {
+                spawn_refusal(&refusals, stream);
+                return;
+            };
+            let handler = handler.clone();
+            let heads = HeadQueue::new();
+            let stream = self.guard(stream, heads.clone());
+            let service = service_fn(move |request| {
+                let response = handle_request(handler.clone(), (address, heads.pop()), request);
+                async move { Ok::<_, Infallible>(response.await) }
+            });
+            let connection = server.serve_connection(TokioIo::new(stream), service);
+            let connection = graceful.watch(connection.into_owned());
+            tasks.spawn(run_connection(connection, permit));
+        };
         loop {
             let accepted = tokio::select! {
                 accepted = self.listener.accept() => accepted,
                 Some(_) = tasks.join_next() => continue,
                 _ = stop.wait_for(|&is_stopping| is_stopping) => break,
             };
-            let (stream, address) = match accepted {
-                Ok(accepted) => accepted,
+            match accepted {
+                Ok(accepted) => start(&mut tasks, accepted),
                 Err(error) => {
                     log::warn!("event=accept_failed error=\"{error}\"");
                     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                    continue;
                 }
-            };
-            let Ok(permit) = permits.clone().try_acquire_owned() else {
-                spawn_refusal(&refusals, stream);
-                continue;
-            };
-            let handler = handler.clone();
-            let service = service_fn(move |request| {
-                let response = handle_request(handler.clone(), address, request);
-                async move { Ok::<_, Infallible>(response.await) }
-            });
-            let stream = self.guard(stream);
-            let connection = builder.serve_connection(TokioIo::new(stream), service);
-            tasks.spawn(run_connection(
-                graceful.watch(connection.into_owned()),
-                permit,
-            ));
+            }
         }
         drop(self.listener);
         drain(graceful, tasks, self.limits.drain_limit).await
     }
 
-    fn guard(&self, stream: TcpStream) -> ConnectionGuard<TcpStream> {
-        ConnectionGuard::new(stream, self.limits.head_bytes_max, self.limits.head_timeout)
+    fn guard(&self, stream: TcpStream, heads: HeadQueue) -> ConnectionGuard<TcpStream> {
+        let limits = (self.limits.head_bytes_max, self.limits.head_timeout);
+        ConnectionGuard::new(stream, limits, heads)
     }
 
     fn builder(&self) -> Builder<TokioExecutor> {
@@ -243,7 +248,7 @@
 /// Validates the head of a request and passes it to the handler.
 async fn handle_request<H, F>(
     handler: H,
-    address: SocketAddr,
+    (address, queued): (SocketAddr, QueuedTime),
     mut request: Request<Incoming>,
 ) -> Response<ProxyBody>
 where
@@ -262,6 +267,7 @@
     }
     request = Request::from_parts(parts, body);
     request.extensions_mut().insert(CallerAddress(address));
+    request.extensions_mut().insert(queued);
     handler(request).await
 }
 
