Answer connections that are established when a planned stop closes the listener

Callers saw: connections reset without an answer when a host stops under load.

Cause: closing the listener resets the connections that the system has established and the process has not accepted, and a graceful shutdown of the HTTP library closes a connection at once whose first request it has not read. Evidence: `gateway: planned_stop_cuts_no_connection_that_was_just_accepted` connects a caller each 2 ms while the listener closes: 7 of 60 got no answer without the change, none with it. Change: what is established is accepted first, and idle connections are closed 200 ms later.

--- a/crates/gateway/tests/gateway/stops.rs
+++ b/crates/gateway/tests/gateway/stops.rs
@@ -6,8 +6,16 @@
 use chicorycroft_membership::prelude::*;
 use chicorycroft_platform_standin::prelude::*;
 use tokio::{
-    net::TcpListener,
-    time::Instant, //
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    task::JoinSet,
+    time::Instant,
 };
 
 use crate::test_gateway::{
@@ -90,3 +98,43 @@
     assert!(start.elapsed() < grace);
     assert!(stop.await.unwrap(), "a connection was cut");
 }
+
+/// Guards against requests on connections that were just accepted, and that a planned stop under load cuts without an
+/// answer: connects callers throughout the time at which the host closes its listener, and sends a request on each
+/// connection 20 ms later.
+#[tokio::test]
+async fn planned_stop_cuts_no_connection_that_was_just_accepted() {
+    // Enough slots for all requests, so that none is refused.
+    let gateway = TestGateway::new(12).await;
+    let address = gateway.host.caller_address();
+    let start = Instant::now();
+    let stop = tokio::spawn(gateway.host.stop());
+    let (mut callers, mut is_refused) = (JoinSet::new(), false);
+    tokio::time::sleep_until(start + Duration::from_millis(2400)).await;
+    while start.elapsed() < Duration::from_millis(2800) {
+        match TcpStream::connect(address).await {
+            Ok(stream) => callers.spawn(send_late(stream)),
+            Err(_) => {
+                is_refused = true;
+                break;
+            }
+        };
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    let answers = callers.join_all().await;
+    let cut = answers.iter().filter(|status| **status != Some(200));
+    assert_eq!(cut.count(), 0, "{answers:?}");
+    assert!(is_refused, "the host still accepts connections");
+    assert!(stop.await.unwrap());
+}
+
+/// Sends a request after a short time and returns the status of its answer; `None` if the connection is cut.
+async fn send_late(mut stream: TcpStream) -> Option<u16> {
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let head = "POST /open/1 HTTP/1.1\r\nhost: shop.example\r\nx-request-id: id-1\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.ok()?;
+    let mut text = Vec::new();
+    stream.read_to_end(&mut text).await.ok()?;
+    let status = String::from_utf8(text).ok()?.get(9..12)?.parse();
+    status.ok()
+}
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -13,6 +13,7 @@
     time::Duration, //
 };
 
+use futures_util::FutureExt;
 use http::{
     HeaderValue,
     Request,
@@ -97,6 +98,10 @@
 /// closed without a response.
 const CONCURRENT_REFUSALS_MAX: usize = 64;
 
+/// Time in which the first request of a connection that was accepted last is read before a planned stop closes idle
+/// connections: one crossing between caller and host, and a scheduling delay on a host with a fraction of a core.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(200);
+
 /// Timeout for sending a refusal on a connection over the limit.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -144,8 +149,8 @@
         self.listener.local_addr()
     }
 
-    /// Serves callers until `stop` becomes `true`, then drains: idle connections are closed, and the others
-    /// finish their running requests.
+    /// Serves callers until `stop` becomes `true`, then drains: connections that are established already are accepted,
+    /// idle ones are closed, and the others finish their running requests.
     ///
     /// Returns `true` if all requests ended within the drain limit. The remaining connections are closed
     /// and their number is logged.
@@ -189,8 +194,15 @@
                 }
             }
         }
+        // Closing the listener would reset the connections that the system has established meanwhile.
+        while let Some(Ok(accepted)) = self.listener.accept().now_or_never() {
+            start(&mut tasks, accepted);
+        }
         drop(self.listener);
-        drain(graceful, tasks, self.limits.drain_limit).await
+        // A graceful shutdown closes a connection at once whose first request is not read yet.
+        tokio::time::sleep(FIRST_REQUEST_TIME).await;
+        let limit = self.limits.drain_limit.saturating_sub(FIRST_REQUEST_TIME);
+        drain(graceful, tasks, limit).await
     }
 
     fn guard(&self, stream: TcpStream, heads: HeadQueue) -> ConnectionGuard<TcpStream> {
