Hold the memory of an answer until its caller has read it

Callers saw: nothing yet; a thousand slow readers of downloads of 540 KB need 540 MB on a host of 160 MB, which is killed.

Cause: the memory reserved for an answer was released when the target had sent it, and not when the caller had it. Evidence: `gateway: unread_answer_counts_against_the_memory_for_bodies` fails without the change: 0 of 8,192 KiB held. Change: the body of an answer carries its reservation and is written in parts, so that it lasts until most is written. Conclusion: answers beyond the limit are given up with 502, as before; the limit itself is next.

--- a/crates/gateway/src/body_buffer.rs
+++ b/crates/gateway/src/body_buffer.rs
@@ -4,8 +4,14 @@
 //! request that did not run can be sent to another target. All bodies of a process share a memory limit.
 
 use std::{
+    convert::Infallible,
+    pin::Pin,
     sync::Arc,
-    time::Duration, //
+    task::{
+        Context,
+        Poll, //
+    },
+    time::Duration,
 };
 
 use bytes::{
@@ -13,7 +19,11 @@
     BytesMut, //
 };
 use chicorycroft_adapter::prelude::*;
-use http_body::Body;
+use http_body::{
+    Body,
+    Frame,
+    SizeHint, //
+};
 use http_body_util::BodyExt;
 use thiserror::Error;
 use tokio::sync::{
@@ -24,6 +34,62 @@
 /// Memory reserved at a time for a body without a declared length, in KiB.
 const RESERVE_STEP_KIB: u32 = 256;
 
+/// Maximum size of a part in which a buffered body is written, in bytes. The HTTP library takes the next part when it has
+/// written most of the one before, so that the memory is held for as long as the reader is slow.
+const WRITE_PART_BYTES: usize = 32 << 10;
+
+/// A complete body, and the memory that is reserved for it until it is written.
+#[derive(Debug, Default)]
+pub struct BufferedBody {
+    bytes: Bytes,
+    memory: Option<OwnedSemaphorePermit>,
+}
+
+impl BufferedBody {
+    /// Creates a body for which memory is reserved.
+    pub fn new(bytes: Bytes, memory: OwnedSemaphorePermit) -> Self {
+        Self {
+            bytes,
+            memory: Some(memory),
+        }
+    }
+}
+
+impl From<Bytes> for BufferedBody {
+    /// Creates a short body of this host, which counts against no limit.
+    fn from(bytes: Bytes) -> Self {
+        Self {
+            bytes,
+            memory: None,
+        }
+    }
+}
+
+impl Body for BufferedBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        if self.bytes.is_empty() {
+            self.memory = None;
+            return Poll::Ready(None);
+        }
+        let length = self.bytes.len().min(WRITE_PART_BYTES);
+        Poll::Ready(Some(Ok(Frame::data(self.bytes.split_to(length)))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.bytes.len() as u64)
+    }
+}
+
 /// An error while reading a body.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 pub enum BodyReadError {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -34,6 +34,7 @@
     answer_body::AnswerBody,
     body_buffer::{
         BodyReadError,
+        BufferedBody,
         read_whole, //
     },
     connection_pool::TargetConnection,
@@ -74,7 +75,7 @@
     /// Whether the target ran the request, as far as known.
     pub proof: RunProof,
     /// The target's response with any status, or `None` if there is no valid one.
-    pub response: Option<Response<Bytes>>,
+    pub response: Option<Response<BufferedBody>>,
     /// Reason for the log.
     pub reason: &'static str,
     /// What the target said about itself; `None` without an answer.
@@ -193,8 +194,8 @@
         ..broken(reason)
     };
     let body = AnswerBody::new(body, connection.read_meter.clone());
-    let (body, _memory) = match read_whole(&state.body_memory, body, ANSWER_BYTES_MAX).await {
-        Ok(read) => read,
+    let body = match read_whole(&state.body_memory, body, ANSWER_BYTES_MAX).await {
+        Ok((bytes, memory)) => BufferedBody::new(bytes, memory),
         // The memory of this host says nothing about the target.
         Err(BodyReadError::NoMemory) => {
             let result = AttemptResult::Cancelled;
@@ -235,7 +236,7 @@
 }
 
 /// Derives the outcome of an attempt from the target's response.
-fn classify(response: Response<Bytes>) -> ExchangeOutcome {
+fn classify(response: Response<BufferedBody>) -> ExchangeOutcome {
     let status = response.status();
     let fields = response.headers();
     if status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -34,13 +34,17 @@
     },
     request,
 };
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use rand::RngExt;
 use smol_str::SmolStr;
 use tokio::sync::OwnedSemaphorePermit;
 
 use crate::{
-    body_buffer::read_body,
+    body_buffer::{
+        BufferedBody,
+        read_body, //
+    },
     exchange::OutgoingRequest,
     request_attempts::{
         RequestAttempts,
@@ -62,7 +66,7 @@
 
 /// A response to a caller, with its outcome and reason for the log.
 struct CallerResponse {
-    response: Response<Bytes>,
+    response: Response<BufferedBody>,
     outcome: SmolStr,
     reason: &'static str,
 }
@@ -172,7 +176,9 @@
         Err(refusal) => refuse(id.as_deref(), refusal),
     };
     guard.finish(&answer);
-    let mut response = answer.response.map(full_body);
+    let mut response = answer
+        .response
+        .map(|body| body.map_err(|never| match never {}).boxed_unsync());
     if state.is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -185,7 +191,8 @@
     CallerResponse {
         response: refusal
             .answer
-            .respond(id, refusal.retry_after.map(add_jitter)),
+            .respond(id, refusal.retry_after.map(add_jitter))
+            .map(BufferedBody::from),
         outcome: refusal.answer.name().into(),
         reason: refusal.reason,
     }
@@ -236,7 +243,7 @@
 }
 
 /// Converts a target's response into the response to the caller.
-fn forward_response(response: Response<Bytes>) -> CallerResponse {
+fn forward_response(response: Response<BufferedBody>) -> CallerResponse {
     let (mut parts, body) = response.into_parts();
     sanitize_response(&mut parts);
     // The body is complete, so its length is known whichever framing the target used.
--- a/crates/gateway/src/request_attempts.rs
+++ b/crates/gateway/src/request_attempts.rs
@@ -5,7 +5,6 @@
     time::Duration, //
 };
 
-use bytes::Bytes;
 use chicorycroft_adapter::prelude::*;
 use chicorycroft_core::prelude::*;
 use chicorycroft_directory::prelude::*;
@@ -15,6 +14,7 @@
 use smol_str::SmolStr;
 
 use crate::{
+    body_buffer::BufferedBody,
     copy_use::{
         CopyUse,
         record_copy_use, //
@@ -68,7 +68,7 @@
 #[derive(Debug)]
 pub enum RequestOutcome {
     /// A target responded.
-    Answered(Response<Bytes>),
+    Answered(Response<BufferedBody>),
     /// This host refused the request, with an optional retry delay and the reason for the log.
     Refused(RefusalAnswer, Option<Duration>, &'static str),
 }
@@ -84,7 +84,7 @@
     in_flight_count: u32,
     is_charged: bool,
     proof: RunProof,
-    last_response: Option<Response<Bytes>>,
+    last_response: Option<Response<BufferedBody>>,
 }
 
 /// Refusal of a request whose permit cannot be used.
--- a/crates/gateway/tests/gateway/pipelining.rs
+++ b/crates/gateway/tests/gateway/pipelining.rs
@@ -1,4 +1,4 @@
-//! Requests that callers send before the earlier ones of their connection are answered.
+//! Requests that callers send before the earlier ones of their connection are answered, and slow readers.
 
 use std::time::Duration;
 
@@ -173,3 +173,24 @@
     assert!(stop.await.unwrap());
     assert_eq!(targets[0].requests().len(), 1);
 }
+
+/// Guards against a host that runs out of memory by answers that their callers read slowly: the memory of an answer was
+/// free again as soon as the target had sent it.
+#[tokio::test]
+async fn unread_answer_counts_against_the_memory_for_bodies() {
+    let gateway = TestGateway::new(1).await;
+    let memory = gateway.host.state().body_memory.clone();
+    let free = memory.available_permits();
+    let length = 8 << 20;
+    gateway.targets[0].set_next_behaviours([TargetBehaviour::LongAnswer(length)]);
+    let mut caller = send(&gateway, &request("/open/1", "first", "")).await;
+    let mut head = [0; 512];
+    caller.read_exact(&mut head).await.unwrap();
+    sleep(Duration::from_millis(300)).await;
+    let held = free - memory.available_permits();
+    assert_eq!(held, length >> 10, "KiB are held");
+    drop(caller);
+    gateway
+        .wait_until(|_| memory.available_permits() == free)
+        .await;
+}
