Derive retry budgets and the memory for bodies from the settings

Callers saw: nothing measured yet; on hosts of 160 MB bodies could take half of the memory, and dispatchers in four or five zones used a fraction of the retries that the platform allows, or with more zones could have used too many.

Change: `retry_terms` derives the budget of one dispatcher from the ratio, the slack and the zones in the settings; a host that decides for itself has one free retry, as all hosts may do so at once. Bodies take 30 % of the memory in the settings. Tests: `dispatch: budgets_of_all_zones_stay_within_the_allowance` (a property over 1 to 10 zones: under the allowance and above half of it; it found a rounding fault at a ratio of 0.667), `host_that_decides_for_itself_has_one_free_retry`. `retries_stop_at_the_budget` states its terms and counts as before. The golden file of settings has the three new fields. Conclusion: the budget for three zones and 56 is as before; others follow their settings.

--- a/crates/core/src/amounts.rs
+++ b/crates/core/src/amounts.rs
@@ -1,4 +1,4 @@
-//! Tokens, rates, bursts, slots and ratios.
+//! Tokens, rates, bursts, slots, ratios and memory.
 //!
 //! Tokens are counted in millionths, so that the shares of a rate divided among all hosts add up to at
 //! most the rate. With whole tokens rounded up on each host, the sum could exceed the rate by up to one
@@ -12,6 +12,8 @@
 
 use thiserror::Error;
 
+use crate::define_counter;
+
 /// Number of millionths in one token.
 pub const MICROS_PER_TOKEN: u64 = 1_000_000;
 
@@ -292,3 +294,8 @@
         }
     }
 }
+
+define_counter!(
+    /// Memory that a process may use, in MiB.
+    MemoryLimit
+);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,7 +1,7 @@
 //! Core types that all crates of the fleet share: identifiers, amounts, times and rendezvous hashing.
 //!
 //! - [`ids`]: names of hosts, zones, regions, services, targets, teams and routes.
-//! - [`amounts`]: tokens, rates, bursts, slots and ratios.
+//! - [`amounts`]: tokens, rates, bursts, slots, ratios and memory.
 //! - [`counters`]: newtypes for unsigned integers.
 //! - [`digest`]: digests of keys and documents.
 //! - [`time`]: monotonic and wall clock times, which decisions receive as arguments.
@@ -26,6 +26,7 @@
         amounts::{
             BurstSize,
             CapacityRatio,
+            MemoryLimit,
             RequestRate,
             SlotCount,
             TokenAmount, //
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -29,12 +29,9 @@
     team_bucket::TeamBucket,
 };
 
-/// Retry budget of a service at one dispatcher. With three zones it allows at most 15 retries in a hundred requests
-/// and 39 free ones in ten seconds, below the platform's limits of a fifth and 56.
-const RETRY_TERMS: BudgetTerms = BudgetTerms {
-    requests_per_retry: 7,
-    free_retries: 13,
-};
+/// Free retries of a service at a host that decides for itself. All hosts may do so at once, and the platform's allowance
+/// is larger than their number.
+const UNFOLLOWED_FREE_RETRIES: u64 = 1;
 
 type PoolKey = (ServiceId, Option<ZoneId>);
 
@@ -53,11 +50,16 @@
     pub fn new(seed: u64) -> Self {
         Self {
             numbers: AtomicU64::new(seed),
-            retries: RetryBudget::new().with_terms(RETRY_TERMS),
             ..Self::default()
         }
     }
 
+    /// Replaces the default retry budget of a service.
+    pub fn with_retry_terms(mut self, terms: BudgetTerms) -> Self {
+        self.retries = self.retries.with_terms(terms);
+        self
+    }
+
     fn next_number(&self) -> u64 {
         self.numbers.fetch_add(1, Ordering::Relaxed)
     }
@@ -104,7 +106,11 @@
         share: FleetShare,
         now: MonoTime,
     ) -> PoolAnswer {
-        if request.is_repeat && !self.retries.allows_retry(&request.service, now) {
+        let free_max = match share.is_followed {
+            true => u64::MAX,
+            false => UNFOLLOWED_FREE_RETRIES,
+        };
+        if request.is_repeat && !self.retries.allows_retry(&request.service, free_max, now) {
             return PoolAnswer::NoBudget;
         }
         if let Err(retry_after) = self.charge(request, config, share, now) {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`target_slots`]: the concurrency limit of one target.
 //! - [`waiting_queue`]: requests that wait for a slot.
 //! - [`service_pool`]: the targets of a service in a zone, and target selection.
+//! - [`retry_terms`]: the retry budget of one dispatcher.
 //! - [`team_bucket`]: the rate and burst of a team over all dispatchers.
 //! - [`dispatcher`]: combines pools, buckets and budgets for all services and teams.
 //! - [`time_budget`]: deadlines, queue waits and hedging delays.
@@ -23,6 +24,7 @@
 pub mod fleet_share;
 pub mod messages;
 pub mod pacer;
+pub mod retry_terms;
 pub mod service_pool;
 pub mod target_limit;
 pub mod target_slots;
@@ -48,6 +50,7 @@
             TicketNumber,
             whole_millis, //
         },
+        retry_terms::retry_terms,
         service_pool::{
             PoolAnswer,
             QueueChange, //
--- a/crates/dispatch/tests/dispatcher/waiting.rs
+++ b/crates/dispatch/tests/dispatcher/waiting.rs
@@ -133,7 +133,9 @@
 /// Guards against retries that double the load of a service that fails as a whole.
 #[test]
 fn retries_stop_at_the_budget() {
-    let (dispatcher, directory) = (ZoneDispatcher::new(0), directory_of(10));
+    let terms = retry_terms(CapacityRatio::from_mille(200), 56, 3);
+    let dispatcher = ZoneDispatcher::new(0).with_retry_terms(terms);
+    let directory = directory_of(10);
     let send = |request: &AdmitRequest, now| {
         let answer = admit(&dispatcher, &directory, request, now);
         if let PoolAnswer::Granted(grant) = &answer {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -49,8 +49,8 @@
 /// at once.
 const STARTUP_PERIOD: Duration = Duration::from_secs(3);
 
-/// Memory for bodies of requests, and of answers while they are read, in KiB: a third of a small host's memory.
-const BODY_KIB_MAX: usize = 80 << 10;
+/// Part of the process's memory that bodies of requests and of answers may take, in percent.
+const BODY_MEMORY_PERCENT: u64 = 30;
 
 /// Sends a dispatcher's answer to a queued permit request.
 pub type TicketSender = oneshot::Sender<AdmitAnswer>;
@@ -108,6 +108,10 @@
     /// Creates the state of a host that has no data from the store or other hosts yet.
     pub fn new(settings: GatewaySettings, clock: GatewayClock, metrics: GatewayMetrics) -> Self {
         let incarnation = clock.incarnation();
+        let zone_count = settings.zone_count;
+        let retry_terms = retry_terms(settings.retry_ratio, settings.retry_slack, zone_count);
+        let body_kib = (settings.memory_limit.get() << 10) * BODY_MEMORY_PERCENT / 100;
+        let body_kib = usize::try_from(body_kib).unwrap_or(Semaphore::MAX_PERMITS);
         let own = MemberRecord {
             host: settings.host.clone(),
             zone: settings.zone.clone(),
@@ -122,14 +126,15 @@
             store_cache: StoreCache::new(),
             // The incarnation is in milliseconds, so the permit numbers of an earlier process are lower as
             // long as it granted fewer than a million permits per second.
-            dispatcher: ZoneDispatcher::new(incarnation.get().saturating_mul(1000)),
+            dispatcher: ZoneDispatcher::new(incarnation.get().saturating_mul(1000))
+                .with_retry_terms(retry_terms),
             tickets: ShardMap::new(),
             peers: PeerClient::new(),
             connections: ConnectionPool::new(),
             excluded: ExcludedTargets::new(),
             stated_limits: StatedLimits::new(),
             metrics,
-            body_memory: Arc::new(Semaphore::new(BODY_KIB_MAX)),
+            body_memory: Arc::new(Semaphore::new(body_kib)),
             seeds: RwLock::new(settings.seeds.clone()),
             followers: ShardMap::new(),
             reports: ShardMap::new(),
--- a/crates/retry/src/budget.rs
+++ b/crates/retry/src/budget.rs
@@ -123,11 +123,16 @@
             });
     }
 
-    /// Returns `true` if the budget of a service allows a retry now, without charging it.
-    pub fn allows_retry(&self, service: &ServiceId, now: MonoTime) -> bool {
+    /// Returns `true` if the budget of a service allows a retry now, with at most `free_max` free retries, without
+    /// charging it.
+    pub fn allows_retry(&self, service: &ServiceId, free_max: u64, now: MonoTime) -> bool {
+        let terms = BudgetTerms {
+            free_retries: self.terms.free_retries.min(free_max),
+            ..self.terms
+        };
         self.services
             .with_or_insert(service, ServiceBudget::default, |budget| {
-                budget.allows_retry(self.terms, now)
+                budget.allows_retry(terms, now)
             })
     }
 
