Count refused documents, and name the one that keeps a host from being ready

Callers saw: 503 from every host of the intake gateway, whose configuration had a kind of route that the release did not know; operators saw hosts that are not ready, and had to search the log for why.

Cause: a refused document showed in one log line only. Change: `gateway_documents_refused_total`, and the body of `/readyz` says why a host is not ready: it names the key, the revision and the place of the refused document if no older one is in force. The rule stays: a document with an unknown word is refused whole. Evidence: `gateway: host_names_the_document_that_keeps_it_from_being_ready`; without the change there is no reason to read.

--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -220,6 +220,8 @@
     loop {
         tokio::time::sleep(SWEEP_PERIOD).await;
         state.connections.sweep(state.now());
+        let refused = state.store_cache.refused_documents().count();
+        state.metrics.on_refused_documents(refused);
         let index = state.store_cache.index();
         if let Some(index) = index {
             state.metrics.on_config(index.config().version().get());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 //!
 //! Configuration path:
 //! - [`store_cache`]: this host's copy of the store's contents, and the age of that copy.
+//! - [`refused_documents`]: documents of the store that could not be decoded.
 //! - [`copy_use`]: records the age of that copy at each decision that uses it.
 //! - [`store_loop`]: reads the store directly when this host is responsible for it.
 //! - [`store_reader`]: reads and watches one part of the store.
@@ -51,6 +52,7 @@
 pub mod permit_relay;
 pub mod permit_service;
 pub mod ready_service;
+pub mod refused_documents;
 pub mod request_attempts;
 pub mod state;
 pub mod store_cache;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -7,6 +7,7 @@
     Encoder,
     HistogramOpts,
     HistogramVec,
+    IntCounter,
     IntCounterVec,
     IntGauge,
     Opts,
@@ -33,6 +34,7 @@
     permits: IntCounterVec,
     copy_age: HistogramVec,
     config_version: IntGauge,
+    refused_documents: IntCounter,
 }
 
 impl GatewayMetrics {
@@ -79,6 +81,10 @@
                 "gateway_config_version",
                 "Version of the configuration in force.",
             )?,
+            refused_documents: IntCounter::new(
+                "gateway_documents_refused_total",
+                "Documents of the store that could not be decoded, counted at each read.",
+            )?,
         };
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.requests.clone()))?;
@@ -87,6 +93,7 @@
         registry.register(Box::new(metrics.permits.clone()))?;
         registry.register(Box::new(metrics.copy_age.clone()))?;
         registry.register(Box::new(metrics.config_version.clone()))?;
+        registry.register(Box::new(metrics.refused_documents.clone()))?;
         Ok(metrics)
     }
 
@@ -130,6 +137,12 @@
             .set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
+    /// Raises the counter of refused documents to a total.
+    pub fn on_refused_documents(&self, total: u64) {
+        let counted = self.refused_documents.get();
+        self.refused_documents.inc_by(total.saturating_sub(counted));
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/gateway/src/ready_service.rs
+++ b/crates/gateway/src/ready_service.rs
@@ -11,15 +11,18 @@
 use chicorycroft_adapter::headers::READY_PATH;
 use tokio::net::TcpListener;
 
-use crate::state::GatewayState;
+use crate::state::{
+    GatewayState,
+    HostReadiness, //
+};
 
 /// Path of the metrics endpoint.
 const METRICS_PATH: &str = "/metrics";
 
-async fn ready(State(state): State<Arc<GatewayState>>) -> StatusCode {
-    match state.is_ready() {
-        true => StatusCode::OK,
-        false => StatusCode::SERVICE_UNAVAILABLE,
+async fn ready(State(state): State<Arc<GatewayState>>) -> (StatusCode, String) {
+    match state.readiness() {
+        HostReadiness::Ready => (StatusCode::OK, "ready\n".to_owned()),
+        reason => (StatusCode::SERVICE_UNAVAILABLE, format!("{reason}\n")),
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,6 +1,7 @@
 //! State shared by all tasks of a gateway process.
 
 use std::{
+    fmt,
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError, RwLock,
@@ -32,6 +33,7 @@
     clock::GatewayClock,
     connection_pool::ConnectionPool,
     metrics::GatewayMetrics,
+    refused_documents::RefusedDocument,
     store_cache::StoreCache, //
 };
 
@@ -64,6 +66,33 @@
     pub host_count: u32,
 }
 
+/// Whether a host can serve callers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum HostReadiness {
+    /// The host serves callers.
+    Ready,
+    /// A planned stop has begun.
+    Stopping,
+    /// The host has no configuration yet.
+    NoConfiguration {
+        /// The document that the host refused last.
+        refused: Option<RefusedDocument>,
+    },
+}
+
+impl fmt::Display for HostReadiness {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Ready => f.write_str("ready"),
+            Self::Stopping => f.write_str("stopping"),
+            Self::NoConfiguration { refused: None } => f.write_str("no configuration yet"),
+            Self::NoConfiguration {
+                refused: Some(document),
+            } => write!(f, "no configuration; refused {document}"),
+        }
+    }
+}
+
 /// Shared state of a gateway process.
 #[derive(Debug)]
 pub struct GatewayState {
@@ -325,6 +354,20 @@
 
     /// Returns `true` if the host can serve callers: it has a configuration and is not stopping.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.store_cache.index().is_some()
+        self.readiness() == HostReadiness::Ready
+    }
+
+    /// Returns whether the host can serve callers, and why not.
+    pub fn readiness(&self) -> HostReadiness {
+        if self.is_stopping() {
+            return HostReadiness::Stopping;
+        }
+        match self.store_cache.index() {
+            Some(_) => HostReadiness::Ready,
+            None => {
+                let refused = self.store_cache.refused_documents().latest();
+                HostReadiness::NoConfiguration { refused }
+            }
+        }
     }
 }
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -20,6 +20,8 @@
 use indexmap::IndexSet;
 use tokio::sync::watch;
 
+use crate::refused_documents::RefusedDocuments;
+
 /// Maximum number of targets that one log line names; all entries may lapse at once.
 const LOGGED_IDS_MAX: usize = 32;
 
@@ -32,6 +34,7 @@
     contacts: Mutex<CopyContacts>,
     /// Whether the copy of each part was late when it was used last, in the order of [`StorePart::ALL`].
     is_late: [AtomicBool; 2],
+    refused: RefusedDocuments,
     changes: watch::Sender<u64>,
 }
 
@@ -60,6 +63,7 @@
             history: Mutex::new(DirectoryHistory::new()),
             contacts: Mutex::new(CopyContacts::new()),
             is_late: Default::default(),
+            refused: RefusedDocuments::new(),
             changes: watch::Sender::new(0),
         }
     }
@@ -72,6 +76,11 @@
             .clone()
     }
 
+    /// Returns the documents of the store that this host refused.
+    pub fn refused_documents(&self) -> &RefusedDocuments {
+        &self.refused
+    }
+
     /// Returns the target directory.
     pub fn directory(&self) -> Arc<TargetDirectory> {
         lock(&self.tracker).directory().clone()
@@ -294,11 +303,7 @@
                     self.adopt_config(config, "store");
                 }
                 Ok(StoreUpdate::Other) => {}
-                Err(error) => log::warn!(
-                    "event=document_refused key={} revision={} error=\"{error}\"",
-                    item.key,
-                    item.revision
-                ),
+                Err(error) => self.refused.record(item, &error),
             }
         }
         changes
--- a/crates/gateway/tests/gateway/configuration.rs
+++ b/crates/gateway/tests/gateway/configuration.rs
@@ -10,6 +10,7 @@
     TestGateway,
     WAIT_TIMEOUT,
     call,
+    host_settings,
     open_count,
     version,
     wait_until, //
@@ -40,6 +41,34 @@
     assert_eq!(gateway.call("GET /look/1", "key-3", "").await.status, 200);
 }
 
+/// Guards against a fleet of which no host is ever ready, without a word why: the only version of the configuration has
+/// a kind of route that this release does not know.
+#[tokio::test]
+async fn host_names_the_document_that_keeps_it_from_being_ready() {
+    let store = StoreStandIn::start().await.unwrap();
+    store.put_config(&invalid_config(1));
+    let settings = host_settings("edge-1", store.address());
+    let host = GatewayHost::start(settings, GatewayClock::new())
+        .await
+        .unwrap();
+    let state = host.state();
+    let refused = || state.store_cache.refused_documents().latest();
+    wait_until(WAIT_TIMEOUT, || refused().is_some()).await;
+    assert!(!state.is_ready());
+    let reason = state.readiness().to_string();
+    for part in ["op/config", "revision", "line 1 column", "odd"] {
+        assert!(reason.contains(part), "{part} is missing in {reason:?}");
+    }
+    let is_counted = || {
+        let text = state.metrics.text().unwrap();
+        !text.contains("gateway_documents_refused_total 0")
+    };
+    wait_until(WAIT_TIMEOUT, is_counted).await;
+    store.put_config(&config(2, &["key-1"]));
+    wait_until(WAIT_TIMEOUT, || state.is_ready()).await;
+    assert_eq!(state.readiness().to_string(), "ready");
+}
+
 /// Guards against accepting keys on a host without contact to the store, where a key may have been withdrawn
 /// unnoticed.
 #[tokio::test]
