Restart background tasks after a panic, and end a process whose servers ended

Callers saw: nothing yet. A host would stay up and ready while it no longer follows changes, exchanges records or serves its queues.

Cause: a panic ends only the task in which it occurs, and nobody waited for the background tasks. Evidence: `gateway: task_is_started_again_after_a_panic`; before, a task that panicked was gone. Change: `supervise` starts the loops again after 250 ms; the process ends if the server for callers, for other hosts or for readiness ends, so that the platform starts it again. One malformed message or document does not reach a task: it is refused where it is decoded (`peer/tests/codec.rs`, `odd_entries_of_targets_do_not_concern_the_others`, `any_bytes_are_decoded_or_refused`).

--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    pin::Pin,
     sync::Arc,
     time::Duration, //
 };
@@ -33,7 +34,8 @@
     permit_service,
     ready_service,
     state::GatewayState,
-    store_loop, //
+    store_loop,
+    task_supervisor::supervise, //
 };
 
 /// Largest request head accepted from a caller, in bytes. Configurations specify 16 KiB.
@@ -186,6 +188,15 @@
         &self.state
     }
 
+    /// Waits until a server of this process ends, which it does only because of an error. The process must end then, so
+    /// that the platform starts it again: it would stay in rotation without serving.
+    pub async fn until_failed(&mut self) {
+        tokio::select! {
+            ended = &mut self.server => log::error!("event=caller_server_ended result=\"{ended:?}\""),
+            ended = self.tasks.join_next() => log::error!("event=server_ended result=\"{ended:?}\""),
+        }
+    }
+
     /// Stops the process: reports unready, notifies other hosts, closes idle connections after a delay and
     /// waits for the requests in progress.
     ///
@@ -229,13 +240,30 @@
     }
 }
 
+/// A background task.
+type BoxedTask = Pin<Box<dyn Future<Output = ()> + Send>>;
+
 fn spawn_tasks(state: &Arc<GatewayState>, ready_listener: TcpListener) -> JoinSet<()> {
     let mut tasks = JoinSet::new();
-    tasks.spawn(gossip_loop::gossip(state.clone()));
-    tasks.spawn(follow_loop::follow(state.clone()));
-    tasks.spawn(store_loop::read(state.clone()));
-    tasks.spawn(permit_service::serve_queues(state.clone()));
-    tasks.spawn(sweep_connections(state.clone()));
+    let supervised = |tasks: &mut JoinSet<()>, name, start: fn(Arc<GatewayState>) -> BoxedTask| {
+        let state = state.clone();
+        tasks.spawn(supervise(name, move || start(state.clone())));
+    };
+    supervised(&mut tasks, "gossip", |state| {
+        Box::pin(gossip_loop::gossip(state))
+    });
+    supervised(&mut tasks, "follow", |state| {
+        Box::pin(follow_loop::follow(state))
+    });
+    supervised(&mut tasks, "store", |state| {
+        Box::pin(store_loop::read(state))
+    });
+    supervised(&mut tasks, "queues", |state| {
+        Box::pin(permit_service::serve_queues(state))
+    });
+    supervised(&mut tasks, "sweep", |state| {
+        Box::pin(sweep_connections(state))
+    });
     let ready_state = state.clone();
     tasks.spawn(async move {
         if let Err(error) = ready_service::serve(ready_state, ready_listener).await {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 //! - [`event_log`]: non-blocking log of key=value lines.
 //! - [`metrics`]: counters and histograms.
 //! - [`ready_service`]: readiness and metrics over HTTP.
+//! - [`task_supervisor`]: restarts background tasks that end.
 //! - [`host`]: starts and stops the process.
 
 mod answer_body;
@@ -59,6 +60,7 @@
 pub mod store_loop;
 pub mod store_reader;
 mod target_signals;
+pub mod task_supervisor;
 mod zone_search;
 
 /// The most commonly used items of this crate.
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -66,6 +66,7 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
+            () = host.until_failed() => return Ok(false),
             _ = reload.recv() => {}
             // Detects changes of the file that come without a SIGHUP.
             () = tokio::time::sleep(SETTINGS_PERIOD) => {
