Keep entries that only a parted host holds from spreading to other dispatchers

Callers saw: requests that reached a target up to 2,849 ms after it had left, where 2,500 ms are allowed (DRAIN).

Cause: the hosts of a zone that was cut off from the store and from all other hosts for 3 s took that for an outage of the store, after which removed entries may belong to live targets, and kept them. Their copy was the latest by revision, so that the dispatcher of a zone that the store had served all the while took the removed entries back. Ruled out: late knowledge (all hosts of that zone had dropped the targets within 0.7 s). Change: another dispatcher gets the directory without entries that are only kept, and decides by its own evidence of an outage; a removed entry of the same incarnation is not taken back from another dispatcher for 10 s. The ages in the answer to a follower are taken before the directory. Tests: `directory: entries_that_a_parted_host_keeps_are_not_adopted_by_others`, `entries_that_lapsed_in_an_outage_stay_when_another_dispatcher_is_first`; each part, disabled alone, fails one of them.

--- a/crates/directory/src/outage.rs
+++ b/crates/directory/src/outage.rs
@@ -79,6 +79,17 @@
         self.registration_end.filter(|&end| now < end)
     }
 
+    /// Returns the time until which entries that another host's directory lacks may belong to live targets, or `None` if
+    /// this host knows of no outage. The answer of that host may be the first sign that the store is back.
+    pub fn adoption_end(&self, now: MonoTime) -> Option<MonoTime> {
+        let age = self.contact.age(now);
+        if age.is_some_and(|age| age.get() > CONTACT_GAP_MIN) {
+            return Some(now.after(REGISTRATION_TIME));
+        }
+        let end = self.recovered_at.map(|at| at.after(REGISTRATION_TIME));
+        end.filter(|&end| now < end)
+    }
+
     /// Returns `true` if the time in which targets register again has ended since a full read of the store, as far as
     /// this host knows of an outage.
     pub fn has_registration_ended(&self, read_at: MonoTime, now: MonoTime) -> bool {
--- a/crates/directory/src/tracker.rs
+++ b/crates/directory/src/tracker.rs
@@ -30,6 +30,11 @@
     },
 };
 
+/// Time for which a removed entry of the same incarnation is not taken over from another dispatcher. The hosts of a zone
+/// that was cut off may still hold it, for some seconds after they read the store again. A target that registers once more
+/// within this time is learned from the store.
+const REMOVAL_MEMORY: Duration = Duration::from_secs(10);
+
 /// A change of the directory that was read from the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum DirectoryChange {
@@ -50,6 +55,8 @@
     revisions: PartRevisions,
     /// Targets whose entries lapsed in an outage, with the time until which they stay in use.
     lapsed: IndexMap<TargetId, MonoTime>,
+    /// Incarnations whose entries were removed, with the time of the removal.
+    removed: IndexMap<TargetId, (u64, MonoTime)>,
     outage: OutageDetector,
 }
 
@@ -75,7 +82,8 @@
     }
 
     /// Takes over the parts of another host's directory that were read from the store later. For the host that this
-    /// one follows, the same revision suffices. Returns `false` if a part of the other directory is older.
+    /// one follows, the same revision suffices, and the entries that it keeps after an outage count; otherwise this host
+    /// decides itself which entries it keeps, and does not take back those that it has removed. Returns `false` if a part of the other directory is older.
     ///
     /// The parts are read independently, so that each of two hosts may have the later state of one part. A part that
     /// was read later on this host stays: its changes would be lost, as the watches continue after them.
@@ -84,6 +92,7 @@
         directory: TargetDirectory,
         revisions: PartRevisions,
         is_from_upstream: bool,
+        now: MonoTime,
     ) -> bool {
         let is_taken = |part| {
             let (theirs, ours) = (revisions.part(part), self.revisions.part(part));
@@ -103,15 +112,68 @@
         }
         if takes_targets {
             self.revisions.targets = revisions.targets;
+            let kept = match is_from_upstream {
+                true => Vec::new(),
+                false => self.keep_missing(&directory.targets, now),
+            };
             // The other host may keep a lapsed entry too, and the removal is not delivered again.
-            self.lapsed
-                .retain(|id, _| directory.targets.contains_key(id));
+            self.lapsed.retain(|id, _| {
+                directory.targets.contains_key(id) || kept.iter().any(|entry| entry.id == *id)
+            });
             next.targets = directory.targets;
+            if !is_from_upstream {
+                let removed = &self.removed;
+                next.targets.retain(|id, entry| {
+                    removed.get(id).is_none_or(|(born, _)| *born != entry.born)
+                });
+            }
+            next.targets
+                .extend(kept.into_iter().map(|entry| (entry.id.clone(), entry)));
         }
-        self.set_directory(next);
+        self.set_directory(next, now);
         is_current
     }
 
+    /// Returns the entries that another host's directory lacks and that stay in use on this host, as it knows of an outage
+    /// of the store in which they may have lapsed.
+    fn keep_missing(
+        &mut self,
+        registered: &IndexMap<TargetId, TargetEntry>,
+        now: MonoTime,
+    ) -> Vec<TargetEntry> {
+        let end = self.outage.adoption_end(now);
+        let mut kept = Vec::new();
+        for (id, entry) in &self.directory.targets {
+            if registered.contains_key(id) {
+                continue;
+            }
+            match (self.lapsed.get(id), end) {
+                (Some(until), _) if now < *until => {}
+                (None, Some(end)) => {
+                    self.lapsed.insert(id.clone(), end);
+                }
+                _ => continue,
+            }
+            kept.push(entry.clone());
+        }
+        kept
+    }
+
+    /// Returns the directory without the entries that only this host keeps in use after an outage. Another dispatcher
+    /// decides by what it knows itself whether there was an outage: this host may have been cut off from the store and
+    /// from all others, while targets left.
+    pub fn registered(&self) -> Arc<TargetDirectory> {
+        if self.lapsed.is_empty() {
+            return self.directory.clone();
+        }
+        let mut registered = (*self.directory).clone();
+        registered
+            .targets
+            .retain(|id, _| !self.lapsed.contains_key(id));
+        registered.update_digest();
+        Arc::new(registered)
+    }
+
     /// Records that another host has a content up to its revisions. They count for this host only while it has the same
     /// content: it would ignore the changes between its own revisions and those.
     pub fn confirm_revisions(&mut self, content: ContentDigest, revisions: PartRevisions) {
@@ -127,7 +189,15 @@
         self.directory = Arc::new(next);
     }
 
-    fn set_directory(&mut self, mut next: TargetDirectory) {
+    fn set_directory(&mut self, mut next: TargetDirectory, now: MonoTime) {
+        for (id, entry) in &self.directory.targets {
+            if !next.targets.contains_key(id) {
+                self.removed.insert(id.clone(), (entry.born, now));
+            }
+        }
+        self.removed.retain(|id, (_, at)| {
+            now.since(*at) < REMOVAL_MEMORY && !next.targets.contains_key(id)
+        });
         next.as_of = self.revisions.both();
         next.update_digest();
         self.directory = Arc::new(next);
@@ -209,7 +279,7 @@
             self.apply_one(&mut next, change, now);
         }
         remove_lapsed(&mut self.lapsed, &mut next, now);
-        self.set_directory(next);
+        self.set_directory(next, now);
     }
 
     fn apply_one(&mut self, next: &mut TargetDirectory, change: DirectoryChange, now: MonoTime) {
--- a/crates/directory/tests/tracker.rs
+++ b/crates/directory/tests/tracker.rs
@@ -151,7 +151,7 @@
     tracker.apply(StorePart::Targets, draining, revision, at(10));
     tracker.apply(StorePart::Operator, Vec::new(), revision, at(10));
     let revisions = PartRevisions::new(older.as_of);
-    assert!(!tracker.adopt(older, revisions, true));
+    assert!(!tracker.adopt(older, revisions, true, at(0)));
     assert_eq!(open_ids(&tracker), ["t-2"]);
 }
 
@@ -227,10 +227,10 @@
     assert_eq!(open_ids(&tracker), ["t-2"]);
     assert!(tracker.directory().as_of < StoreRevision::new(15));
     let before = PartRevisions::new(StoreRevision::new(15));
-    assert!(!tracker.adopt(peer.clone(), before, true));
+    assert!(!tracker.adopt(peer.clone(), before, true, at(0)));
     assert_eq!(open_ids(&tracker), ["t-2"]);
     // A directory that is as recent in both parts is adopted.
-    assert!(tracker.adopt(peer, PartRevisions::new(read_at), false));
+    assert!(tracker.adopt(peer, PartRevisions::new(read_at), false, at(0)));
 }
 
 /// Guards against two hosts that refuse each other's directory, because each has read another part of the store later:
@@ -258,8 +258,8 @@
         (**second.directory()).clone(),
     );
     let (first_read, second_read) = (first.revisions(), second.revisions());
-    first.adopt(of_second, second_read, false);
-    second.adopt(of_first, first_read, false);
+    first.adopt(of_second, second_read, false, at(0));
+    second.adopt(of_first, first_read, false, at(0));
     for tracker in [&first, &second] {
         assert_eq!(open_ids(tracker), ["t-2"]);
         assert!(tracker.directory().evacuated.contains(&zone));
@@ -306,7 +306,7 @@
     let read_at = StoreRevision::new(20);
     tracker.apply(StorePart::Targets, vec![removed], read_at, at(6000));
     let revisions = PartRevisions::new(StoreRevision::new(30));
-    assert!(tracker.adopt(peer, revisions, false));
+    assert!(tracker.adopt(peer, revisions, false, at(6000)));
     assert_eq!(open_ids(&tracker), ["t-1", "t-2"]);
     tracker
 }
@@ -333,3 +333,81 @@
     tracker.apply(StorePart::Targets, Vec::new(), latest, at(8400));
     assert_eq!(open_ids(&tracker), ["t-1", "t-2"]);
 }
+
+/// Guards against requests to targets that left while a zone was cut off from the store and from all other hosts: its
+/// hosts took that for an outage and kept the removed entries, and a dispatcher that the store served all the while
+/// adopted them.
+#[test]
+fn entries_that_a_parted_host_keeps_are_not_adopted_by_others() {
+    let mut parted = tracker_with_two_targets();
+    parted.on_failure(at(1000));
+    parted.on_contact(at(6000));
+    let removed = || {
+        vec![DirectoryChange::TargetRemoved(
+            TargetId::new("t-1").unwrap(),
+        )]
+    };
+    parted.apply(
+        StorePart::Targets,
+        removed(),
+        StoreRevision::new(30),
+        at(6000),
+    );
+    assert_eq!(open_ids(&parted), ["t-1", "t-2"]);
+
+    let mut served = tracker_with_two_targets();
+    for millis in (500..=6000).step_by(500) {
+        served.on_contact(at(millis));
+    }
+    served.apply(
+        StorePart::Targets,
+        removed(),
+        StoreRevision::new(20),
+        at(4000),
+    );
+    let (shared, revisions) = (parted.registered(), parted.revisions());
+    served.adopt((*shared).clone(), revisions, false, at(6100));
+    assert_eq!(open_ids(&served), ["t-2"]);
+    // Followers of the parted host hold the entry without knowing that it is only kept.
+    let later = PartRevisions::new(StoreRevision::new(31));
+    served.adopt((**parted.directory()).clone(), later, false, at(6200));
+    assert_eq!(open_ids(&served), ["t-2"]);
+    // The target registers again.
+    let registered = vec![updated("t-1", TargetPhase::Ready)];
+    served.apply(
+        StorePart::Targets,
+        registered,
+        StoreRevision::new(32),
+        at(6300),
+    );
+    assert_eq!(open_ids(&served), ["t-2", "t-1"]);
+    // A host that has not seen the removal yet, and knows of no outage, drops the entry at once.
+    let mut late = tracker_with_two_targets();
+    for millis in [2000, 4000, 6000, 8000, 8900] {
+        late.on_any_contact(ContactAge::new(Duration::ZERO), at(millis));
+    }
+    late.adopt((*shared).clone(), revisions, false, at(8900));
+    assert_eq!(open_ids(&late), ["t-2"]);
+}
+
+/// Guards against dropping all live targets after an outage of the store, because another dispatcher reached it first and
+/// its directory lacks the entries that lapsed.
+#[test]
+fn entries_that_lapsed_in_an_outage_stay_when_another_dispatcher_is_first() {
+    let mut tracker = tracker_with_two_targets();
+    let mut first = tracker_with_two_targets();
+    let removed = DirectoryChange::TargetRemoved(TargetId::new("t-1").unwrap());
+    first.apply(
+        StorePart::Targets,
+        vec![removed],
+        StoreRevision::new(30),
+        at(6000),
+    );
+    let (shared, revisions) = (first.registered(), first.revisions());
+    tracker.adopt((*shared).clone(), revisions, false, at(6000));
+    // Kept entries follow those that are registered.
+    assert_eq!(open_ids(&tracker), ["t-2", "t-1"]);
+    let later = StoreRevision::new(31);
+    tracker.apply(StorePart::Targets, Vec::new(), later, at(8400));
+    assert_eq!(open_ids(&tracker), ["t-2"]);
+}
--- a/crates/gateway/src/follow_loop.rs
+++ b/crates/gateway/src/follow_loop.rs
@@ -186,7 +186,8 @@
     }
     let is_from_upstream = !state.is_dispatcher();
     let cache = &state.store_cache;
-    let adopt = |directory| cache.adopt_directory(directory, answer.revisions, is_from_upstream);
+    let adopt =
+        |directory| cache.adopt_directory(directory, answer.revisions, is_from_upstream, now);
     let is_current = match answer.directory {
         DirectoryUpdate::Replaced(directory) => adopt(directory),
         DirectoryUpdate::Changed(delta) => match delta.apply(&cache.directory()) {
--- a/crates/gateway/src/peer_service.rs
+++ b/crates/gateway/src/peer_service.rs
@@ -76,15 +76,20 @@
     let has_changed = |_: &u64| {
         let index = state.store_cache.index();
         let version = index.map(|index| index.config().version());
-        let (directory, revisions) = state.store_cache.directory_with_revisions();
+        let (directory, revisions) = state.store_cache.shared_directory(request.is_dispatcher);
         let is_later = is_directory_later(directory.content, revisions, &request);
         version > request.config || is_later || state.is_stopping()
     };
     // A timeout means that nothing has changed.
     let _ = tokio::time::timeout(wait, changes.wait_for(has_changed)).await;
     let now = state.now();
+    // The ages come first: a contact after the directory was read would make it look younger than it is.
+    let [age_millis, target_age_millis] = StorePart::ALL.map(|part| {
+        let age = state.store_cache.contact(part).age(now);
+        age.map(|age| whole_millis(age.get()))
+    });
     let index = state.store_cache.index();
-    let (directory, revisions) = state.store_cache.directory_with_revisions();
+    let (directory, revisions) = state.store_cache.shared_directory(request.is_dispatcher);
     // A host without revisions has just started, or is of a release that takes whole directories only.
     let has_base = request.revisions != PartRevisions::default();
     let changes = || state.store_cache.changes_since(request.content, &directory);
@@ -96,15 +101,11 @@
     };
     let config = index.map(|index| index.config().clone());
     let config = config.filter(|config| Some(config.version()) > request.config);
-    let age_millis = |part| {
-        let age = state.store_cache.contact(part).age(now);
-        age.map(|age| whole_millis(age.get()))
-    };
     PeerMessage::Gateway(GatewayMessage::FollowAnswer(Box::new(FollowAnswer {
         member: state.gossip.own(),
         held_millis: whole_millis(now.since(arrival)),
-        age_millis: age_millis(StorePart::Operator),
-        target_age_millis: age_millis(StorePart::Targets),
+        age_millis,
+        target_age_millis,
         is_served: state
             .store_cache
             .is_served(state.change_budget().late_age(), now),
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -253,6 +253,17 @@
         (tracker.directory().clone(), tracker.revisions())
     }
 
+    /// Returns the directory for another host and the revisions up to which its parts were read. Other dispatchers get it
+    /// without the entries that this host keeps after an outage.
+    pub fn shared_directory(&self, is_dispatcher: bool) -> (Arc<TargetDirectory>, PartRevisions) {
+        let tracker = lock(&self.tracker);
+        let directory = match is_dispatcher {
+            true => tracker.registered(),
+            false => tracker.directory().clone(),
+        };
+        (directory, tracker.revisions())
+    }
+
     /// Returns the changes of a directory since it had a content, or `None` if that is not known any more.
     pub fn changes_since(
         &self,
@@ -271,9 +282,10 @@
         directory: TargetDirectory,
         revisions: PartRevisions,
         is_from_upstream: bool,
+        now: MonoTime,
     ) -> bool {
         self.update_directory("peer", |tracker| {
-            tracker.adopt(directory, revisions, is_from_upstream)
+            tracker.adopt(directory, revisions, is_from_upstream, now)
         })
     }
 
--- a/crates/gateway/tests/gateway/configuration.rs
+++ b/crates/gateway/tests/gateway/configuration.rs
@@ -175,7 +175,8 @@
     let revision = StoreRevision::new(cache.directory().as_of.get() + 1);
     kept.as_of = revision;
     gateway.store.put("other/key", &config(1, &[]));
-    assert!(cache.adopt_directory(kept, PartRevisions::new(revision), true));
+    let now = gateway.host.state().now();
+    assert!(cache.adopt_directory(kept, PartRevisions::new(revision), true, now));
     assert_eq!(cache.directory().targets.len(), 2);
     gateway
         .wait_until(|_| cache.directory().targets.len() == 1)
