Try nearly all unblocked targets while a tenth of the requests fails

Change: while 0.09 of the attempts of a pool in the last two seconds failed, 0.95 of its unblocked targets are kept in use.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`evidence`]: trust in a target, derived from the results of its recent attempts.
 //! - [`pacer`]: request rate of a cold target.
 //! - [`completion_window`]: completion rate of a pool over the last second.
+//! - [`failure_window`]: part of the attempts of a pool that failed in the last two seconds.
 //! - [`fleet_share`]: the part of the fleet that a dispatcher decides for.
 //! - [`excluded_targets`]: targets that one host sends nothing to, although the directory lists them.
 //! - [`target_limit`]: the request rate that a target states.
@@ -21,6 +22,7 @@
 pub mod dispatcher;
 pub mod evidence;
 pub mod excluded_targets;
+pub mod failure_window;
 pub mod fleet_share;
 pub mod messages;
 pub mod pacer;
--- a/crates/dispatch/src/service_pool.rs
+++ b/crates/dispatch/src/service_pool.rs
@@ -14,6 +14,7 @@
 use crate::{
     completion_window::CompletionWindow,
     evidence::TargetTrust,
+    failure_window::FailureWindow,
     fleet_share::FleetShare,
     messages::{
         AdmitRequest,
@@ -50,6 +51,14 @@
 /// two seconds, over all zones together, and checks the past two seconds when a tenth of the requests fails at once.
 const USED_RATIO_MIN: CapacityRatio = CapacityRatio::from_mille(800);
 
+/// The same while many requests fail. The platform looks at the healthy targets only, so that most of those without
+/// requests may be among them.
+const USED_RATIO_FAILING: CapacityRatio = CapacityRatio::from_mille(950);
+
+/// Fraction of failed attempts from which [`USED_RATIO_FAILING`] applies: somewhat less than the tenth from which the
+/// platform checks, as each dispatcher sees the failures of its own zone only.
+const FAILING_RATIO_MIN: CapacityRatio = CapacityRatio::from_mille(90);
+
 /// Fraction of a pool that may be blocked. Beyond it, blocked targets get requests again, so that the rest
 /// does not carry the whole load.
 const BLOCKED_RATIO_MAX: CapacityRatio = CapacityRatio::from_mille(400);
@@ -119,6 +128,7 @@
     /// Arrival of the last idempotent request.
     idempotent_at: Option<MonoTime>,
     completions: CompletionWindow,
+    failures: FailureWindow,
 }
 
 /// Sort key of a target for a request; the lowest is selected.
@@ -179,6 +189,7 @@
             directory_digest: None,
             idempotent_at: None,
             completions: CompletionWindow::new(),
+            failures: FailureWindow::new(),
         }
     }
 
@@ -333,7 +344,11 @@
                 used += u32::from(target.idle_time(now) < TRIAL_IDLE);
             }
         }
-        used < USED_RATIO_MIN.ceil_of(usable)
+        let ratio_min = match self.failures.has_failed(FAILING_RATIO_MIN, now) {
+            true => USED_RATIO_FAILING,
+            false => USED_RATIO_MIN,
+        };
+        used < ratio_min.ceil_of(usable)
     }
 
     fn rank(
@@ -374,6 +389,7 @@
     pub fn release(&mut self, notice: &ReleaseNotice, now: MonoTime) -> ReleaseEffect {
         self.open_requests.swap_remove(&notice.permit);
         self.completions.record(now);
+        self.failures.record(notice.result, now);
         if notice.result == AttemptResult::Good {
             let elapsed = Duration::from_millis(notice.elapsed_millis.into());
             self.mean_latency = (self.mean_latency * 15 + elapsed) / 16;
--- a/crates/dispatch/tests/dispatcher/trials.rs
+++ b/crates/dispatch/tests/dispatcher/trials.rs
@@ -83,6 +83,68 @@
     }
 }
 
+/// Sends a request each `step` milliseconds, none of which may run twice, to a pool of fourteen targets, of which the first
+/// `failing` fail `tenths` of their requests after two seconds. Returns the smallest number of the other targets that got
+/// a request in any two seconds of which more than a tenth of the requests failed.
+fn least_healthy_tried(failing: usize, tenths: u64, step: u64) -> usize {
+    let (dispatcher, directory) = (ZoneDispatcher::new(0), directory_of(14));
+    let mut sent: Vec<(u64, TargetId, bool)> = Vec::new();
+    let mut open: Vec<(u64, DispatchGrant, AttemptResult)> = Vec::new();
+    for (turn, millis) in (0..).zip((0..14_000).step_by(step as usize)) {
+        let (done, rest): (Vec<_>, Vec<_>) =
+            open.into_iter().partition(|(end, _, _)| *end <= millis);
+        open = rest;
+        for (end, grant, result) in done {
+            release(&dispatcher, &grant, result, at(end));
+        }
+        let request = request(&millis.to_string());
+        let PoolAnswer::Granted(grant) = admit(&dispatcher, &directory, &request, at(millis))
+        else {
+            continue;
+        };
+        let is_failing = (0..failing).map(target).any(|id| id == grant.target);
+        let result = match millis > 2000 && is_failing && turn % 10 < tenths {
+            true => AttemptResult::Failed,
+            false => AttemptResult::Good,
+        };
+        let is_failed = result == AttemptResult::Failed;
+        sent.push((millis, grant.target.clone(), is_failed));
+        open.push((millis + 230, grant, result));
+    }
+    let tried_from = |from: u64| {
+        let span = sent
+            .iter()
+            .filter(|(at, _, _)| (from..from + 2000).contains(at));
+        let failed = span.clone().filter(|(_, _, is_failed)| *is_failed).count();
+        if failed * 10 <= span.clone().count() {
+            return None;
+        }
+        let tried: indexmap::IndexSet<_> = span.map(|(_, target, _)| target).collect();
+        let healthy = (failing..14).map(target);
+        Some(healthy.filter(|id| tried.contains(id)).count())
+    };
+    let spans = (4000..12_000).step_by(50).filter_map(tried_from);
+    spans.min().unwrap_or(14 - failing)
+}
+
+/// Guards against healthy targets that get no requests while most others fail: a fifth of all targets may be idle, and
+/// all of these may be among the few healthy ones.
+#[test]
+fn most_healthy_targets_are_tried_while_the_others_fail() {
+    for failing in [8, 9, 10, 11] {
+        for tenths in [2, 3, 5] {
+            for step in [33, 50] {
+                let (tried, healthy) = (least_healthy_tried(failing, tenths, step), 14 - failing);
+                assert!(
+                    tried * 10 >= healthy * 7,
+                    "{tried} of {healthy} healthy targets tried in two seconds while {failing} fail {tenths} \
+                     requests in ten, one each {step} ms"
+                );
+            }
+        }
+    }
+}
+
 /// Guards against a target that gets no request after one failure, because all others are trusted.
 #[test]
 fn doubtful_target_is_tried_with_idempotent_requests() {
