--- a/crates/directory/src/tracker.rs
+++ b/crates/directory/src/tracker.rs
@@ -83,7 +83,8 @@
 
     /// Takes over the parts of another host's directory that were read from the store later. For the host that this
     /// one follows, the same revision suffices, and the entries that it keeps after an outage count; otherwise this host
-    /// decides itself which entries it keeps, and does not take back those that it has removed. Returns `false` if a part of the other directory is older.
+    /// decides itself which entries it keeps, and does not take back those that it has removed. Returns `false` if a part
+    /// of the other directory is older.
     ///
     /// The parts are read independently, so that each of two hosts may have the later state of one part. A part that
     /// was read later on this host stays: its changes would be lost, as the watches continue after them.
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -92,8 +92,8 @@
 /// When a request arrived.
 #[derive(Clone, Copy, Debug)]
 struct RequestArrival {
-    /// Time at which it was handed over by the HTTP library.
-    now: MonoTime,
+    /// Time at which the HTTP library handed it over.
+    handed_over_at: MonoTime,
     /// Time for which it had waited behind others of its connection until then.
     queued: Duration,
 }
@@ -119,7 +119,7 @@
 
     fn record(&self, outcome: &str, status: u16, reason: &str) {
         let (state, now) = (&self.state, self.state.now());
-        let elapsed = now.since(self.arrival.now);
+        let elapsed = now.since(self.arrival.handed_over_at);
         let (index, age) = (state.store_cache.index(), state.store_cache.age(now));
         state.metrics.on_request(outcome, elapsed);
         log::info!(
@@ -146,11 +146,11 @@
 
 /// Handles one request from a caller and returns the response.
 pub async fn answer(state: Arc<GatewayState>, request: Request<Incoming>) -> Response<ProxyBody> {
-    let now = state.now();
+    let handed_over_at = state.now();
     let (mut parts, body) = request.into_parts();
     let queued = parts.extensions.get::<QueuedTime>();
     let arrival = RequestArrival {
-        now,
+        handed_over_at,
         queued: queued.map_or(Duration::ZERO, |queued| queued.0),
     };
     let id = headers::request_id(&parts.headers).map(SmolStr::new);
@@ -294,7 +294,7 @@
     let body_max = limits.body_bytes_max;
     let read = read_body(&state.body_memory, body, body_max, budget.left).await;
     let (body, memory) = read.map_err(|error| refuse(error.answer(), error.name()))?;
-    let deadline = arrival.now.after(budget.left);
+    let deadline = arrival.handed_over_at.after(budget.left);
     Ok((
         RequestPlan {
             id: id.cloned().unwrap_or_default(),
