Count the drain limit of the caller server from the beginning of the stop

Cause: the test's drain limit and its limit for a body without progress are both 10 s, and end in the same instant of the paused clock. Since the first one is armed 200 ms later, so that the body ends first and nothing is left to close by force. Change: the limit of a stop counts from its beginning, whatever the time for first requests is. The test has a limit of 8 s, so that it no longer rests on which of two timers fires first, and checks in addition that the stop ends within 8.1 s.

--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -52,6 +52,7 @@
         watch, //
     },
     task::JoinSet,
+    time::Instant, //
 };
 
 use crate::{
@@ -194,6 +195,7 @@
                 }
             }
         }
+        let stopped_at = Instant::now();
         // Closing the listener would reset the connections that the system has established meanwhile.
         while let Some(Ok(accepted)) = self.listener.accept().now_or_never() {
             start(&mut tasks, accepted);
@@ -201,8 +203,7 @@
         drop(self.listener);
         // A graceful shutdown closes a connection at once whose first request is not read yet.
         tokio::time::sleep(FIRST_REQUEST_TIME).await;
-        let limit = self.limits.drain_limit.saturating_sub(FIRST_REQUEST_TIME);
-        drain(graceful, tasks, limit).await
+        drain(graceful, tasks, (stopped_at, self.limits.drain_limit)).await
     }
 
     fn guard(&self, stream: TcpStream, heads: HeadQueue) -> ConnectionGuard<TcpStream> {
@@ -324,9 +325,13 @@
     }
 }
 
-/// Waits for the connections to end and closes those that exceed the limit.
-async fn drain(graceful: GracefulShutdown, mut tasks: JoinSet<()>, limit: Duration) -> bool {
-    let is_drained = tokio::time::timeout(limit, graceful.shutdown())
+/// Waits for the connections to end and closes those that exceed the limit after the stop began.
+async fn drain(
+    graceful: GracefulShutdown,
+    mut tasks: JoinSet<()>,
+    (stopped_at, limit): (Instant, Duration),
+) -> bool {
+    let is_drained = tokio::time::timeout_at(stopped_at + limit, graceful.shutdown())
         .await
         .is_ok();
     while tasks.try_join_next().is_some() {}
--- a/crates/proxy/tests/edge/callers.rs
+++ b/crates/proxy/tests/edge/callers.rs
@@ -5,7 +5,8 @@
 use chicorycroft_proxy::prelude::*;
 use tokio::{
     io::AsyncWriteExt,
-    net::TcpStream, //
+    net::TcpStream,
+    time::Instant, //
 };
 
 use crate::common::{
@@ -219,8 +220,13 @@
 /// Guards against a planned stop that waits forever for a caller or does not report closed connections.
 #[tokio::test(start_paused = true)]
 async fn stop_is_limited_and_reports_forced_closes() {
+    // Shorter than the 10 s after which a body without progress ends by itself.
+    let limits = ServerLimits {
+        drain_limit: Duration::from_secs(8),
+        ..LIMITS
+    };
     let (listener, target) = listen().await;
-    let edge = TestEdge::new(LIMITS, target).await;
+    let edge = TestEdge::new(limits, target).await;
     let exchange = edge.exchange("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
     let stop = async {
         let (_, stream) =
@@ -228,8 +234,10 @@
         edge.stop.send_replace(true);
         (stream, Duration::ZERO)
     };
+    let started_at = Instant::now();
     let (response, open_stream) = tokio::join!(exchange, stop);
     assert!(response.ends_with("ok"), "{response}");
     assert!(!edge.server.await.unwrap());
+    assert!(started_at.elapsed() < Duration::from_millis(8100));
     drop(open_stream);
 }
