--- a/crates/directory/src/outage.rs
+++ b/crates/directory/src/outage.rs
@@ -68,11 +68,16 @@
         self.on_contact(ContactAge::new(Duration::ZERO), now);
         let failing_time = now.since(self.failing_since.take()?);
         if failing_time > FAILING_MIN {
-            self.registration_end = self.recovered_at.map(|at| at.after(REGISTRATION_TIME));
+            self.registration_end = self.recovery_end();
         }
         Some(failing_time)
     }
 
+    /// Returns the end of the time in which targets register again after the latest recovery of the store.
+    fn recovery_end(&self) -> Option<MonoTime> {
+        self.recovered_at.map(|at| at.after(REGISTRATION_TIME))
+    }
+
     /// Returns the time until which removed entries may belong to live targets that have not registered again, or
     /// `None` if that time has passed.
     pub fn registration_end(&self, now: MonoTime) -> Option<MonoTime> {
@@ -86,14 +91,13 @@
         if age.is_some_and(|age| age.get() > CONTACT_GAP_MIN) {
             return Some(now.after(REGISTRATION_TIME));
         }
-        let end = self.recovered_at.map(|at| at.after(REGISTRATION_TIME));
-        end.filter(|&end| now < end)
+        self.recovery_end().filter(|&end| now < end)
     }
 
     /// Returns `true` if the time in which targets register again has ended since a full read of the store, as far as
     /// this host knows of an outage.
     pub fn has_registration_ended(&self, read_at: MonoTime, now: MonoTime) -> bool {
-        let end = self.recovered_at.map(|at| at.after(REGISTRATION_TIME));
-        end.is_some_and(|end| read_at < end && end <= now)
+        self.recovery_end()
+            .is_some_and(|end| read_at < end && end <= now)
     }
 }
--- a/crates/directory/src/tracker.rs
+++ b/crates/directory/src/tracker.rs
@@ -113,23 +113,17 @@
         }
         if takes_targets {
             self.revisions.targets = revisions.targets;
-            let kept = match is_from_upstream {
-                true => Vec::new(),
-                false => self.keep_missing(&directory.targets, now),
-            };
-            // The other host may keep a lapsed entry too, and the removal is not delivered again.
-            self.lapsed.retain(|id, _| {
-                directory.targets.contains_key(id) || kept.iter().any(|entry| entry.id == *id)
-            });
             next.targets = directory.targets;
             if !is_from_upstream {
+                let kept = self.keep_missing(&next.targets, now);
                 let removed = &self.removed;
                 next.targets.retain(|id, entry| {
                     removed.get(id).is_none_or(|(born, _)| *born != entry.born)
                 });
+                next.targets.extend(kept);
             }
-            next.targets
-                .extend(kept.into_iter().map(|entry| (entry.id.clone(), entry)));
+            // The other host may keep a lapsed entry too, and the removal is not delivered again.
+            self.lapsed.retain(|id, _| next.targets.contains_key(id));
         }
         self.set_directory(next, now);
         is_current
@@ -141,9 +135,9 @@
         &mut self,
         registered: &IndexMap<TargetId, TargetEntry>,
         now: MonoTime,
-    ) -> Vec<TargetEntry> {
+    ) -> IndexMap<TargetId, TargetEntry> {
         let end = self.outage.adoption_end(now);
-        let mut kept = Vec::new();
+        let mut kept = IndexMap::new();
         for (id, entry) in &self.directory.targets {
             if registered.contains_key(id) {
                 continue;
@@ -155,7 +149,7 @@
                 }
                 _ => continue,
             }
-            kept.push(entry.clone());
+            kept.insert(id.clone(), entry.clone());
         }
         kept
     }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -20,11 +20,11 @@
         TeamUsage,
         TicketNumber, //
     },
-    service_pool::{
+    pool_answer::{
         PoolAnswer,
-        QueueChange,
-        ServicePool, //
+        QueueChange, //
     },
+    service_pool::ServicePool,
     target_slots::ReleaseEffect,
     team_bucket::TeamBucket,
 };
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`target_limit`]: the request rate that a target states.
 //! - [`target_slots`]: the concurrency limit of one target.
 //! - [`waiting_queue`]: requests that wait for a slot.
+//! - [`pool_answer`]: the decisions of a pool.
 //! - [`service_pool`]: the targets of a service in a zone, and target selection.
 //! - [`retry_terms`]: the retry budget of one dispatcher.
 //! - [`team_bucket`]: the rate and burst of a team over all dispatchers.
@@ -26,6 +27,7 @@
 pub mod fleet_share;
 pub mod messages;
 pub mod pacer;
+pub mod pool_answer;
 pub mod retry_terms;
 pub mod service_pool;
 pub mod target_limit;
@@ -52,11 +54,11 @@
             TicketNumber,
             whole_millis, //
         },
-        retry_terms::retry_terms,
-        service_pool::{
+        pool_answer::{
             PoolAnswer,
             QueueChange, //
         },
+        retry_terms::retry_terms,
         target_limit::{
             LimitState,
             StatedLimits,
--- a/crates/dispatch/src/service_pool.rs
+++ b/crates/dispatch/src/service_pool.rs
@@ -25,6 +25,10 @@
         TicketNumber,
         whole_millis, //
     },
+    pool_answer::{
+        PoolAnswer,
+        QueueChange, //
+    },
     target_slots::{
         ReleaseEffect,
         TargetSlots, //
@@ -68,42 +72,6 @@
 /// seconds old in one of three.
 const FRESH_FOR: Duration = Duration::from_millis(400);
 
-/// Decision of a pool about a request.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum PoolAnswer {
-    /// The request may be sent.
-    Granted(DispatchGrant),
-    /// The request waits in the queue.
-    Waiting(TicketNumber),
-    /// The team is over its rate.
-    OverRate {
-        /// Time until the team's next token.
-        retry_after: Duration,
-    },
-    /// No acceptable target has a slot, and none is expected within the wait.
-    Busy {
-        /// Expected time until a slot is free.
-        expected_wait: Duration,
-        /// Whether a target below the requested trust has a slot.
-        has_less_trusted: bool,
-    },
-    /// The retry budget of the service is used up.
-    NoBudget,
-    /// The pool has no target that accepts new requests.
-    NoTarget,
-}
-
-/// Waiting requests that left the queue.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct QueueChange {
-    /// Requests that got a slot.
-    pub granted: Vec<(TicketNumber, DispatchGrant)>,
-    /// Requests whose wait is over, and the expected time until a slot is free.
-    pub expired: Vec<(TicketNumber, Duration)>,
-    /// Teams that were charged for the requests whose wait is over.
-    pub expired_teams: Vec<TeamId>,
-}
-
 /// A request in flight.
 #[derive(Clone, Debug)]
 struct OpenRequest {
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -2,7 +2,6 @@
 
 use std::{
     net::SocketAddr,
-    pin::Pin,
     sync::Arc,
     time::Duration, //
 };
@@ -240,30 +239,26 @@
     }
 }
 
-/// A background task.
-type BoxedTask = Pin<Box<dyn Future<Output = ()> + Send>>;
+/// Spawns a background task that is started again whenever it ends.
+fn spawn_supervised<F>(
+    tasks: &mut JoinSet<()>,
+    state: &Arc<GatewayState>,
+    name: &'static str,
+    start: impl Fn(Arc<GatewayState>) -> F + Send + 'static,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let state = state.clone();
+    tasks.spawn(supervise(name, move || start(state.clone())));
+}
 
 fn spawn_tasks(state: &Arc<GatewayState>, ready_listener: TcpListener) -> JoinSet<()> {
     let mut tasks = JoinSet::new();
-    let supervised = |tasks: &mut JoinSet<()>, name, start: fn(Arc<GatewayState>) -> BoxedTask| {
-        let state = state.clone();
-        tasks.spawn(supervise(name, move || start(state.clone())));
-    };
-    supervised(&mut tasks, "gossip", |state| {
-        Box::pin(gossip_loop::gossip(state))
-    });
-    supervised(&mut tasks, "follow", |state| {
-        Box::pin(follow_loop::follow(state))
-    });
-    supervised(&mut tasks, "store", |state| {
-        Box::pin(store_loop::read(state))
-    });
-    supervised(&mut tasks, "queues", |state| {
-        Box::pin(permit_service::serve_queues(state))
-    });
-    supervised(&mut tasks, "sweep", |state| {
-        Box::pin(sweep_connections(state))
-    });
+    spawn_supervised(&mut tasks, state, "gossip", gossip_loop::gossip);
+    spawn_supervised(&mut tasks, state, "follow", follow_loop::follow);
+    spawn_supervised(&mut tasks, state, "store", store_loop::read);
+    spawn_supervised(&mut tasks, state, "queues", permit_service::serve_queues);
+    spawn_supervised(&mut tasks, state, "sweep", sweep_connections);
     let ready_state = state.clone();
     tasks.spawn(async move {
         if let Err(error) = ready_service::serve(ready_state, ready_listener).await {
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -249,8 +249,7 @@
 
     /// Returns the target directory and the revisions up to which its parts were read.
     pub fn directory_with_revisions(&self) -> (Arc<TargetDirectory>, PartRevisions) {
-        let tracker = lock(&self.tracker);
-        (tracker.directory().clone(), tracker.revisions())
+        self.shared_directory(false)
     }
 
     /// Returns the directory for another host and the revisions up to which its parts were read. Other dispatchers get it
--- a/crates/proxy/src/connection_guard.rs
+++ b/crates/proxy/src/connection_guard.rs
@@ -238,32 +238,32 @@
 
     /// Reads from the socket into `unchecked` and returns whether the connection has reached its end.
     fn poll_fill(&mut self, context: &mut Context<'_>) -> Poll<io::Result<bool>> {
-        let mut space = [0; READ_BYTES];
-        let mut buffer = ReadBuf::new(&mut space);
-        let read = Pin::new(&mut self.inner).poll_read(context, &mut buffer);
-        if read.is_pending() && matches!(self.state, GuardState::Head { .. }) {
+        let received = self.poll_receive(context);
+        if received.is_pending() && matches!(self.state, GuardState::Head { .. }) {
             return self.poll_head_timer(context);
         }
-        ready!(read)?;
+        Poll::Ready(Ok(ready!(received)? == 0))
+    }
+
+    /// Reads once from the socket into `unchecked` and returns the number of bytes; 0 at the end of the connection.
+    fn poll_receive(&mut self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        let mut space = [0; READ_BYTES];
+        let mut buffer = ReadBuf::new(&mut space);
+        ready!(Pin::new(&mut self.inner).poll_read(context, &mut buffer))?;
         self.unchecked.extend_from_slice(buffer.filled());
         self.received_at = Instant::now();
-        Poll::Ready(Ok(buffer.filled().is_empty()))
+        Poll::Ready(Ok(buffer.filled().len()))
     }
 
     /// Reads what follows a request that waits behind another one, and fails if the caller has left.
     fn poll_read_ahead(&mut self, context: &mut Context<'_>) -> io::Result<()> {
         while !self.heads.is_empty() && self.unchecked.len() < READ_AHEAD_BYTES_MAX {
-            let mut space = [0; READ_BYTES];
-            let mut buffer = ReadBuf::new(&mut space);
-            match Pin::new(&mut self.inner).poll_read(context, &mut buffer) {
-                Poll::Pending => break,
-                Poll::Ready(read) => read?,
-            }
-            if buffer.filled().is_empty() {
+            let Poll::Ready(received) = self.poll_receive(context) else {
+                break;
+            };
+            if received? == 0 {
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
-            self.unchecked.extend_from_slice(buffer.filled());
-            self.received_at = Instant::now();
         }
         Ok(())
     }
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -160,7 +160,7 @@
         H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<ProxyBody>> + Send + 'static,
     {
-        let server = Arc::new(self.builder());
+        let server = self.builder();
         let permits = Arc::new(Semaphore::new(self.limits.connections_max));
         let refusals = Arc::new(Semaphore::new(CONCURRENT_REFUSALS_MAX));
         let graceful = GracefulShutdown::new();
