Review: a backend that has left is in use again after a cut

Cause: a dispatcher that was cut off takes its cut for an outage of the store and keeps removed entries for 2.3 s; the other hosts of its zone adopt them.

--- /dev/null
+++ b/review/standin/gateway.rs
@@ -0,0 +1,150 @@
+//! The gateway processes of a run.
+
+use std::{
+    fs::{self, File},
+    io,
+    net::{SocketAddr, TcpStream},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::http::Connection;
+
+/// Time in which a gateway must become ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Command of the deploy file.
+const PROGRAM: &str = "target/release/chicorycroft-gateway";
+const ARGUMENTS: [&str; 2] = ["--metrics-port", "9464"];
+
+/// Ports of a gateway for callers, readiness checks and other gateways.
+const PORTS: [u16; 3] = [8405, 8406, 8407];
+
+/// A signal that a case sends to a gateway, by its name for `kill`.
+#[derive(Clone, Copy)]
+pub enum Signal {
+    Terminate,
+}
+
+/// A gateway process, killed on drop.
+pub struct Gateway {
+    child: Child,
+    pub ip: String,
+}
+
+/// The gateways of a run, one in each zone.
+pub struct Fleet {
+    pub gateways: Vec<Gateway>,
+    dir: PathBuf,
+}
+
+fn settings((name, ip, zone): (&str, &str, &str), (zones, seeds): (&[&str], &[String]), store: SocketAddr) -> String {
+    let zones: String = zones.iter().map(|zone| format!("{zone} = \"muscat\"\n")).collect();
+    let seeds: Vec<_> = seeds.iter().map(|ip| format!("\"{ip}:{}\"", PORTS[2])).collect();
+    let [front, ready, control] = PORTS.map(|port| format!("{ip}:{port}"));
+    format!(
+        "nodeName = \"{name}\"\nrole = \"gateway\"\nmachineClass = \"edge\"\nserves = [\"edge\", \"control_plane\"]\n\
+         ip = \"{ip}\"\nzone = \"{zone}\"\nregion = \"muscat\"\nportRange = [7660, 7675]\nseeds = [{}]\n\
+         bootstrap = true\ncountsAsLoss = false\ndiscovery = \"platform\"\nentry = \"vip\"\nheartbeatS = 1.5\n\
+         contracts = [\"base\", \"drain\", \"config\", \"cost\", \"retry\", \"recover\", \"health\", \"tenants\", \
+         \"quota\", \"places\", \"platform\"]\n[zones]\n{zones}[listen]\nfront = \"{front}\"\nready = \"{ready}\"\n\
+         control = \"{control}\"\n[limits]\ncpuShare = 0.2\ncpuCores = 1\nmemoryMb = 260\nmaxFds = 4100\n\
+         linkMbps = 1000.0\ndiskMb = 0\n[faultTolerance]\nmachines = 1\nzones = 1\nregions = 0\n[bounds]\n\
+         seedLagS = 3\nreuseAfterS = 2\nstableS = 3\nackS = 4\ncatchUpS = 4\ndrainS = 2\ngraceS = 6\n\
+         lossSlackS = 0.2\nconfigS = 2\nrollbackSlackS = 0.25\nmaxSkewS = 5\nstrictRevoke = true\nrevokeS = 5\n\
+         retryBudgetRatio = 0.2\nbudgetWindowS = 10\nbudgetSlack = 64\nquotaWindowS = 5\nquotaOvershoot = 0.25\n\
+         quotaSlack = 20\nwarmupOvershoot = 1.5\nwarmupSlack = 5\nevacuateS = 5\nrecoveryS = 15\nprobesPerS = 3\n\
+         floorShare = 0.7\n[platform]\naddress = \"{store}\"\nform = \"read\"\nwritesPerS = 400\nreadsPerS = 2000\n\
+         historyS = 20\nvalueBytes = 1048576\nminTtlS = 1\n",
+        seeds.join(", ")
+    )
+}
+
+fn start_process((name, ip, zone): (&str, &str, &str), lists: (&[&str], &[String]), dir: &Path, store: SocketAddr) -> io::Result<Gateway> {
+    let path = dir.join(format!("{name}.toml"));
+    fs::write(&path, settings((name, ip, zone), lists, store))?;
+    let log = File::create(dir.join(format!("{name}.log")))?;
+    let child = Command::new(PROGRAM)
+        .args(ARGUMENTS)
+        .env("CHICORYCROFT_SETTINGS", &path)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone()?)
+        .stderr(log)
+        .spawn()?;
+    Ok(Gateway { child, ip: ip.to_owned() })
+}
+
+impl Gateway {
+    pub fn connect(&self) -> io::Result<Connection> {
+        let stream = TcpStream::connect((self.ip.as_str(), PORTS[0]))?;
+        stream.set_read_timeout(Some(Duration::from_secs(10)))?;
+        Ok(Connection::new(stream))
+    }
+
+    fn is_ready(&self) -> bool {
+        let probe = || {
+            let stream = TcpStream::connect((self.ip.as_str(), PORTS[1]))?;
+            stream.set_read_timeout(Some(Duration::from_millis(500)))?;
+            let mut connection = Connection::new(stream);
+            connection.write(b"GET /readyz HTTP/1.1\r\nhost: ready\r\n\r\n")?;
+            connection.read()
+        };
+        matches!(probe(), Ok(Some(answer)) if answer.status() == 200)
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        let name = match signal {
+            Signal::Terminate => "-TERM",
+        };
+        let status = Command::new("kill").args([name, &self.child.id().to_string()]).status()?;
+        match status.success() {
+            true => Ok(()),
+            false => Err(io::Error::other("the signal was not sent")),
+        }
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        // The process may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Fleet {
+    /// Starts one gateway for each zone at the addresses `NET.11`, `NET.12` and so on, and waits until all are ready.
+    pub fn start(net: &str, zones: &[&str], store: SocketAddr) -> io::Result<Self> {
+        let dir = std::env::temp_dir().join(format!("chicorycroft-review-{}", std::process::id()));
+        fs::create_dir_all(&dir)?;
+        let ips: Vec<String> = (0..zones.len()).map(|number| format!("{net}.{}", 11 + number)).collect();
+        let mut fleet = Self { gateways: Vec::new(), dir };
+        for (zone, ip) in zones.iter().zip(&ips) {
+            let name = format!("edge-{zone}-1");
+            let gateway = start_process((&name, ip, zone), (zones, &ips), &fleet.dir, store)?;
+            fleet.gateways.push(gateway);
+        }
+        let end = Instant::now() + READY_TIMEOUT;
+        while !fleet.gateways.iter().all(Gateway::is_ready) {
+            if Instant::now() > end {
+                return Err(io::Error::other("a gateway is not ready"));
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+        Ok(fleet)
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.gateways.clear();
+        match std::env::var_os("KEEP_LOGS") {
+            Some(_) => println!("logs of the gateways: {}", self.dir.display()),
+            // A folder that cannot be removed does not change the result.
+            None => drop(fs::remove_dir_all(&self.dir)),
+        }
+    }
+}
--- /dev/null
+++ b/review/standin/main.rs
@@ -0,0 +1,120 @@
+//! Stand-ins and cases of the review. Usage: `review-standin CASE FOLDER`; the environment variable `TROUBLE=0` leaves
+//! the disruption out. Exits with 0 if the rule held, 1 if it was broken, and 2 if the case could not run.
+
+mod backend;
+mod caller;
+mod gateway;
+mod http;
+mod late_write;
+mod record;
+mod refused_config;
+mod store;
+mod withdrawn_team;
+mod pipelined_stop;
+
+use std::{path::Path, process::ExitCode, sync::{Arc, Mutex}, time::Duration};
+
+use backend::{Backend, RunRequest};
+use gateway::Fleet;
+use record::Record;
+use store::Store;
+
+/// Zones of the deployment, with one gateway and two backends each.
+const ZONES: [&str; 3] = ["muscat-a", "muscat-b", "muscat-c"];
+
+/// Outcome of a case.
+pub enum Outcome {
+    Held,
+    Broken,
+}
+
+/// A small deployment.
+pub struct Deployment {
+    pub store: Store,
+    pub backends: Vec<Backend>,
+    pub fleet: Fleet,
+    pub record: Record,
+    pub runs: Arc<Mutex<Vec<RunRequest>>>,
+}
+
+/// Name and keys of a tenant.
+pub type TenantKeys<'a> = (&'a str, &'a [&'a str]);
+
+/// Returns a configuration with a safe and an unsafe route, which need a key, and tenants without a limit.
+pub fn config(version: u64, tenants: &[TenantKeys<'_>]) -> String {
+    let route = |prefix: &str, kind: &str| {
+        format!(
+            "{{\"host\":\"{}\",\"prefix\":\"{prefix}\",\"kind\":\"{kind}\",\"timeoutS\":5,\"targetLatencyS\":0.8,\
+             \"priority\":1,\"service\":\"rates\",\"maxAttempts\":2,\"public\":false}}",
+            caller::HOST
+        )
+    };
+    let tenants: Vec<String> = tenants
+        .iter()
+        .map(|(name, keys)| {
+            let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
+            format!("\"{name}\":{{\"apiKeys\":[{}],\"priority\":1,\"ratePerS\":0,\"burst\":0}}", keys.join(","))
+        })
+        .collect();
+    format!(
+        "{{\"version\":{version},\"routes\":{{\"r-look\":{},\"r-buy\":{}}},\"services\":{{\"rates\":{{\"healthPath\":\
+         \"/healthz\",\"maxConns\":390,\"protocol\":\"h1\",\"tls\":false,\"warmupS\":3.0,\"warmupPerS\":2.5}}}},\
+         \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,\"headerTimeoutS\":3,\"idleTimeoutS\":15}},\
+         \"tenants\":{{{}}}}}",
+        route("/look/", "safe"),
+        route("/buy/", "unsafe"),
+        tenants.join(",")
+    )
+}
+
+impl Deployment {
+    /// Starts the store with a first configuration, the backends, which work on a request for `work`, and the gateways.
+    pub fn start(folder: &Path, config: &str, work: Duration) -> std::io::Result<Self> {
+        let record = Record::new(&folder.join("record.txt"))?;
+        // Loopback addresses of this run only.
+        let id = std::process::id();
+        let net = format!("127.{}.{}", 64 + (id >> 8) % 128, id % 256);
+        let store = Store::start(&format!("{net}.1"))?;
+        store.write("op/config", Some(config));
+        let runs = Arc::default();
+        let mut backends = Vec::new();
+        for (number, zone) in ZONES.iter().flat_map(|zone| [zone, zone]).enumerate() {
+            let (ip, id) = (format!("{net}.{}", 101 + number), format!("i-{:08x}", 0x7f3a_91c2 + number));
+            backends.push(Backend::start((&ip, &id, zone), work, &store, &record, &runs)?);
+        }
+        let fleet = Fleet::start(&net, &ZONES, store.address)?;
+        record.add("all gateways are ready");
+        // The gateways find each other and read the entries of the backends.
+        std::thread::sleep(Duration::from_secs(4));
+        Ok(Self { store, backends, fleet, record, runs })
+    }
+}
+
+/// Returns `true` unless the disruption is left out.
+pub fn has_trouble() -> bool {
+    std::env::var("TROUBLE").as_deref() != Ok("0")
+}
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, case, folder] = &arguments[..] else {
+        eprintln!("usage: review-standin CASE FOLDER");
+        return ExitCode::from(2);
+    };
+    let folder = Path::new(folder);
+    let outcome = match case.as_str() {
+        "refused-config" => refused_config::run(folder),
+        "withdrawn-team" => withdrawn_team::run(folder),
+        "late-write" => late_write::run(folder),
+        "pipelined-stop" => pipelined_stop::run(folder),
+        _ => Err(std::io::Error::other("there is no such case")),
+    };
+    match outcome {
+        Ok(Outcome::Held) => ExitCode::SUCCESS,
+        Ok(Outcome::Broken) => ExitCode::from(1),
+        Err(error) => {
+            eprintln!("the case could not run: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
