Review: gateways with stale seeds each spend the whole quota of a tenant

Cause: a gateway that knows no other one takes itself for the whole fleet once its startup period is over. Done: a script with stand-ins; nothing is fixed.

--- a/review/standin/backend.rs
+++ b/review/standin/backend.rs
@@ -56,7 +56,9 @@
         runs: &Arc<Mutex<Vec<RunRequest>>>,
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind((ip, 0))?;
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis());
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |time| time.as_millis());
         let backend = Self {
             id: id.to_owned(),
             zone: zone.to_owned(),
@@ -112,7 +114,8 @@
             return false;
         }
         state.sequence += 1;
-        self.store.write(&self.key(), Some(&self.entry(state.sequence)));
+        self.store
+            .write(&self.key(), Some(&self.entry(state.sequence)));
         true
     }
 
@@ -120,7 +123,10 @@
     pub fn delayed_write(&self) -> String {
         let mut state = self.state.lock().unwrap();
         state.sequence += 1;
-        self.record.add(&format!("write     of {} with seq {} gets no answer", self.id, state.sequence));
+        self.record.add(&format!(
+            "write     of {} with seq {} gets no answer",
+            self.id, state.sequence
+        ));
         self.entry(state.sequence)
     }
 
@@ -143,16 +149,34 @@
 
     fn answer(&self, request: &Message) -> String {
         let id = request.field("x-request-id").unwrap_or_default();
-        if request.field("x-target-instance").is_some_and(|target| target != self.id) {
+        if request
+            .field("x-target-instance")
+            .is_some_and(|target| target != self.id)
+        {
             let head = format!("HTTP/1.1 421 Misdirected Request\r\nx-request-id: {id}\r\n");
-            return format!("{head}x-instance-id: {}\r\ncontent-length: 0\r\n\r\n", self.id);
+            return format!(
+                "{head}x-instance-id: {}\r\ncontent-length: 0\r\n\r\n",
+                self.id
+            );
         }
         let is_leaving = self.state.lock().unwrap().is_leaving;
-        let leaving = if is_leaving { "server-leaving: 1\r\n" } else { "" };
+        let leaving = if is_leaving {
+            "server-leaving: 1\r\n"
+        } else {
+            ""
+        };
         let tenant = request.field("x-tenant").unwrap_or("-").to_owned();
-        self.record.add(&format!("run       id={id} backend={} tenant={tenant}", self.id));
+        self.record.add(&format!(
+            "run       id={id} backend={} tenant={tenant}",
+            self.id
+        ));
         let (id, backend) = (id.to_owned(), self.id.clone());
-        self.runs.lock().unwrap().push(RunRequest { at: self.record.now(), id: id.clone(), tenant, backend });
+        self.runs.lock().unwrap().push(RunRequest {
+            at: self.record.now(),
+            id: id.clone(),
+            tenant,
+            backend,
+        });
         thread::sleep(self.work);
         let body = format!("answer to {id}");
         format!(
--- a/review/standin/gateway.rs
+++ b/review/standin/gateway.rs
@@ -22,12 +22,6 @@
 /// Ports of a gateway for callers, readiness checks and other gateways.
 const PORTS: [u16; 3] = [8405, 8406, 8407];
 
-/// A signal that a case sends to a gateway, by its name for `kill`.
-#[derive(Clone, Copy)]
-pub enum Signal {
-    Terminate,
-}
-
 /// A gateway process, killed on drop.
 pub struct Gateway {
     child: Child,
@@ -40,9 +34,19 @@
     dir: PathBuf,
 }
 
-fn settings((name, ip, zone): (&str, &str, &str), (zones, seeds): (&[&str], &[String]), store: SocketAddr) -> String {
-    let zones: String = zones.iter().map(|zone| format!("{zone} = \"muscat\"\n")).collect();
-    let seeds: Vec<_> = seeds.iter().map(|ip| format!("\"{ip}:{}\"", PORTS[2])).collect();
+fn settings(
+    (name, ip, zone): (&str, &str, &str),
+    (zones, seeds): (&[&str], &[String]),
+    store: SocketAddr,
+) -> String {
+    let zones: String = zones
+        .iter()
+        .map(|zone| format!("{zone} = \"muscat\"\n"))
+        .collect();
+    let seeds: Vec<_> = seeds
+        .iter()
+        .map(|ip| format!("\"{ip}:{}\"", PORTS[2]))
+        .collect();
     let [front, ready, control] = PORTS.map(|port| format!("{ip}:{port}"));
     format!(
         "nodeName = \"{name}\"\nrole = \"gateway\"\nmachineClass = \"edge\"\nserves = [\"edge\", \"control_plane\"]\n\
@@ -62,7 +66,12 @@
     )
 }
 
-fn start_process((name, ip, zone): (&str, &str, &str), lists: (&[&str], &[String]), dir: &Path, store: SocketAddr) -> io::Result<Gateway> {
+fn start_process(
+    (name, ip, zone): (&str, &str, &str),
+    lists: (&[&str], &[String]),
+    dir: &Path,
+    store: SocketAddr,
+) -> io::Result<Gateway> {
     let path = dir.join(format!("{name}.toml"));
     fs::write(&path, settings((name, ip, zone), lists, store))?;
     let log = File::create(dir.join(format!("{name}.log")))?;
@@ -73,7 +82,10 @@
         .stdout(log.try_clone()?)
         .stderr(log)
         .spawn()?;
-    Ok(Gateway { child, ip: ip.to_owned() })
+    Ok(Gateway {
+        child,
+        ip: ip.to_owned(),
+    })
 }
 
 impl Gateway {
@@ -93,18 +105,6 @@
         };
         matches!(probe(), Ok(Some(answer)) if answer.status() == 200)
     }
-
-    /// Sends a signal to the process.
-    pub fn signal(&self, signal: Signal) -> io::Result<()> {
-        let name = match signal {
-            Signal::Terminate => "-TERM",
-        };
-        let status = Command::new("kill").args([name, &self.child.id().to_string()]).status()?;
-        match status.success() {
-            true => Ok(()),
-            false => Err(io::Error::other("the signal was not sent")),
-        }
-    }
 }
 
 impl Drop for Gateway {
@@ -116,15 +116,34 @@
 }
 
 impl Fleet {
-    /// Starts one gateway for each zone at the addresses `NET.11`, `NET.12` and so on, and waits until all are ready.
-    pub fn start(net: &str, zones: &[&str], store: SocketAddr) -> io::Result<Self> {
+    /// Starts `per_zone` gateways for each zone at the addresses `NET.11`, `NET.12` and so on, and waits until all are
+    /// ready. Their seeds are the first three of them or, if `has_stale_seeds` is set, three addresses without a process.
+    pub fn start(
+        (net, zones, store): (&str, &[&str], SocketAddr),
+        per_zone: usize,
+        has_stale_seeds: bool,
+    ) -> io::Result<Self> {
         let dir = std::env::temp_dir().join(format!("chicorycroft-review-{}", std::process::id()));
         fs::create_dir_all(&dir)?;
-        let ips: Vec<String> = (0..zones.len()).map(|number| format!("{net}.{}", 11 + number)).collect();
-        let mut fleet = Self { gateways: Vec::new(), dir };
-        for (zone, ip) in zones.iter().zip(&ips) {
-            let name = format!("edge-{zone}-1");
-            let gateway = start_process((&name, ip, zone), (zones, &ips), &fleet.dir, store)?;
+        let first = if has_stale_seeds { 201 } else { 11 };
+        let seeds: Vec<String> = (first..first + 3)
+            .map(|host| format!("{net}.{host}"))
+            .collect();
+        let mut fleet = Self {
+            gateways: Vec::new(),
+            dir,
+        };
+        for (number, zone) in zones
+            .iter()
+            .cycle()
+            .take(zones.len() * per_zone)
+            .enumerate()
+        {
+            let (name, ip) = (
+                format!("edge-{zone}-{}", 1 + number / zones.len()),
+                format!("{net}.{}", 11 + number),
+            );
+            let gateway = start_process((&name, &ip, zone), (zones, &seeds), &fleet.dir, store)?;
             fleet.gateways.push(gateway);
         }
         let end = Instant::now() + READY_TIMEOUT;
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -16,7 +16,9 @@
 impl Message {
     pub fn field(&self, name: &str) -> Option<&str> {
         let mut fields = self.fields.iter();
-        fields.find(|(key, _)| key == name).map(|(_, value)| value.as_str())
+        fields
+            .find(|(key, _)| key == name)
+            .map(|(_, value)| value.as_str())
     }
 
     /// Returns the second word of the start line: the path of a request, or the status of an answer.
@@ -76,7 +78,9 @@
             let field = (name.to_ascii_lowercase(), value.trim().to_owned());
             message.fields.push(field);
         }
-        let length = message.field("content-length").and_then(|text| text.parse().ok());
+        let length = message
+            .field("content-length")
+            .and_then(|text| text.parse().ok());
         let length: usize = length.unwrap_or(0);
         while self.ahead.len() < end + length {
             if self.fill()? == 0 {
--- a/review/standin/late_write.rs
+++ b/review/standin/late_write.rs
@@ -19,17 +19,27 @@
 const KEY: &str = "2b9wu3fexd9dnn2ctnfz";
 
 pub fn run(folder: &Path) -> std::io::Result<Outcome> {
-    let run = Deployment::start(folder, &config(5, &[("weavers", &[KEY])]), Duration::from_millis(20))?;
+    let run = Deployment::start(
+        folder,
+        &config(5, &[("weavers", &[KEY])]),
+        Duration::from_millis(20),
+    )?;
     let (record, leaving) = (&run.record, &run.backends[0]);
     let delayed = leaving.delayed_write();
     thread::sleep(STABLE);
     leaving.leave();
     let acknowledged_at = record.now();
-    record.add(&format!("leaving   {} has removed its entry, acknowledged", leaving.id()));
+    record.add(&format!(
+        "leaving   {} has removed its entry, acknowledged",
+        leaving.id()
+    ));
     thread::sleep(DELAY);
     if has_trouble() {
         run.store.write(&leaving.key(), Some(&delayed));
-        record.add(&format!("late      the delayed write of {} is done", leaving.id()));
+        record.add(&format!(
+            "late      the delayed write of {} is done",
+            leaving.id()
+        ));
     }
     let mut connections = Vec::new();
     for gateway in &run.fleet.gateways {
@@ -39,7 +49,12 @@
     while record.now() < acknowledged_at + SERVE_MS {
         for (gateway, connection) in connections.iter_mut().enumerate() {
             let id = format!("look-{number}-{gateway}");
-            let request = CallerRequest { line: "GET /look/1", id: &id, key: KEY, deadline_ms: 2000 };
+            let request = CallerRequest {
+                line: "GET /look/1",
+                id: &id,
+                key: KEY,
+                deadline_ms: 2000,
+            };
             request.exchange(connection, record)?;
         }
         number += 1;
@@ -47,11 +62,24 @@
     }
     let runs = run.runs.lock().unwrap();
     let is_late = |at: u64| at > acknowledged_at + DRAIN_MS;
-    let broken: Vec<_> = runs.iter().filter(|run| run.backend == leaving.id() && is_late(run.at)).collect();
+    let broken: Vec<_> = runs
+        .iter()
+        .filter(|run| run.backend == leaving.id() && is_late(run.at))
+        .collect();
     for run in &broken {
         let after = run.at - acknowledged_at;
-        record.add(&format!("BROKEN    id={} reached {} {after} ms after it was gone", run.id, run.backend));
+        record.add(&format!(
+            "BROKEN    id={} reached {} {after} ms after it was gone",
+            run.id, run.backend
+        ));
     }
-    println!("{number} rounds of requests, {} requests reached the backend that had left", broken.len());
-    Ok(if broken.is_empty() { Outcome::Held } else { Outcome::Broken })
+    println!(
+        "{number} rounds of requests, {} requests reached the backend that had left",
+        broken.len()
+    );
+    Ok(if broken.is_empty() {
+        Outcome::Held
+    } else {
+        Outcome::Broken
+    })
 }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,18 +8,22 @@
 mod late_write;
 mod record;
 mod refused_config;
+mod stale_seeds;
 mod store;
-mod withdrawn_team;
-mod pipelined_stop;
 
-use std::{path::Path, process::ExitCode, sync::{Arc, Mutex}, time::Duration};
+use std::{
+    path::Path,
+    process::ExitCode,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use backend::{Backend, RunRequest};
 use gateway::Fleet;
 use record::Record;
 use store::Store;
 
-/// Zones of the deployment, with one gateway and two backends each.
+/// Zones of the deployment, with two backends each.
 const ZONES: [&str; 3] = ["muscat-a", "muscat-b", "muscat-c"];
 
 /// Outcome of a case.
@@ -42,6 +46,11 @@
 
 /// Returns a configuration with a safe and an unsafe route, which need a key, and tenants without a limit.
 pub fn config(version: u64, tenants: &[TenantKeys<'_>]) -> String {
+    config_with_rate(version, tenants, 0)
+}
+
+/// Returns a configuration like [`config`] whose tenants have a rate, and a burst of the same size; 0 is no limit.
+pub fn config_with_rate(version: u64, tenants: &[TenantKeys<'_>], rate: u64) -> String {
     let route = |prefix: &str, kind: &str| {
         format!(
             "{{\"host\":\"{}\",\"prefix\":\"{prefix}\",\"kind\":\"{kind}\",\"timeoutS\":5,\"targetLatencyS\":0.8,\
@@ -53,7 +62,7 @@
         .iter()
         .map(|(name, keys)| {
             let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
-            format!("\"{name}\":{{\"apiKeys\":[{}],\"priority\":1,\"ratePerS\":0,\"burst\":0}}", keys.join(","))
+            format!("\"{name}\":{{\"apiKeys\":[{}],\"priority\":1,\"ratePerS\":{rate},\"burst\":{rate}}}", keys.join(","))
         })
         .collect();
     format!(
@@ -68,8 +77,19 @@
 }
 
 impl Deployment {
-    /// Starts the store with a first configuration, the backends, which work on a request for `work`, and the gateways.
+    /// Starts the store with a first configuration, the backends, which work on a request for `work`, and a gateway in
+    /// each zone.
     pub fn start(folder: &Path, config: &str, work: Duration) -> std::io::Result<Self> {
+        Self::start_fleet(folder, config, work, (1, false))
+    }
+
+    /// Starts a deployment like [`Self::start`] with a number of gateways in each zone, and with seeds that may be stale.
+    pub fn start_fleet(
+        folder: &Path,
+        config: &str,
+        work: Duration,
+        (per_zone, has_stale_seeds): (usize, bool),
+    ) -> std::io::Result<Self> {
         let record = Record::new(&folder.join("record.txt"))?;
         // Loopback addresses of this run only.
         let id = std::process::id();
@@ -79,14 +99,29 @@
         let runs = Arc::default();
         let mut backends = Vec::new();
         for (number, zone) in ZONES.iter().flat_map(|zone| [zone, zone]).enumerate() {
-            let (ip, id) = (format!("{net}.{}", 101 + number), format!("i-{:08x}", 0x7f3a_91c2 + number));
-            backends.push(Backend::start((&ip, &id, zone), work, &store, &record, &runs)?);
+            let (ip, id) = (
+                format!("{net}.{}", 101 + number),
+                format!("i-{:08x}", 0x7f3a_91c2 + number),
+            );
+            backends.push(Backend::start(
+                (&ip, &id, zone),
+                work,
+                &store,
+                &record,
+                &runs,
+            )?);
         }
-        let fleet = Fleet::start(&net, &ZONES, store.address)?;
+        let fleet = Fleet::start((&net, &ZONES, store.address), per_zone, has_stale_seeds)?;
         record.add("all gateways are ready");
         // The gateways find each other and read the entries of the backends.
         std::thread::sleep(Duration::from_secs(4));
-        Ok(Self { store, backends, fleet, record, runs })
+        Ok(Self {
+            store,
+            backends,
+            fleet,
+            record,
+            runs,
+        })
     }
 }
 
@@ -104,9 +139,8 @@
     let folder = Path::new(folder);
     let outcome = match case.as_str() {
         "refused-config" => refused_config::run(folder),
-        "withdrawn-team" => withdrawn_team::run(folder),
+        "stale-seeds" => stale_seeds::run(folder),
         "late-write" => late_write::run(folder),
-        "pipelined-stop" => pipelined_stop::run(folder),
         _ => Err(std::io::Error::other("there is no such case")),
     };
     match outcome {
--- a/review/standin/refused_config.rs
+++ b/review/standin/refused_config.rs
@@ -24,19 +24,34 @@
     }
     for (number, connection) in connections.iter_mut().enumerate() {
         let id = format!("before-{number}");
-        let request = CallerRequest { line: "POST /buy/1", id: &id, key: WITHDRAWN_KEY, deadline_ms: 3000 };
+        let request = CallerRequest {
+            line: "POST /buy/1",
+            id: &id,
+            key: WITHDRAWN_KEY,
+            deadline_ms: 3000,
+        };
         let answer = request.exchange(connection, record)?;
         if answer.is_none_or(|answer| answer.status() != 200) {
-            return Err(std::io::Error::other("a request with a valid key was not served"));
+            return Err(std::io::Error::other(
+                "a request with a valid key was not served",
+            ));
         }
     }
     let new_name = match has_trouble() {
         true => "Sohar-Coop",
         false => "sohar-coop",
     };
-    run.store.write("op/config", Some(&config(7, &[("weavers", &[KEPT_KEY]), (new_name, &[NEW_KEY])])));
+    run.store.write(
+        "op/config",
+        Some(&config(
+            7,
+            &[("weavers", &[KEPT_KEY]), (new_name, &[NEW_KEY])],
+        )),
+    );
     let acknowledged_at = record.now();
-    record.add(&format!("config    version 7 acknowledged: withdraws {WITHDRAWN_KEY}, adds tenant {new_name}"));
+    record.add(&format!(
+        "config    version 7 acknowledged: withdraws {WITHDRAWN_KEY}, adds tenant {new_name}"
+    ));
     let mut late = Vec::new();
     for number in 0.. {
         let sent_at = record.now();
@@ -47,7 +62,12 @@
             for (name, key) in [("withdrawn", WITHDRAWN_KEY), ("new", NEW_KEY)] {
                 let id = format!("{name}-{number}-{gateway}");
                 let sent_at = record.now();
-                let request = CallerRequest { line: "POST /buy/1", id: &id, key, deadline_ms: 3000 };
+                let request = CallerRequest {
+                    line: "POST /buy/1",
+                    id: &id,
+                    key,
+                    deadline_ms: 3000,
+                };
                 request.exchange(connection, record)?;
                 if key == WITHDRAWN_KEY && sent_at > acknowledged_at + REVOKE_MS {
                     late.push(id);
@@ -60,8 +80,19 @@
     let broken: Vec<_> = runs.iter().filter(|run| late.contains(&run.id)).collect();
     for run in &broken {
         let after = run.at - acknowledged_at;
-        record.add(&format!("BROKEN    id={} ran for {} {after} ms after its key was withdrawn", run.id, run.tenant));
+        record.add(&format!(
+            "BROKEN    id={} ran for {} {after} ms after its key was withdrawn",
+            run.id, run.tenant
+        ));
     }
-    println!("{} requests with the withdrawn key sent later than revokeS, {} of them ran", late.len(), broken.len());
-    Ok(if broken.is_empty() { Outcome::Held } else { Outcome::Broken })
+    println!(
+        "{} requests with the withdrawn key sent later than revokeS, {} of them ran",
+        late.len(),
+        broken.len()
+    );
+    Ok(if broken.is_empty() {
+        Outcome::Held
+    } else {
+        Outcome::Broken
+    })
 }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -39,10 +39,16 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for part in bytes.chunks(3) {
-        let number = (0..3).fold(0, |sum, at| sum << 8 | u32::from(*part.get(at).unwrap_or(&0)));
+        let number = (0..3).fold(0, |sum, at| {
+            sum << 8 | u32::from(*part.get(at).unwrap_or(&0))
+        });
         for at in 0..4 {
             let digit = DIGITS[(number >> (18 - 6 * at) & 63) as usize];
-            text.push(if at <= part.len() { char::from(digit) } else { '=' });
+            text.push(if at <= part.len() {
+                char::from(digit)
+            } else {
+                '='
+            });
         }
     }
     text
@@ -52,7 +58,9 @@
     let bytes = text.as_bytes();
     let (mut decoded, mut at) = (Vec::new(), 0);
     while at < bytes.len() {
-        let code = text.get(at + 1..at + 3).and_then(|code| u8::from_str_radix(code, 16).ok());
+        let code = text
+            .get(at + 1..at + 3)
+            .and_then(|code| u8::from_str_radix(code, 16).ok());
         match code.filter(|_| bytes[at] == b'%') {
             Some(byte) => {
                 decoded.push(byte);
@@ -70,11 +78,18 @@
 fn parameter(path: &str, name: &str) -> Option<String> {
     let (_, query) = path.split_once('?')?;
     let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.find(|(key, _)| *key == name).map(|(_, value)| percent_decode(value))
+    pairs
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| percent_decode(value))
 }
 
 fn to_json(change: &Change) -> String {
-    let Change { key, revision, created, value } = change;
+    let Change {
+        key,
+        revision,
+        created,
+        value,
+    } = change;
     match value {
         Some(value) => format!(
             "{{\"key\":\"{key}\",\"value\":\"{}\",\"revision\":{revision},\"created\":{created},\"lease\":0}}",
@@ -111,9 +126,17 @@
         let mut contents = contents.lock().unwrap();
         contents.revision += 1;
         let revision = contents.revision;
-        let created = contents.items.get(key).map_or(revision, |item| item.created);
+        let created = contents
+            .items
+            .get(key)
+            .map_or(revision, |item| item.created);
         let value = value.map(str::to_owned);
-        let change = Change { key: key.to_owned(), revision, created, value };
+        let change = Change {
+            key: key.to_owned(),
+            revision,
+            created,
+            value,
+        };
         match change.value {
             Some(_) => contents.items.insert(key.to_owned(), change.clone()),
             None => contents.items.remove(key),
@@ -144,7 +167,10 @@
             "/kv-watch" => {
                 let wait = parameter(path, "waitMs").and_then(|text| text.parse().ok());
                 let wait = Duration::from_millis(wait.unwrap_or(0));
-                ("200 OK", self.watch(&prefix, after.parse().unwrap_or(0), wait))
+                (
+                    "200 OK",
+                    self.watch(&prefix, after.parse().unwrap_or(0), wait),
+                )
             }
             _ => ("404 Not Found", "{}".to_owned()),
         }
@@ -153,10 +179,17 @@
     fn range(&self, prefix: &str, after: &str) -> String {
         let contents = self.contents.0.lock().unwrap();
         let is_listed = |key: &str| key.starts_with(prefix) && (after.is_empty() || key > after);
-        let items: Vec<_> = contents.items.values().filter(|item| is_listed(&item.key)).collect();
+        let items: Vec<_> = contents
+            .items
+            .values()
+            .filter(|item| is_listed(&item.key))
+            .collect();
         let has_more = items.len() > PAGE_ITEMS_MAX;
         let list = to_list(items.into_iter().take(PAGE_ITEMS_MAX));
-        format!("{{\"items\":[{list}],\"hasMore\":{has_more},\"asOf\":{}}}", contents.revision)
+        format!(
+            "{{\"items\":[{list}],\"hasMore\":{has_more},\"asOf\":{}}}",
+            contents.revision
+        )
     }
 
     fn watch(&self, prefix: &str, after: u64, wait: Duration) -> String {
@@ -164,7 +197,8 @@
         let (contents, changed) = &*self.contents;
         let mut contents = contents.lock().unwrap();
         loop {
-            let is_new = |change: &&Change| change.revision > after && change.key.starts_with(prefix);
+            let is_new =
+                |change: &&Change| change.revision > after && change.key.starts_with(prefix);
             let list = to_list(contents.history.iter().filter(is_new));
             let left = end.saturating_duration_since(Instant::now());
             if !list.is_empty() || left.is_zero() {
