--- a/review/standin/stale_seeds.rs
+++ b/review/standin/stale_seeds.rs
@@ -24,7 +24,7 @@
 const SLACK: u64 = 20;
 
 const GATEWAYS_PER_ZONE: usize = 2;
-const LOAD_TIME: Duration = Duration::from_secs(10);
+const LOAD_TIME: Duration = Duration::from_secs(9);
 const KEY: &str = "2b9wu3fexd9dnn2ctnfz";
 
 /// Returns the largest number of requests that were sent and run within one window.
