--- a/review/standin/late_write.rs
+++ b/review/standin/late_write.rs
@@ -18,9 +18,9 @@
 
 const KEY: &str = "2b9wu3fexd9dnn2ctnfz";
 
-pub fn run(folder: &Path) -> std::io::Result<Outcome> {
+pub fn run(path: &Path) -> std::io::Result<Outcome> {
     let run = Deployment::start(
-        folder,
+        path,
         &config(5, &[("weavers", &[KEY])]),
         Duration::from_millis(20),
     )?;
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,4 +1,4 @@
-//! Stand-ins and cases of the review. Usage: `review-standin CASE FOLDER`; the environment variable `TROUBLE=0` leaves
+//! Stand-ins and cases of the review. Usage: `review-standin CASE RECORD`; the environment variable `TROUBLE=0` leaves
 //! the disruption out. Exits with 0 if the rule held, 1 if it was broken, and 2 if the case could not run.
 
 mod backend;
@@ -82,18 +82,18 @@
 impl Deployment {
     /// Starts the store with a first configuration, the backends, which work on a request for `work`, and a gateway in
     /// each zone.
-    pub fn start(folder: &Path, config: &str, work: Duration) -> std::io::Result<Self> {
-        Self::start_fleet(folder, config, work, (1, false))
+    pub fn start(path: &Path, config: &str, work: Duration) -> std::io::Result<Self> {
+        Self::start_fleet(path, config, work, (1, false))
     }
 
     /// Starts a deployment like [`Self::start`] with a number of gateways in each zone, and with seeds that may be stale.
     pub fn start_fleet(
-        folder: &Path,
+        path: &Path,
         config: &str,
         work: Duration,
         (per_zone, has_stale_seeds): (usize, bool),
     ) -> std::io::Result<Self> {
-        let record = Record::new(&folder.join("record.txt"))?;
+        let record = Record::new(path)?;
         // Loopback addresses of this run only.
         let id = std::process::id();
         let net = format!("127.{}.{}", 64 + (id >> 8) % 128, id % 256);
@@ -135,15 +135,15 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = &arguments[..] else {
-        eprintln!("usage: review-standin CASE FOLDER");
+    let [_, case, path] = &arguments[..] else {
+        eprintln!("usage: review-standin CASE RECORD");
         return ExitCode::from(2);
     };
-    let folder = Path::new(folder);
+    let path = Path::new(path);
     let outcome = match case.as_str() {
-        "refused-config" => refused_config::run(folder),
-        "stale-seeds" => stale_seeds::run(folder),
-        "late-write" => late_write::run(folder),
+        "refused-config" => refused_config::run(path),
+        "stale-seeds" => stale_seeds::run(path),
+        "late-write" => late_write::run(path),
         _ => Err(std::io::Error::other("there is no such case")),
     };
     match outcome {
--- a/review/standin/refused_config.rs
+++ b/review/standin/refused_config.rs
@@ -14,9 +14,9 @@
 const WITHDRAWN_KEY: &str = "2b9wu3fexd9dnn2ctnfz";
 const NEW_KEY: &str = "k4t0w7c1q9xz3m5v8b2n";
 
-pub fn run(folder: &Path) -> std::io::Result<Outcome> {
+pub fn run(path: &Path) -> std::io::Result<Outcome> {
     let first = config(5, &[("weavers", &[WITHDRAWN_KEY, KEPT_KEY])]);
-    let run = Deployment::start(folder, &first, Duration::from_millis(20))?;
+    let run = Deployment::start(path, &first, Duration::from_millis(20))?;
     let record = &run.record;
     let mut connections = Vec::new();
     for gateway in &run.fleet.gateways {
--- a/review/standin/stale_seeds.rs
+++ b/review/standin/stale_seeds.rs
@@ -43,10 +43,10 @@
         .unwrap_or(0)
 }
 
-pub fn run(folder: &Path) -> std::io::Result<Outcome> {
+pub fn run(path: &Path) -> std::io::Result<Outcome> {
     let config = config_with_rate(5, &[("weavers", &[KEY])], RATE);
     let work = Duration::from_millis(20);
-    let run = Deployment::start_fleet(folder, &config, work, (GATEWAYS_PER_ZONE, has_trouble()))?;
+    let run = Deployment::start_fleet(path, &config, work, (GATEWAYS_PER_ZONE, has_trouble()))?;
     let record = &run.record;
     let count = run.fleet.gateways.len() as u64;
     let (numbers, end) = (Arc::new(AtomicU64::new(0)), Instant::now() + LOAD_TIME);
