End the trust in keys while the store's configuration is refused

Cause: a host that refuses a document keeps the version in force, and counted each later answer of the store as proof that its copy of the operators' records, and so its keys, are up to date. Followers got that age from their dispatcher.

Change: CopyContacts keeps a contact for the keys beside that for the operators' records. After a refused configuration the store confirms only the latter, until it has one that is accepted. Answers to followers carry the age of the keys. Keys are then refused with 503 when revokeS less the margin has passed; public routes and evacuations go on.

Evidence: withdrawn_key_stops_working_although_the_configuration_is_refused fails on (200 where 503 is due, on the dispatcher) and passes now on the dispatcher and a follower; refused_configuration_ends_the_trust_in_keys replays the order of contacts, with a late answer.

Measured: tests of directory, adapter and gateway.

Conclusion: a refused configuration no longer keeps withdrawn keys alive.

--- a/crates/directory/src/contact.rs
+++ b/crates/directory/src/contact.rs
@@ -11,6 +11,8 @@
 
 use chicorycroft_core::prelude::*;
 
+use crate::targets::StoreRevision;
+
 /// Margin by which a host stops trusting keys before the platform's revocation bound. It covers the transit
 /// time of a request from its caller and the granularity of contact times.
 const TRUST_MARGIN: Duration = Duration::from_millis(400);
@@ -156,12 +158,24 @@
     }
 }
 
+/// The latest configuration that this host read from the store.
+#[derive(Clone, Copy, Debug)]
+struct ConfigReading {
+    revision: StoreRevision,
+    is_refused: bool,
+}
+
 /// Contacts with the store that confirm each part of a host's copy. The parts are read independently, so that one may
 /// be current while the other is not.
+///
+/// While the store has a configuration that this host refused, the keys of the version in force may have been withdrawn.
+/// The store then confirms the rest of the operators' records, but not the keys.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct CopyContacts {
     operator: StoreContact,
     targets: StoreContact,
+    keys: StoreContact,
+    config: Option<ConfigReading>,
 }
 
 impl CopyContacts {
@@ -184,11 +198,52 @@
         Some(operator.max(targets))
     }
 
-    /// Returns the contacts for a part, to record one.
-    pub fn part_mut(&mut self, part: StorePart) -> &mut StoreContact {
+    /// Returns the contacts by which keys are trusted.
+    pub fn keys(&self) -> &StoreContact {
+        &self.keys
+    }
+
+    /// Records that this host read a configuration of a revision from the store, and whether it refused it. The answer to
+    /// an earlier call, which arrives late, is ignored.
+    pub fn on_config_read(&mut self, revision: StoreRevision, is_refused: bool) {
+        if self.config.is_none_or(|known| known.revision <= revision) {
+            self.config = Some(ConfigReading {
+                revision,
+                is_refused,
+            });
+        }
+    }
+
+    /// Records that the store confirmed a part of the copy at `at`.
+    pub fn confirm(&mut self, part: StorePart, at: MonoTime) {
+        match part {
+            StorePart::Operator => {
+                self.operator.confirm(at);
+                if !self.config.is_some_and(|config| config.is_refused) {
+                    self.keys.confirm(at);
+                }
+            }
+            StorePart::Targets => self.targets.confirm(at),
+        }
+    }
+
+    /// Records that a part of the copy of another host, which this one adopted, had an age at `at`.
+    pub fn confirm_aged(&mut self, part: StorePart, age: ContactAge, at: MonoTime) {
+        match part {
+            StorePart::Operator => {
+                self.operator.confirm_aged(age, at);
+                self.keys.confirm_aged(age, at);
+            }
+            StorePart::Targets => self.targets.confirm_aged(age, at),
+        }
+    }
+
+    /// Returns the age of a part for hosts that adopt the copy of this one. That of the operators' records is the age of
+    /// the keys among them.
+    pub fn shared_age(&self, part: StorePart, now: MonoTime) -> Option<ContactAge> {
         match part {
-            StorePart::Operator => &mut self.operator,
-            StorePart::Targets => &mut self.targets,
+            StorePart::Operator => self.keys.age(now),
+            StorePart::Targets => self.targets.age(now),
         }
     }
 }
--- a/crates/directory/tests/routing.rs
+++ b/crates/directory/tests/routing.rs
@@ -174,3 +174,33 @@
     contact.confirm_aged(age(2000), at(1000));
     assert_eq!(contact.age(at(1000)), Some(age(2000)));
 }
+
+/// Guards against a withdrawn key that is accepted without end: a host refused the configuration that withdraws it, and
+/// counted later contacts with the store as proof that its copy was up to date.
+#[test]
+fn refused_configuration_ends_the_trust_in_keys() {
+    let bound = Duration::from_secs(5);
+    let at = MonoTime::from_millis;
+    let revision = StoreRevision::new;
+    let mut contacts = CopyContacts::new();
+    contacts.on_config_read(revision(10), false);
+    contacts.confirm(StorePart::Operator, at(1000));
+    contacts.on_config_read(revision(20), true);
+    contacts.confirm(StorePart::Operator, at(1500));
+    // The answer to an earlier call arrives late.
+    contacts.on_config_read(revision(10), false);
+    contacts.confirm(StorePart::Operator, at(5000));
+    assert!(contacts.keys().may_trust_keys(bound, at(5500)));
+    assert!(!contacts.keys().may_trust_keys(bound, at(5700)));
+    // Evacuated zones are read on, and hosts that follow this one learn the age of its keys.
+    let age = |millis| Some(ContactAge::new(Duration::from_millis(millis)));
+    assert_eq!(contacts.part(StorePart::Operator).age(at(5700)), age(700));
+    assert_eq!(
+        contacts.shared_age(StorePart::Operator, at(5700)),
+        age(4700)
+    );
+    // The operator publishes a version that this host accepts.
+    contacts.on_config_read(revision(30), false);
+    contacts.confirm(StorePart::Operator, at(6000));
+    assert!(contacts.keys().may_trust_keys(bound, at(6100)));
+}
--- a/crates/gateway/src/peer_service.rs
+++ b/crates/gateway/src/peer_service.rs
@@ -85,7 +85,7 @@
     let now = state.now();
     // The ages come first: a contact after the directory was read would make it look younger than it is.
     let [age_millis, target_age_millis] = StorePart::ALL.map(|part| {
-        let age = state.store_cache.contact(part).age(now);
+        let age = state.store_cache.shared_age(part, now);
         age.map(|age| whole_millis(age.get()))
     });
     let index = state.store_cache.index();
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -109,13 +109,18 @@
     /// Returns `true` if the cache is recent enough to accept keys. A key that was withdrawn must stop working
     /// within `revoke_bound`.
     pub fn may_trust_keys(&self, revoke_bound: Duration, now: MonoTime) -> bool {
-        self.contact(StorePart::Operator)
-            .may_trust_keys(revoke_bound, now)
+        let contacts = lock(&self.contacts);
+        contacts.keys().may_trust_keys(revoke_bound, now)
+    }
+
+    /// Returns the age of a part for hosts that adopt the copy of this one, or `None` before the first contact.
+    pub fn shared_age(&self, part: StorePart, now: MonoTime) -> Option<ContactAge> {
+        lock(&self.contacts).shared_age(part, now)
     }
 
     /// Records that the store confirmed a part of the cache at a time.
     pub fn confirm(&self, part: StorePart, at: MonoTime) {
-        lock(&self.contacts).part_mut(part).confirm(at);
+        lock(&self.contacts).confirm(part, at);
         if part == StorePart::Operator {
             lock(&self.tracker).on_any_contact(ContactAge::new(Duration::ZERO), at);
         }
@@ -123,7 +128,7 @@
 
     /// Records that a part of the cache had an age at a time, as reported by another host.
     pub fn confirm_aged(&self, part: StorePart, age: ContactAge, at: MonoTime) {
-        lock(&self.contacts).part_mut(part).confirm_aged(age, at);
+        lock(&self.contacts).confirm_aged(part, age, at);
         if part == StorePart::Operator {
             lock(&self.tracker).on_any_contact(age, at);
         }
@@ -312,9 +317,15 @@
                 Ok(StoreUpdate::Directory(change)) => changes.push(change),
                 Ok(StoreUpdate::Config(config)) => {
                     self.adopt_config(config, "store");
+                    lock(&self.contacts).on_config_read(item.revision, false);
                 }
                 Ok(StoreUpdate::Other) => {}
-                Err(error) => self.refused.record(item, &error),
+                Err(error) => {
+                    self.refused.record(item, &error);
+                    if is_config(item) {
+                        lock(&self.contacts).on_config_read(item.revision, true);
+                    }
+                }
             }
         }
         changes
--- a/crates/gateway/tests/gateway/configuration.rs
+++ b/crates/gateway/tests/gateway/configuration.rs
@@ -92,6 +92,34 @@
     assert_eq!(gateway.call("GET /look/1", "key-1", "").await.status, 200);
 }
 
+/// Guards against a withdrawn key that works without end on all hosts, because they refuse the configuration that withdraws
+/// it and count each later answer of the store as proof that their copy is up to date.
+#[tokio::test]
+async fn withdrawn_key_stops_working_although_the_configuration_is_refused() {
+    let bound = Duration::from_millis(2500);
+    let gateway = TestGateway::with_revoke_bound(1, bound).await;
+    let follower = gateway.start_follower("edge-2").await;
+    let hosts = [&gateway.host, &follower];
+    for host in hosts {
+        let answer = call(host.caller_address(), "GET /look/1", "key-1", "").await;
+        assert_eq!(answer.status, 200);
+    }
+    gateway.store.put_config(&invalid_config(2));
+    tokio::time::sleep(bound).await;
+    for host in hosts {
+        let address = host.caller_address();
+        let answer = call(address, "GET /look/1", "key-1", "").await;
+        assert_eq!(answer.status, 503);
+        assert_eq!(call(address, "GET /open/1", "", "").await.status, 200);
+    }
+    gateway.store.put_config(&config(3, &["key-3"]));
+    for host in hosts {
+        wait_until(WAIT_TIMEOUT, || version(host) == 3).await;
+        let answer = call(host.caller_address(), "GET /look/1", "key-3", "").await;
+        assert_eq!(answer.status, 200);
+    }
+}
+
 /// Guards against requests to a target that is draining, has been removed or is in an evacuated zone.
 #[tokio::test]
 async fn targets_that_leave_get_no_work() {
--- a/crates/gateway/tests/gateway/test_gateway.rs
+++ b/crates/gateway/tests/gateway/test_gateway.rs
@@ -140,6 +140,7 @@
     pub(crate) async fn start_follower(&self, host: &str) -> GatewayHost {
         let settings = GatewaySettings {
             seeds: vec![self.host.state().settings.peer_address],
+            revoke_bound: self.host.state().settings.revoke_bound,
             ..host_settings(host, self.store.address())
         };
         let follower = GatewayHost::start(settings, GatewayClock::new())
