Accept names as the platform has assigned them

Cause: names of the platform were checked by the grammar of this project's own documents (a-z, 0-9, '-', '_', '.', 64 bytes). The platform's pages set no limit on names and say that the store accepts only valid configurations. The same check stood on related paths: services and routes of a configuration, ids, services and zones of targets' entries (the target got no work), evacuated zones (the evacuation was ignored), and the name and zone of a host in its settings (the process did not start).

The grammar stays for this project's own documents. A name with spaces or quotation marks is quoted in log lines, and headers take names of other scripts.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -1,14 +1,20 @@
 //! Names of the objects in the operators' configuration.
 //!
-//! All names share one grammar: 1 to 64 characters from `a-z`, `0-9`, `-`, `_` and `.`, starting with a
-//! letter or digit. Such names need no quoting or escaping in log lines, metrics and URLs.
+//! Names in this project's own documents share one grammar: 1 to 64 characters from `a-z`, `0-9`, `-`, `_` and `.`,
+//! starting with a letter or digit. Such names need no quoting or escaping in log lines, metrics and URLs.
+//!
+//! Names that another system has assigned and accepted are not this project's to refuse. They may hold any character
+//! but control characters, which neither a header nor a log line can carry.
 
 use smol_str::SmolStr;
 use thiserror::Error;
 
-/// Maximum length of a name, in bytes.
+/// Maximum length of a name in this project's own documents, in bytes.
 pub const NAME_LENGTH_MAX: usize = 64;
 
+/// Maximum length of a name that another system has assigned, in bytes. It fits into a header.
+pub const EXTERNAL_NAME_LENGTH_MAX: usize = 1024;
+
 /// Error returned when a string is not a valid name.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
 pub enum NameError {
@@ -18,13 +24,15 @@
         /// Kind of object that the name identifies, such as `host`.
         kind: &'static str,
     },
-    /// The string is longer than [`NAME_LENGTH_MAX`].
-    #[error("a {kind} name must have at most {NAME_LENGTH_MAX} bytes, this one has {length}")]
+    /// The string is longer than [`NAME_LENGTH_MAX`] or, for a name of another system, [`EXTERNAL_NAME_LENGTH_MAX`].
+    #[error("a {kind} name must have at most {max} bytes, this one has {length}")]
     TooLong {
         /// Kind of object that the name identifies, such as `host`.
         kind: &'static str,
         /// Length of the string, in bytes.
         length: usize,
+        /// Largest allowed length, in bytes.
+        max: usize,
     },
     /// The string contains a character that the grammar does not allow at its position.
     #[error(
@@ -39,18 +47,42 @@
         /// Byte position of the character.
         position: usize,
     },
+    /// The string contains a control character.
+    #[error(
+        "a {kind} name must not hold control characters; found {found:?} at position {position}"
+    )]
+    ControlCharacter {
+        /// Kind of object that the name identifies, such as `host`.
+        kind: &'static str,
+        /// The control character.
+        found: char,
+        /// Byte position of the character.
+        position: usize,
+    },
 }
 
-fn check_name(kind: &'static str, text: &str) -> Result<SmolStr, NameError> {
-    if text.is_empty() {
-        return Err(NameError::Empty { kind });
+fn check_length(kind: &'static str, text: &str, max: usize) -> Result<(), NameError> {
+    match text.len() {
+        0 => Err(NameError::Empty { kind }),
+        length if length > max => Err(NameError::TooLong { kind, length, max }),
+        _ => Ok(()),
     }
-    if text.len() > NAME_LENGTH_MAX {
-        return Err(NameError::TooLong {
+}
+
+fn check_external(kind: &'static str, text: &str) -> Result<SmolStr, NameError> {
+    check_length(kind, text, EXTERNAL_NAME_LENGTH_MAX)?;
+    match text.char_indices().find(|&(_, c)| c.is_control()) {
+        Some((position, found)) => Err(NameError::ControlCharacter {
             kind,
-            length: text.len(),
-        });
+            found,
+            position,
+        }),
+        None => Ok(SmolStr::new(text)),
     }
+}
+
+fn check_name(kind: &'static str, text: &str) -> Result<SmolStr, NameError> {
+    check_length(kind, text, NAME_LENGTH_MAX)?;
     let is_letter_or_digit = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit();
     let is_allowed = |position: usize, c: char| {
         is_letter_or_digit(c) || (position > 0 && matches!(c, '-' | '_' | '.'))
@@ -65,6 +97,15 @@
     }
 }
 
+/// Writes a name as the value of a log field: one with spaces or quotation marks in quotation marks, which replace those
+/// inside.
+fn write_name(text: &str, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+    match text.contains(|c: char| c.is_whitespace() || c == '"') {
+        true => write!(f, "\"{}\"", text.replace('"', "'")),
+        false => f.write_str(text),
+    }
+}
+
 macro_rules! define_name {
     ($(#[$doc:meta])* $name:ident, $kind:literal) => {
         $(#[$doc])*
@@ -75,7 +116,7 @@
         pub struct $name(SmolStr);
 
         impl $name {
-            /// Creates a name from a string.
+            /// Creates a name from a string in one of this project's own documents.
             ///
             /// # Errors
             ///
@@ -84,6 +125,16 @@
                 check_name($kind, text).map(Self)
             }
 
+            /// Creates a name that another system has assigned.
+            ///
+            /// # Errors
+            ///
+            /// Returns a [`NameError`] if the string is empty, longer than [`EXTERNAL_NAME_LENGTH_MAX`] or holds a
+            /// control character.
+            pub fn external(text: &str) -> Result<Self, NameError> {
+                check_external($kind, text).map(Self)
+            }
+
             /// Returns the name as a string slice.
             pub fn as_str(&self) -> &str {
                 &self.0
@@ -92,7 +143,7 @@
 
         impl std::fmt::Display for $name {
             fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-                f.write_str(&self.0)
+                write_name(&self.0, f)
             }
         }
 
@@ -107,8 +158,9 @@
         impl TryFrom<SmolStr> for $name {
             type Error = NameError;
 
+            /// Decodes a name from a message between hosts, which may come from either kind of system.
             fn try_from(text: SmolStr) -> Result<Self, NameError> {
-                Self::new(&text)
+                Self::external(&text)
             }
         }
 
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -44,7 +44,10 @@
 
 /// Returns the ids for a log line, separated by commas.
 fn join_ids<'a>(targets: impl Iterator<Item = &'a TargetId>) -> String {
-    let ids: Vec<&str> = targets.take(LOGGED_IDS_MAX).map(TargetId::as_str).collect();
+    let ids: Vec<String> = targets
+        .take(LOGGED_IDS_MAX)
+        .map(TargetId::to_string)
+        .collect();
     ids.join(",")
 }
 
--- a/crates/gateway/tests/gateway/configuration.rs
+++ b/crates/gateway/tests/gateway/configuration.rs
@@ -5,6 +5,7 @@
 use chicorycroft_directory::prelude::*;
 use chicorycroft_gateway::prelude::*;
 use chicorycroft_platform_standin::{
+    documents::TEAM,
     prelude::*,
     store::CONFIG_KEY, //
 };
@@ -120,6 +121,30 @@
     }
 }
 
+/// Guards against a configuration that is refused whole because of a team's name: the key that it withdraws worked on, and
+/// the key of the new team did not work.
+#[tokio::test]
+async fn configuration_with_a_capital_letter_in_a_team_name_is_in_force() {
+    let gateway = TestGateway::new(1).await;
+    let follower = gateway.start_follower("Edge-2").await;
+    let mut document = config(2, &[]);
+    for (name, key) in [("Sohar-Coop", "key-2"), ("صحار", "key-3")] {
+        document["tenants"][name] = config(2, &[key])["tenants"][TEAM].clone();
+    }
+    gateway.store.put_config(&document);
+    for host in [&gateway.host, &follower] {
+        wait_until(host.state().settings.change_bound, || version(host) == 2).await;
+        let address = host.caller_address();
+        for (key, status) in [("key-1", 401), ("key-2", 200), ("key-3", 200)] {
+            let answer = call(address, "GET /look/1", key, "").await;
+            assert_eq!(answer.status, status, "{key}");
+        }
+    }
+    let received = gateway.received_requests();
+    let teams: Vec<_> = received.iter().map(ReceivedRequest::team).collect();
+    assert_eq!(teams, [Some("Sohar-Coop"), Some("صحار")].repeat(2));
+}
+
 /// Guards against requests to a target that is draining, has been removed or is in an evacuated zone.
 #[tokio::test]
 async fn targets_that_leave_get_no_work() {
