Ignore late writes of targets that have left

Cause: the directory compares the sequence number of a write with a known entry only, and a removal drops the entry.

Change: RemovalMemory keeps each removed incarnation with its highest sequence number and the time of its latest write. An entry that is removed sooner after a write than the store lets entries lapse was removed by its target; that incarnation is taken back only if it goes on writing 7 s later. Entries that may have lapsed are taken back with their next write, as before, so that targets which were cut off from the store are used at once. The heartbeat period comes from the settings (heartbeatS).

One older test let a target register again with the sequence number that it had before its removal, which no live target does; it now writes the next number, and checks as much as before. In the soak a target that has removed its entry returns as a later incarnation.

--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`delta`]: the difference between two directories.
 //! - [`signals`]: what a target says about itself in an answer.
 //! - [`tracker`]: applies changes of the store to the directory, and keeps entries that lapse in a store outage.
+//! - [`removals`]: tells a target that registers again from a late write of one that has left.
 //! - [`change_budget`]: time limits of the steps from a change in the store to its use.
 //! - [`reader_search`]: selects the hosts that a dispatcher asks to read the store in its place.
 //! - [`outage`]: tells an outage of the store from a refusal of this host alone.
@@ -19,6 +20,7 @@
 pub mod delta;
 pub mod outage;
 pub mod reader_search;
+pub mod removals;
 pub mod routing;
 pub mod signals;
 pub mod targets;
@@ -53,6 +55,7 @@
             OwnCopy,
             ReaderSearch, //
         },
+        removals::RemovalMemory,
         routing::{
             RouteIndex,
             RoutingError, //
--- a/crates/directory/src/tracker.rs
+++ b/crates/directory/src/tracker.rs
@@ -21,6 +21,7 @@
         StorePart, //
     },
     outage::OutageDetector,
+    removals::RemovalMemory,
     targets::{
         ContentDigest,
         PartRevisions,
@@ -30,11 +31,6 @@
     },
 };
 
-/// Time for which a removed entry of the same incarnation is not taken over from another dispatcher. The hosts of a zone
-/// that was cut off may still hold it, for some seconds after they read the store again. A target that registers once more
-/// within this time is learned from the store.
-const REMOVAL_MEMORY: Duration = Duration::from_secs(10);
-
 /// A change of the directory that was read from the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum DirectoryChange {
@@ -55,8 +51,7 @@
     revisions: PartRevisions,
     /// Targets whose entries lapsed in an outage, with the time until which they stay in use.
     lapsed: IndexMap<TargetId, MonoTime>,
-    /// Incarnations whose entries were removed, with the time of the removal.
-    removed: IndexMap<TargetId, (u64, MonoTime)>,
+    removals: RemovalMemory,
     outage: OutageDetector,
 }
 
@@ -66,6 +61,12 @@
         Self::default()
     }
 
+    /// Sets the period in which targets renew their entries.
+    pub fn with_heartbeat(mut self, heartbeat: Duration) -> Self {
+        self.removals = RemovalMemory::new().with_heartbeat(heartbeat);
+        self
+    }
+
     /// Returns the present directory.
     pub fn directory(&self) -> &Arc<TargetDirectory> {
         &self.directory
@@ -116,10 +117,8 @@
             next.targets = directory.targets;
             if !is_from_upstream {
                 let kept = self.keep_missing(&next.targets, now);
-                let removed = &self.removed;
-                next.targets.retain(|id, entry| {
-                    removed.get(id).is_none_or(|(born, _)| *born != entry.born)
-                });
+                let removals = &self.removals;
+                next.targets.retain(|_, entry| !removals.is_removed(entry));
                 next.targets.extend(kept);
             }
             // The other host may keep a lapsed entry too, and the removal is not delivered again.
@@ -186,13 +185,12 @@
 
     fn set_directory(&mut self, mut next: TargetDirectory, now: MonoTime) {
         for (id, entry) in &self.directory.targets {
-            if !next.targets.contains_key(id) {
-                self.removed.insert(id.clone(), (entry.born, now));
+            if !next.targets.contains_key(id) && !self.removals.is_removed(entry) {
+                self.removals.on_removal(entry, now);
             }
         }
-        self.removed.retain(|id, (_, at)| {
-            now.since(*at) < REMOVAL_MEMORY && !next.targets.contains_key(id)
-        });
+        let is_registered = |id: &TargetId| next.targets.contains_key(id);
+        self.removals.forget(is_registered, now);
         next.as_of = self.revisions.both();
         next.update_digest();
         self.directory = Arc::new(next);
@@ -212,6 +210,7 @@
     /// Records a failed call of the store.
     pub fn on_failure(&mut self, now: MonoTime) {
         self.outage.on_failure(now);
+        self.removals.on_failure(now);
     }
 
     /// Returns `true` if the last call of this host to the store failed.
@@ -247,12 +246,18 @@
         now: MonoTime,
     ) {
         let listed: IndexSet<&TargetId> = entries.iter().map(|entry| &entry.id).collect();
-        let known = self.directory.targets.keys();
-        let missing = known.filter(|id| !listed.contains(id)).cloned();
+        let known = &self.directory.targets;
+        let added = listed.iter().filter(|id| !known.contains_key(**id));
+        let added: Vec<TargetId> = added.map(|id| (*id).clone()).collect();
+        let missing = known.keys().filter(|id| !listed.contains(id)).cloned();
         let mut changes: Vec<DirectoryChange> =
             missing.map(DirectoryChange::TargetRemoved).collect();
         changes.extend(entries.into_iter().map(DirectoryChange::TargetUpdated));
         self.apply(StorePart::Targets, changes, as_of, now);
+        // A full read does not show when an entry was written.
+        for id in &added {
+            self.removals.on_unknown_write(id);
+        }
     }
 
     /// Applies the changes of one part up to a revision. An answer at an older revision of the part is ignored. The
@@ -284,13 +289,12 @@
                     self.lapsed.entry(id).or_insert(end);
                 }
                 None => {
-                    next.targets.shift_remove(&id);
+                    if let Some(entry) = next.targets.shift_remove(&id) {
+                        self.removals.on_removal(&entry, now);
+                    }
                 }
             },
-            DirectoryChange::TargetUpdated(entry) => {
-                self.lapsed.shift_remove(&entry.id);
-                insert_entry(next, entry);
-            }
+            DirectoryChange::TargetUpdated(entry) => self.apply_entry(next, entry, now),
             DirectoryChange::ZoneEvacuated(zone) => {
                 next.evacuated.insert(zone);
             }
@@ -299,22 +303,29 @@
             }
         }
     }
-}
 
-/// Inserts or replaces an entry. An entry that the same incarnation wrote before the known one arrived late and is
-/// ignored. An equivalent one updates only the sequence number, because the remaining cold time of a target counts
-/// from the first reading of its entry.
-fn insert_entry(directory: &mut TargetDirectory, entry: TargetEntry) {
-    let Some(known) = directory.targets.get_mut(&entry.id) else {
-        directory.targets.insert(entry.id.clone(), entry);
-        return;
-    };
-    if known.born == entry.born && entry.sequence < known.sequence {
-        return;
-    }
-    match known.is_equivalent(&entry) {
-        true => known.sequence = entry.sequence,
-        false => *known = entry,
+    /// Inserts or replaces an entry. An entry that the same incarnation wrote before the known one, or before it was
+    /// removed, arrived late and is ignored. An equivalent one updates only the sequence number, because the remaining
+    /// cold time of a target counts from the first reading of its entry.
+    fn apply_entry(&mut self, next: &mut TargetDirectory, entry: TargetEntry, now: MonoTime) {
+        let Some(known) = next.targets.get_mut(&entry.id) else {
+            if self.removals.is_live(&entry, now) {
+                self.removals.on_write(&entry.id, now);
+                next.targets.insert(entry.id.clone(), entry);
+            }
+            return;
+        };
+        if known.born == entry.born && entry.sequence < known.sequence {
+            return;
+        }
+        self.lapsed.shift_remove(&entry.id);
+        if (known.born, known.sequence) != (entry.born, entry.sequence) {
+            self.removals.on_write(&entry.id, now);
+        }
+        match known.is_equivalent(&entry) {
+            true => known.sequence = entry.sequence,
+            false => *known = entry,
+        }
     }
 }
 
--- a/crates/directory/tests/tracker.rs
+++ b/crates/directory/tests/tracker.rs
@@ -30,6 +30,25 @@
     DirectoryChange::TargetUpdated(entry(id, phase))
 }
 
+/// Returns a write of a target that is ready, with a sequence number.
+fn written(id: &str, sequence: u64) -> DirectoryChange {
+    DirectoryChange::TargetUpdated(TargetEntry {
+        sequence,
+        ..entry(id, TargetPhase::Ready)
+    })
+}
+
+fn removed(id: &str) -> DirectoryChange {
+    DirectoryChange::TargetRemoved(TargetId::new(id).unwrap())
+}
+
+/// Applies changes that a watch returns at a time, with the time as the revision.
+fn watch(tracker: &mut DirectoryTracker, millis: u64, changes: Vec<DirectoryChange>) {
+    let as_of = StoreRevision::new(millis);
+    tracker.on_contact(at(millis));
+    tracker.apply(StorePart::Targets, changes, as_of, at(millis));
+}
+
 fn at(millis: u64) -> MonoTime {
     MonoTime::from_millis(millis)
 }
@@ -373,7 +392,7 @@
     served.adopt((**parted.directory()).clone(), later, false, at(6200));
     assert_eq!(open_ids(&served), ["t-2"]);
     // The target registers again.
-    let registered = vec![updated("t-1", TargetPhase::Ready)];
+    let registered = vec![written("t-1", 6)];
     served.apply(
         StorePart::Targets,
         registered,
@@ -411,3 +430,109 @@
     tracker.apply(StorePart::Targets, Vec::new(), later, at(8400));
     assert_eq!(open_ids(&tracker), ["t-2"]);
 }
+
+/// Returns a tracker that has read a heartbeat of both targets at 1 s.
+fn tracker_with_heartbeats() -> DirectoryTracker {
+    let mut tracker = tracker_with_two_targets();
+    watch(
+        &mut tracker,
+        1000,
+        vec![written("t-1", 6), written("t-2", 6)],
+    );
+    tracker
+}
+
+/// Guards against requests to a target that left: the store did one of its writes, which had got no answer, after it had
+/// removed its entry. The write may be one that was never read before.
+#[test]
+fn late_write_brings_no_target_back_that_has_left() {
+    for sequence in [4, 6, 7] {
+        let mut tracker = tracker_with_heartbeats();
+        watch(&mut tracker, 2000, vec![removed("t-1")]);
+        watch(&mut tracker, 4500, vec![written("t-1", sequence)]);
+        assert_eq!(open_ids(&tracker), ["t-2"], "sequence {sequence}");
+        // The store keeps the entry until it lapses, and is read in full meanwhile.
+        let left = TargetEntry {
+            sequence,
+            ..entry("t-1", TargetPhase::Ready)
+        };
+        let entries = vec![left, entry("t-2", TargetPhase::Ready)];
+        tracker.replace_targets(entries, StoreRevision::new(10_500), at(10_500));
+        assert_eq!(open_ids(&tracker), ["t-2"], "sequence {sequence}");
+    }
+}
+
+/// Guards against requests to a target that left, because its removal and a late write are read in one answer.
+#[test]
+fn late_write_in_the_answer_with_the_removal_is_ignored() {
+    let mut tracker = tracker_with_heartbeats();
+    watch(&mut tracker, 2000, vec![removed("t-1"), written("t-1", 5)]);
+    assert_eq!(open_ids(&tracker), ["t-2"]);
+}
+
+/// Guards against a live target without work: it was cut off from the store for some heartbeats, so that its entry
+/// lapsed, and its next write was taken for a late one.
+#[test]
+fn target_that_registers_again_after_its_entry_lapsed_is_used_at_once() {
+    let mut tracker = tracker_with_heartbeats();
+    watch(&mut tracker, 5500, vec![removed("t-1")]);
+    watch(&mut tracker, 5800, vec![written("t-1", 5)]);
+    assert_eq!(open_ids(&tracker), ["t-2"]);
+    watch(&mut tracker, 6000, vec![written("t-1", 7)]);
+    assert_eq!(open_ids(&tracker), ["t-2", "t-1"]);
+}
+
+/// Guards against live targets without work after an outage that was too short for this host to notice, in which the store
+/// let their entries lapse.
+#[test]
+fn target_that_registers_again_after_a_short_outage_is_used_at_once() {
+    let mut tracker = tracker_with_heartbeats();
+    tracker.on_failure(at(1500));
+    watch(&mut tracker, 2400, vec![removed("t-1")]);
+    watch(&mut tracker, 3000, vec![written("t-1", 7)]);
+    assert_eq!(open_ids(&tracker), ["t-2", "t-1"]);
+}
+
+/// Guards against a live target without work for good: its entry was removed for another reason, and it goes on writing.
+#[test]
+fn target_that_goes_on_writing_after_its_removal_is_used_again() {
+    let mut tracker = tracker_with_heartbeats();
+    watch(&mut tracker, 2000, vec![removed("t-1")]);
+    for (sequence, millis) in (7..).zip((2500..9000).step_by(1500)) {
+        watch(&mut tracker, millis, vec![written("t-1", sequence)]);
+        assert_eq!(open_ids(&tracker), ["t-2"], "{millis} ms");
+    }
+    watch(&mut tracker, 10_000, vec![written("t-1", 12)]);
+    assert_eq!(open_ids(&tracker), ["t-2", "t-1"]);
+}
+
+/// Guards against a target without work that has started again under its id.
+#[test]
+fn later_incarnation_of_a_target_that_has_left_is_used_at_once() {
+    let mut tracker = tracker_with_heartbeats();
+    watch(&mut tracker, 2000, vec![removed("t-1")]);
+    let started = TargetEntry {
+        born: 2,
+        sequence: 1,
+        ..entry("t-1", TargetPhase::Ready)
+    };
+    watch(
+        &mut tracker,
+        2500,
+        vec![DirectoryChange::TargetUpdated(started)],
+    );
+    assert_eq!(open_ids(&tracker), ["t-2", "t-1"]);
+}
+
+/// Guards against requests to a target that is gone: its entry lapsed in an outage, and a late write of it counted as its
+/// registration.
+#[test]
+fn late_write_does_not_renew_an_entry_that_lapsed() {
+    let mut tracker = tracker_with_heartbeats();
+    tracker.on_failure(at(2000));
+    watch(&mut tracker, 7000, vec![removed("t-1")]);
+    assert_eq!(open_ids(&tracker), ["t-1", "t-2"]);
+    watch(&mut tracker, 7500, vec![written("t-1", 5)]);
+    watch(&mut tracker, 9400, Vec::new());
+    assert_eq!(open_ids(&tracker), ["t-2"]);
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -152,7 +152,7 @@
         Self {
             clock,
             gossip: HostGossip::new(own),
-            store_cache: StoreCache::new(),
+            store_cache: StoreCache::new().with_heartbeat(settings.heartbeat),
             // The incarnation is in milliseconds, so the permit numbers of an earlier process are lower as
             // long as it granted fewer than a million permits per second.
             dispatcher: ZoneDispatcher::new(incarnation.get().saturating_mul(1000))
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -71,6 +71,12 @@
         }
     }
 
+    /// Sets the period in which targets renew their entries.
+    pub fn with_heartbeat(mut self, heartbeat: Duration) -> Self {
+        self.tracker = Mutex::new(DirectoryTracker::new().with_heartbeat(heartbeat));
+        self
+    }
+
     /// Returns the route index of the configuration in force, or `None` before the first one.
     pub fn index(&self) -> Option<Arc<RouteIndex>> {
         self.index
--- a/crates/gateway/tests/gateway/configuration.rs
+++ b/crates/gateway/tests/gateway/configuration.rs
@@ -20,6 +20,14 @@
     wait_until, //
 };
 
+/// Returns the sequence number of the latest write of a target that a host has read.
+fn read_sequence(host: &GatewayHost, target: &str) -> u64 {
+    let directory = host.state().store_cache.directory();
+    let mut entries = directory.targets.values();
+    let entry = entries.find(|entry| entry.id.as_str() == target);
+    entry.map_or(0, |entry| entry.sequence)
+}
+
 /// Guards against a withdrawn key that still works, and against an older configuration version that replaces a
 /// newer one.
 #[tokio::test]
@@ -184,6 +192,35 @@
     }
 }
 
+/// Guards against requests to a target that has left: the store did one of its writes, which had got no answer, after it had
+/// removed its entry.
+#[tokio::test]
+async fn late_write_of_a_target_that_has_left_brings_no_requests() {
+    let gateway = TestGateway::new(2).await;
+    let leaving = &gateway.targets[0];
+    let write = |sequence: u64| {
+        let mut entry = leaving.entry("rate", "a", "ready");
+        entry["seq"] = sequence.into();
+        gateway.store.put(&leaving.key(), &entry);
+    };
+    for sequence in [3, 4] {
+        write(sequence);
+        gateway
+            .wait_until(|host| read_sequence(host, leaving.id()) == sequence)
+            .await;
+    }
+    gateway.store.remove(&leaving.key());
+    gateway.wait_until(|host| open_count(host) == 1).await;
+    for sequence in [2, 5] {
+        write(sequence);
+        tokio::time::sleep(gateway.host.state().settings.change_bound).await;
+        for _ in 0..4 {
+            assert_eq!(gateway.call("GET /look/1", "key-1", "").await.status, 200);
+        }
+        assert!(leaving.requests().is_empty(), "sequence {sequence}");
+    }
+}
+
 /// Guards against a configuration that comes into force late because the connection of its watch went silent without a
 /// reset.
 #[tokio::test]
--- a/crates/gateway/tests/gateway/test_gateway.rs
+++ b/crates/gateway/tests/gateway/test_gateway.rs
@@ -62,6 +62,7 @@
         stop_limit: Duration::from_secs(6),
         revoke_bound: Duration::from_secs(5),
         change_bound: Duration::from_secs(2),
+        heartbeat: Duration::from_millis(1500),
         retry_ratio: CapacityRatio::from_mille(200),
         retry_slack: 56,
         memory_limit: MemoryLimit::new(256),
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -91,13 +91,18 @@
     /// Relay from all hosts.
     pub link: FaultRelay,
     zone: &'static str,
+    /// Number of incarnations that have registered.
+    incarnation: u64,
 }
 
 impl SoakTarget {
-    /// Writes the entry of the target, with the relay's address, to the store.
-    pub fn publish_entry(&self, store: &StoreStandIn) {
+    /// Writes the entry of the target, with the relay's address, to the store. A target that has removed its entry
+    /// registers as a later incarnation.
+    pub fn publish_entry(&mut self, store: &StoreStandIn) {
+        self.incarnation += 1;
         let address = self.link.address();
-        let entry = self.target.entry_at(address, "rate", self.zone, "ready");
+        let mut entry = self.target.entry_at(address, "rate", self.zone, "ready");
+        entry["born"] = self.incarnation.into();
         store.put(&self.target.key(), &entry);
     }
 }
@@ -182,7 +187,12 @@
             let target = TargetStandIn::start(&TargetIndex(number).to_string()).await?;
             let link = FaultRelay::start(target.address()).await?;
             let zone = ZONES[number % ZONES.len()];
-            let target = SoakTarget { target, link, zone };
+            let mut target = SoakTarget {
+                target,
+                link,
+                zone,
+                incarnation: 0,
+            };
             target.publish_entry(&store);
             targets.push(target);
         }
