Buffer bodies in blocks of a fixed size

Report of other operators: a faulty backend sent bytes that were no answer, without end, until the caller closed; the machine kept them all and ran out of memory. The platform kills such a process.

Cause: at most 16 MiB of a body are kept, and bodies reserve at most 30 % of the memory limit, but a contiguous buffer doubles when it is full and is copied, so that it takes up to three times what was reserved, and freed buffers of many sizes fragment the heap.

Change: BodyBlocks keeps a body in blocks of at most 256 KiB, which are neither copied nor enlarged. Requests and answers both use it.

Conclusion: the memory of bodies stays near what was reserved.

--- a/crates/gateway/src/body_buffer.rs
+++ b/crates/gateway/src/body_buffer.rs
@@ -14,10 +14,7 @@
     time::Duration,
 };
 
-use bytes::{
-    Bytes,
-    BytesMut, //
-};
+use bytes::Bytes;
 use chicorycroft_adapter::prelude::*;
 use http_body::{
     Body,
@@ -31,25 +28,26 @@
     Semaphore, //
 };
 
+use crate::body_blocks::{
+    BlockWriter,
+    BodyBlocks, //
+};
+
 /// Memory reserved at a time for a body without a declared length, in KiB.
 const RESERVE_STEP_KIB: u32 = 256;
 
-/// Maximum size of a part in which a buffered body is written, in bytes. The HTTP library takes the next part when it has
-/// written most of the one before, so that the memory is held for as long as the reader is slow.
-const WRITE_PART_BYTES: usize = 32 << 10;
-
 /// A complete body, and the memory that is reserved for it until it is written.
 #[derive(Debug, Default)]
 pub struct BufferedBody {
-    bytes: Bytes,
+    blocks: BodyBlocks,
     memory: Option<OwnedSemaphorePermit>,
 }
 
 impl BufferedBody {
     /// Creates a body for which memory is reserved.
-    pub fn new(bytes: Bytes, memory: OwnedSemaphorePermit) -> Self {
+    pub fn new(blocks: BodyBlocks, memory: OwnedSemaphorePermit) -> Self {
         Self {
-            bytes,
+            blocks,
             memory: Some(memory),
         }
     }
@@ -59,7 +57,7 @@
     /// Creates a short body of this host, which counts against no limit.
     fn from(bytes: Bytes) -> Self {
         Self {
-            bytes,
+            blocks: bytes.into(),
             memory: None,
         }
     }
@@ -71,22 +69,21 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        _: &mut Context<'_>,
+        context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        if self.bytes.is_empty() {
+        let frame = Pin::new(&mut self.blocks).poll_frame(context);
+        if matches!(frame, Poll::Ready(None)) {
             self.memory = None;
-            return Poll::Ready(None);
         }
-        let length = self.bytes.len().min(WRITE_PART_BYTES);
-        Poll::Ready(Some(Ok(Frame::data(self.bytes.split_to(length)))))
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
-        self.bytes.is_empty()
+        self.blocks.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.bytes.len() as u64)
+        self.blocks.size_hint()
     }
 }
 
@@ -147,7 +144,7 @@
     body: B,
     length_max: u64,
     limit: Duration,
-) -> Result<(Bytes, OwnedSemaphorePermit), BodyReadError>
+) -> Result<(BodyBlocks, OwnedSemaphorePermit), BodyReadError>
 where
     B: Body<Data = Bytes> + Unpin,
 {
@@ -164,7 +161,7 @@
     memory: &Arc<Semaphore>,
     mut body: B,
     length_max: u64,
-) -> Result<(Bytes, OwnedSemaphorePermit), BodyReadError>
+) -> Result<(BodyBlocks, OwnedSemaphorePermit), BodyReadError>
 where
     B: Body<Data = Bytes> + Unpin,
 {
@@ -177,19 +174,21 @@
         u32::try_from(kib).unwrap_or(u32::MAX)
     });
     let mut reserved = reserve_memory(memory, initial_kib)?;
-    let mut bytes = BytesMut::new();
+    let declared = hint.exact().and_then(|length| usize::try_from(length).ok());
+    let mut writer = BlockWriter::new().with_declared(declared.unwrap_or(0));
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| BodyReadError::Cut)?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        bytes.extend_from_slice(&data);
-        if bytes.len() as u64 > length_max {
+        let length = writer.len() + data.len();
+        if length as u64 > length_max {
             return Err(BodyReadError::TooLarge);
         }
-        while bytes.len() > reserved.num_permits() * 1024 {
+        while length > reserved.num_permits() * 1024 {
             reserved.merge(reserve_memory(memory, RESERVE_STEP_KIB)?);
         }
+        writer.write(&data);
     }
-    Ok((bytes.freeze(), reserved))
+    Ok((writer.finish(), reserved))
 }
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -11,14 +11,14 @@
     time::Duration, //
 };
 
-use bytes::Bytes;
 use chicorycroft_core::prelude::*;
 use chicorycroft_proxy::prelude::*;
-use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
 use smol_str::SmolStr;
 use tokio::task::AbortHandle;
 
+use crate::body_blocks::BodyBlocks;
+
 /// Keep-alive time of targets that announce none.
 const KEEP_ALIVE_DEFAULT: Duration = Duration::from_secs(4);
 
@@ -36,7 +36,7 @@
 #[derive(Debug)]
 pub struct TargetConnection {
     /// Sender for requests on this connection.
-    pub sender: SendRequest<Full<Bytes>>,
+    pub sender: SendRequest<BodyBlocks>,
     /// Address of the target.
     pub address: SocketAddr,
     /// Counter of the bytes read.
@@ -50,7 +50,7 @@
 impl TargetConnection {
     /// Creates a connection on which no request was sent. `task` drives it.
     pub fn new(
-        sender: SendRequest<Full<Bytes>>,
+        sender: SendRequest<BodyBlocks>,
         address: SocketAddr,
         read_meter: ReadMeter,
         task: AbortHandle,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -9,7 +9,6 @@
     time::Duration, //
 };
 
-use bytes::Bytes;
 use chicorycroft_adapter::headers;
 use chicorycroft_core::prelude::*;
 use chicorycroft_directory::prelude::*;
@@ -22,7 +21,6 @@
     StatusCode,
     request, //
 };
-use http_body_util::Full;
 use hyper::client::conn::http1::Builder;
 use hyper_util::rt::TokioIo;
 use tokio::{
@@ -32,6 +30,7 @@
 
 use crate::{
     answer_body::AnswerBody,
+    body_blocks::BodyBlocks,
     body_buffer::{
         BodyReadError,
         BufferedBody,
@@ -60,7 +59,7 @@
     /// Method, path and headers, without those that must not reach a target.
     pub head: request::Parts,
     /// The complete body.
-    pub body: Bytes,
+    pub body: BodyBlocks,
     /// Id that the response must echo.
     pub id: String,
     /// Team that is passed to the target.
@@ -121,11 +120,11 @@
     outgoing: &OutgoingRequest,
     target: &TargetId,
     time_left: Duration,
-) -> Request<Full<Bytes>> {
+) -> Request<BodyBlocks> {
     let mut head = outgoing.head.clone();
     let team = outgoing.team.as_ref().map(TeamId::as_str);
     headers::set_target_headers(&mut head.headers, target.as_str(), team, time_left);
-    Request::from_parts(head, Full::new(outgoing.body.clone()))
+    Request::from_parts(head, outgoing.body.clone())
 }
 
 /// Sends a request to a target and reads the response. An idle connection is used if there is one, and a new
@@ -163,7 +162,7 @@
 async fn send(
     state: &Arc<GatewayState>,
     mut connection: TargetConnection,
-    request: Request<Full<Bytes>>,
+    request: Request<BodyBlocks>,
     entry: &TargetEntry,
     outgoing: &OutgoingRequest,
 ) -> ExchangeOutcome {
@@ -195,7 +194,7 @@
     };
     let body = AnswerBody::new(body, connection.read_meter.clone());
     let body = match read_whole(&state.body_memory, body, ANSWER_BYTES_MAX).await {
-        Ok((bytes, memory)) => BufferedBody::new(bytes, memory),
+        Ok((blocks, memory)) => BufferedBody::new(blocks, memory),
         // The memory of this host says nothing about the target.
         Err(BodyReadError::NoMemory) => {
             let result = AttemptResult::Cancelled;
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -5,7 +5,6 @@
     time::Duration, //
 };
 
-use bytes::Bytes;
 use chicorycroft_adapter::{
     headers,
     prelude::*, //
@@ -41,6 +40,7 @@
 use tokio::sync::OwnedSemaphorePermit;
 
 use crate::{
+    body_blocks::BodyBlocks,
     body_buffer::{
         BufferedBody,
         read_body, //
@@ -312,7 +312,11 @@
 }
 
 /// Builds the request that is sent to targets, without the caller's hop-by-hop and platform headers.
-fn build_outgoing(parts: &request::Parts, body: Bytes, team: Option<TeamId>) -> OutgoingRequest {
+fn build_outgoing(
+    parts: &request::Parts,
+    body: BodyBlocks,
+    team: Option<TeamId>,
+) -> OutgoingRequest {
     let mut head = parts.clone();
     let had_body =
         head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Request path:
 //! - [`ingress`]: routes and authenticates requests from callers and returns the responses.
+//! - [`body_blocks`]: the bytes of a body in blocks.
 //! - [`body_buffer`]: buffers the bodies of requests and answers within a memory limit.
 //! - [`request_attempts`]: runs the attempts of one request, including retries and hedges.
 //! - `zone_search`: collects the answers of the zones while a request looks for a target.
@@ -36,6 +37,7 @@
 //! - [`host`]: starts and stops the process.
 
 mod answer_body;
+pub mod body_blocks;
 pub mod body_buffer;
 pub mod clock;
 pub mod connection_pool;
--- a/crates/gateway/tests/body_buffer.rs
+++ b/crates/gateway/tests/body_buffer.rs
@@ -12,7 +12,9 @@
     BodyReadError,
     read_body, //
 };
+use http_body::Body;
 use http_body_util::{
+    BodyExt,
     Full,
     StreamBody, //
 };
@@ -21,7 +23,7 @@
 
 const LIMIT: Duration = Duration::from_secs(1);
 
-fn stream(parts: usize, size: usize) -> impl http_body::Body<Data = Bytes> + Unpin {
+fn stream(parts: usize, size: usize) -> impl Body<Data = Bytes> + Unpin {
     let frames = (0..parts).map(move |_| {
         let data = Bytes::from(vec![7; size]);
         Ok::<_, std::convert::Infallible>(Frame::data(data))
@@ -67,3 +69,25 @@
     assert_eq!(read.map(|_| ()), Err(BodyReadError::TooSlow));
     assert_eq!(memory.available_permits(), 1024);
 }
+
+/// Guards against bytes that are lost or mixed up between the blocks of a body.
+#[tokio::test]
+async fn body_is_written_as_it_was_read() {
+    for (parts, size) in [(0, 1), (1, 1), (3, 4096), (700, 1000), (9, 100_000)] {
+        let memory = Arc::new(Semaphore::new(1 << 20));
+        let sent: Vec<u8> = (0..parts * size).map(|at| (at % 251) as u8).collect();
+        let frames: Vec<_> = sent
+            .chunks(size)
+            .map(|part| {
+                Ok::<_, std::convert::Infallible>(Frame::data(Bytes::copy_from_slice(part)))
+            })
+            .collect();
+        let body = StreamBody::new(futures_util::stream::iter(frames));
+        let (read, _reserved) = read_body(&memory, body, 1 << 30, LIMIT).await.unwrap();
+        assert_eq!(read.len(), sent.len());
+        assert_eq!(read.size_hint().exact(), Some(sent.len() as u64));
+        let copy = read.clone().collect().await.unwrap().to_bytes();
+        assert_eq!(copy, sent);
+        assert_eq!(read.collect().await.unwrap().to_bytes(), sent);
+    }
+}
