Cover framing without end in answers of targets

Cause: none found; the tests of answers without end had header lines, interim responses, chunks of one byte and plain bodies, but no framing that yields neither content nor an end.

Change: the target stand-in sends leading zeros of a chunk size, a chunk extension and trailer fields without end, and answer_without_the_end_of_its_body_is_given_up_at_once covers them.

Conclusion: no fault on these paths.

--- a/crates/gateway/tests/gateway/requests.rs
+++ b/crates/gateway/tests/gateway/requests.rs
@@ -254,7 +254,13 @@
 /// end.
 #[tokio::test]
 async fn answer_without_the_end_of_its_body_is_given_up_at_once() {
-    for part in [EndlessPart::Chunks, EndlessPart::Body] {
+    for part in [
+        EndlessPart::Chunks,
+        EndlessPart::ChunkSize,
+        EndlessPart::ChunkExtension,
+        EndlessPart::Trailers,
+        EndlessPart::Body,
+    ] {
         let gateway = TestGateway::new(1).await;
         let memory = gateway.host.state().body_memory.available_kib();
         gateway.targets[0].set_next_behaviours([TargetBehaviour::Endless(part)]);
