Limit the answers to probes

The probe of the product's own interface kept the body of its answer whole until the time limit of the probe.

Change: a probe reads at most 64 KiB; a longer answer counts as cut.

--- a/crates/node/src/probe.rs
+++ b/crates/node/src/probe.rs
@@ -9,7 +9,10 @@
     Request,
     header::HOST, //
 };
-use http_body_util::BodyExt;
+use http_body_util::{
+    BodyExt,
+    Limited, //
+};
 use tokio::time::Instant;
 
 use crate::state::HostState;
@@ -18,6 +21,9 @@
 /// latency and reachability, and the content of a health endpoint may be misleading.
 const PROBE_PATH: &str = "/healthz";
 
+/// Largest body of the answer to a probe, in bytes. A faulty target may send one without end.
+const PROBE_BODY_BYTES_MAX: usize = 64 << 10;
+
 /// Sends one probe on a new or idle connection. It takes no slot itself.
 pub async fn probe(state: &HostState, target: &TargetRecord, limit: Duration) -> AttemptOutcome {
     let deadline = Instant::now() + limit;
@@ -40,6 +46,7 @@
         _ => AttemptOutcome::Good,
     };
     let body = response.into_response(limit, |_| {}).into_body();
+    let body = Limited::new(body, PROBE_BODY_BYTES_MAX);
     match tokio::time::timeout_at(deadline, body.collect()).await {
         Ok(Ok(_)) => outcome,
         Ok(Err(_)) => AttemptOutcome::Cut,
