Count a host as served only if its latest call succeeded

Cause: a dispatcher that the store refuses asks four hosts to read it, and others once these are not served. A host counted as served while its own latest contact was young, although the store had refused it since. A host that had read the store in the second before kept the dispatcher waiting until that contact was 1.25 s old. Trace of a failing run: the first four are asked at 0.48 s after the refusal, the others never; a fifth host reads the store by its rank at 1.46 s. In passing runs the others are asked at 1.0 s.

Change: StoreCache::is_served is false after a failed call.

Evidence: host_that_the_store_has_just_refused_is_not_served fails without the change and passes now.

Conclusion: the bound holds again by the mechanism, not by the order of the reads at the start. Nothing was changed in the test.

--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -162,8 +162,11 @@
     }
 
     /// Returns `true` if the store itself, and not another host, confirmed both parts of the cached data last and within
-    /// `limit`.
+    /// `limit`, and has refused no call of this host since.
     pub fn is_served(&self, limit: Duration, now: MonoTime) -> bool {
+        if self.is_store_failing() {
+            return false;
+        }
         let contacts = *lock(&self.contacts);
         let is_confirmed = |part| contacts.part(part).source() == Some(ContactSource::Store);
         let is_recent = contacts.age(now).is_some_and(|age| age.get() <= limit);
--- a/crates/gateway/tests/store_cache.rs
+++ b/crates/gateway/tests/store_cache.rs
@@ -79,3 +79,18 @@
     read(&cache, &["t-2"], 21, at(8300));
     assert_eq!(open_ids(&cache), ["t-2"]);
 }
+
+/// Guards against requests to a leaving target: the store had served a host until a moment before it refused it, and the
+/// dispatcher, which had asked it to read, waited for it and asked no other host.
+#[test]
+fn host_that_the_store_has_just_refused_is_not_served() {
+    let cache = StoreCache::new();
+    let limit = Duration::from_millis(1250);
+    read(&cache, &["t-1"], 10, at(0));
+    assert!(cache.is_served(limit, at(400)));
+    cache.on_store_failure(at(500));
+    assert!(!cache.is_served(limit, at(510)));
+    read(&cache, &["t-1"], 11, at(700));
+    assert!(cache.is_served(limit, at(710)));
+    assert!(!cache.is_served(limit, at(2000)));
+}
