Try targets whose open requests are stuck while many fail

In the small pools of the small sites the failing state, in which more targets are tried, needed eight attempts in two seconds, where a pool has about five.

Change: while many requests fail, a target is tried if all its open requests are stuck, and those without an answer for 1.6 s do not hold a slot against the trial. A hang blocks from 0.8 s after its request was sent, and not at all if a good answer came later. Four attempts suffice for the failing state. At other times a target with a stuck request is not tried, as non_idempotent_requests_avoid_a_hung_target asks.

Evidence: hung_requests_keep_no_target_out_of_use fails without the change (no request in two seconds from 4.5 s, two seconds after the hang) and passes now.

Conclusion: part of the cause.

--- a/crates/dispatch/src/evidence.rs
+++ b/crates/dispatch/src/evidence.rs
@@ -35,6 +35,9 @@
 /// seconds; from then on idempotent requests try it.
 const BLOCK_TIME_MAX: Duration = Duration::from_millis(2000);
 
+/// Time after its grant at which a request without an answer shows that its target hangs.
+const HANG_NOTICE: Duration = Duration::from_millis(800);
+
 /// Consecutive good answers after which the next block has the shortest duration again.
 const BLOCK_RESET_STREAK: u32 = 6;
 
@@ -112,8 +115,24 @@
         }
     }
 
+    /// Records that a request got no answer until its deadline, and returns `true` if that blocks a target that was not
+    /// blocked. The deadline may be seconds after the target began to hang, so that the block counts from then, and a
+    /// good answer that came later outweighs it.
+    pub fn record_hang(&mut self, granted_at: MonoTime, now: MonoTime) -> bool {
+        let hung_at = granted_at.after(HANG_NOTICE).min(now);
+        if self.good_at.is_some_and(|good_at| good_at > hung_at) {
+            return false;
+        }
+        self.record_at(AttemptResult::Hung, hung_at, now)
+    }
+
     /// Records the result of an attempt and returns `true` if it blocks a target that was not blocked.
     pub fn record(&mut self, result: AttemptResult, now: MonoTime) -> bool {
+        self.record_at(result, now, now)
+    }
+
+    /// Records a result that shows the state of the target at `shown_at`.
+    fn record_at(&mut self, result: AttemptResult, shown_at: MonoTime, now: MonoTime) -> bool {
         // Only fast failures lower the success rate, as they free their slot at once and so attract more requests.
         // A shed request costs its target nothing, and a hung one holds its slot.
         match result {
@@ -136,10 +155,10 @@
             return false;
         }
         let time = BLOCK_TIME_MIN.saturating_mul(1 << self.block_count.min(4));
-        self.blocked_until = Some(now.after(time.min(BLOCK_TIME_MAX)));
+        self.blocked_until = Some(shown_at.after(time.min(BLOCK_TIME_MAX)));
         self.block_count += 1;
         self.suspicion = 0;
-        true
+        self.is_blocked(now)
     }
 
     fn on_good(&mut self, now: MonoTime) {
--- a/crates/dispatch/src/failure_window.rs
+++ b/crates/dispatch/src/failure_window.rs
@@ -15,8 +15,8 @@
 /// Time over which attempts are counted.
 const WINDOW: Duration = Duration::from_secs(2);
 
-/// Fewest attempts from which a part is computed.
-const COUNT_MIN: usize = 8;
+/// Fewest attempts from which a part is computed. A small service has about two requests a second in each zone.
+const COUNT_MIN: usize = 4;
 
 /// Most attempts that are kept.
 const COUNT_MAX: usize = 512;
--- a/crates/dispatch/src/service_pool.rs
+++ b/crates/dispatch/src/service_pool.rs
@@ -59,8 +59,8 @@
 /// requests may be among them.
 const USED_RATIO_FAILING: CapacityRatio = CapacityRatio::from_mille(950);
 
-/// Fraction of failed attempts from which [`USED_RATIO_FAILING`] applies: somewhat less than the tenth from which the
-/// platform checks, as each dispatcher sees the failures of its own zone only.
+/// Fraction of failed attempts from which many requests fail: somewhat less than the tenth from which the platform
+/// checks, as each dispatcher sees the failures of its own zone only.
 const FAILING_RATIO_MIN: CapacityRatio = CapacityRatio::from_mille(90);
 
 /// Fraction of a pool that may be blocked. Beyond it, blocked targets get requests again, so that the rest
@@ -127,8 +127,7 @@
         true => target.idle_time(now) > TRIAL_IDLE,
         false => is_coverage_low && target.idle_time(now) > TRIAL_IDLE,
     };
-    let is_idle = target.open_count() == 0 && trust != TargetTrust::Blocked;
-    is_due && is_idle && !request.is_repeat
+    is_due && trust != TargetTrust::Blocked && !request.is_repeat
 }
 
 /// Returns the step that an age falls into. Step 0 ends at [`FRESH_FOR`], and each further step ends at twice the
@@ -282,14 +281,26 @@
         let blocked = blocked.filter(|target| target.evidence().trust(now) == TargetTrust::Blocked);
         let blocked_max = BLOCKED_RATIO_MAX.ceil_of(u32::try_from(self.targets.len()).unwrap_or(0));
         let may_use_blocked = u32::try_from(blocked.count()).unwrap_or(0) > blocked_max;
-        let is_coverage_low = self.is_coverage_low(now);
+        let is_failing = self.failures.has_failed(FAILING_RATIO_MIN, now);
+        let is_coverage_low = self.is_coverage_low(is_failing, now);
         let candidates = self.targets.iter().filter_map(|(id, target)| {
             let is_paced = target.is_cold(now) || target.is_limited();
-            let is_usable = target.has_free_slot(self.share.zone_fraction, now)
-                && (self.share.is_followed || !is_paced)
-                && !request.tried.contains(id);
             let trust = target.trust(stuck_after, now);
-            let is_trial = is_trial(request, (id, target), (trust, is_coverage_low), now);
+            // While many requests fail, the platform also wants requests to a target that has recovered since it left
+            // some without an answer. At other times these show that it still hangs.
+            let is_idle = match is_failing {
+                true => target.is_idle(stuck_after, now),
+                false => target.open_count() == 0,
+            };
+            let is_trial =
+                is_idle && is_trial(request, (id, target), (trust, is_coverage_low), now);
+            let share = self.share.zone_fraction;
+            let has_slot = match is_trial {
+                true => target.has_trial_slot(share, now),
+                false => target.has_free_slot(share, now),
+            };
+            let is_usable =
+                has_slot && (self.share.is_followed || !is_paced) && !request.tried.contains(id);
             let is_excluded =
                 trust == TargetTrust::Blocked && !(may_use_blocked && target.allows_trial(now));
             let rank = match is_trial {
@@ -304,7 +315,7 @@
     }
 
     /// Returns `true` if too few of the unblocked targets got a request within [`TRIAL_IDLE`].
-    fn is_coverage_low(&self, now: MonoTime) -> bool {
+    fn is_coverage_low(&self, is_failing: bool, now: MonoTime) -> bool {
         let (mut usable, mut used) = (0, 0);
         for target in self.targets.values() {
             if target.evidence().trust(now) != TargetTrust::Blocked {
@@ -312,7 +323,7 @@
                 used += u32::from(target.idle_time(now) < TRIAL_IDLE);
             }
         }
-        let ratio_min = match self.failures.has_failed(FAILING_RATIO_MIN, now) {
+        let ratio_min = match is_failing {
             true => USED_RATIO_FAILING,
             false => USED_RATIO_MIN,
         };
--- a/crates/dispatch/src/target_slots.rs
+++ b/crates/dispatch/src/target_slots.rs
@@ -26,6 +26,10 @@
 /// Time for which a permit outlives its request, so that a release in transit still finds it.
 const PERMIT_MARGIN: Duration = Duration::from_millis(300);
 
+/// Time without an answer from which a request no longer counts against the slots for a trial. The target may have lost
+/// it; a target that still works on it sheds or queues the trial.
+const LOST_AFTER: Duration = Duration::from_millis(1600);
+
 /// Time between requests to a blocked target that fails nearly all of them.
 const TRIAL_PAUSE: Duration = Duration::from_millis(300);
 
@@ -138,13 +142,26 @@
     /// A cold target gets one request at a time, paced; a limited one gets its rate; a target
     /// that leaves or whose address belongs to another one gets none.
     pub fn has_free_slot(&self, share: CapacityRatio, now: MonoTime) -> bool {
+        self.has_slot_beside(self.permits.len(), share, now)
+    }
+
+    /// Returns `true` if the target has a free slot for a trial, for which requests that got no answer for long do not
+    /// count.
+    pub fn has_trial_slot(&self, share: CapacityRatio, now: MonoTime) -> bool {
+        let permits = self.permits.values();
+        let open = permits.filter(|permit| now.since(permit.granted_at) <= LOST_AFTER);
+        self.has_slot_beside(open.count(), share, now)
+    }
+
+    /// Returns `true` if the target may get a request beside a number of others.
+    fn has_slot_beside(&self, open_count: usize, share: CapacityRatio, now: MonoTime) -> bool {
         let limit = match self.pacer.is_cold(now) {
             true => 1,
             false => usize::from(self.entry.slots.get()),
         };
         let is_usable = !self.is_misdirected && !self.is_leaving;
         let may_send = self.pacer.may_send(now) && self.limiter.may_send(share, now);
-        is_usable && self.permits.len() < limit && may_send
+        is_usable && open_count < limit && may_send
     }
 
     /// Returns `true` if a blocked target may get a request now. A target that fails nearly all requests at once
@@ -161,13 +178,23 @@
     /// target doubtful before the result is known.
     pub fn trust(&self, stuck_after: Duration, now: MonoTime) -> TargetTrust {
         let trust = self.evidence.trust(now);
-        let is_stuck = |permit: &OpenPermit| now.since(permit.granted_at) > stuck_after;
-        match self.permits.values().any(is_stuck) {
-            true => trust.max(TargetTrust::Doubtful),
-            false => trust,
+        match self.stuck_count(stuck_after, now) {
+            0 => trust,
+            _ => trust.max(TargetTrust::Doubtful),
         }
     }
 
+    fn stuck_count(&self, stuck_after: Duration, now: MonoTime) -> usize {
+        let permits = self.permits.values();
+        let stuck = permits.filter(|permit| now.since(permit.granted_at) > stuck_after);
+        stuck.count()
+    }
+
+    /// Returns `true` if no request is open that may still get its answer soon.
+    pub fn is_idle(&self, stuck_after: Duration, now: MonoTime) -> bool {
+        self.stuck_count(stuck_after, now) == self.permits.len()
+    }
+
     /// Returns the results of the recent attempts.
     pub fn evidence(&self) -> &TargetEvidence {
         &self.evidence
@@ -219,7 +246,10 @@
             effect.limit = is_changed.then_some(self.limit());
         }
         self.is_misdirected |= notice.result == AttemptResult::Misdirected;
-        effect.is_blocked = self.evidence.record(notice.result, now);
+        effect.is_blocked = match notice.result {
+            AttemptResult::Hung => self.evidence.record_hang(permit.granted_at, now),
+            result => self.evidence.record(result, now),
+        };
         effect
     }
 
--- a/crates/dispatch/tests/dispatcher/trials.rs
+++ b/crates/dispatch/tests/dispatcher/trials.rs
@@ -166,3 +166,43 @@
         first.target
     );
 }
+
+/// Guards against a healthy target without requests until the deadlines of those that it left without an answer while it
+/// failed: they held its slots, and the target was blocked anew when each of them ended.
+#[test]
+fn hung_requests_keep_no_target_out_of_use() {
+    let (dispatcher, directory) = (ZoneDispatcher::new(0), directory_of(2));
+    let mut sent: Vec<(u64, TargetId)> = Vec::new();
+    let mut open: Vec<(u64, DispatchGrant, AttemptResult)> = Vec::new();
+    for millis in (0..12_000).step_by(370) {
+        let (done, rest): (Vec<_>, Vec<_>) =
+            open.into_iter().partition(|(end, _, _)| *end <= millis);
+        open = rest;
+        for (end, grant, result) in done {
+            release(&dispatcher, &grant, result, at(end));
+        }
+        let request = AdmitRequest {
+            left_millis: 6000,
+            ..request(&millis.to_string())
+        };
+        let grant = grant(&dispatcher, &directory, &request, at(millis));
+        // One of the two targets answers nothing for a second and a half.
+        let is_hung = (1000..2500).contains(&millis) && grant.target == target(0);
+        // The other one fails a fifth of its requests.
+        let is_failed = grant.target == target(1) && (millis / 370) % 5 == 0;
+        let (end, result) = match (is_hung, is_failed) {
+            (true, _) => (millis + 5350, AttemptResult::Hung),
+            (false, true) => (millis + 230, AttemptResult::Failed),
+            (false, false) => (millis + 230, AttemptResult::Good),
+        };
+        sent.push((millis, grant.target.clone()));
+        open.push((end, grant, result));
+    }
+    for from in (4500..10_000).step_by(50) {
+        let mut span = sent
+            .iter()
+            .filter(|(at, _)| (from..from + 2000).contains(at));
+        let is_tried = span.any(|(_, id)| *id == target(0));
+        assert!(is_tried, "no request in two seconds from {from} ms");
+    }
+}
