Give runtime threads a stack of 2 MB

Change: 2 MB, the default of the runtime. Only pages that were used count as memory.

Conclusion: the margin is three quarters of the stack.

--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -37,6 +37,10 @@
     task_supervisor::supervise, //
 };
 
+/// Stack size of a runtime thread, in bytes. Ordinary work takes up to 480 KB of it; only pages that were used count as
+/// memory.
+pub const RUNTIME_STACK_BYTES: usize = 2 << 20;
+
 /// Largest request head accepted from a caller, in bytes. Configurations specify 16 KiB.
 const HEAD_BYTES_MAX: usize = 32 << 10;
 
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -16,7 +16,10 @@
         PATH_VARIABLE, //
     },
 };
-use chicorycroft_gateway::prelude::*;
+use chicorycroft_gateway::{
+    host::RUNTIME_STACK_BYTES,
+    prelude::*, //
+};
 use eyre::Result;
 use getopts::Options;
 use log::LevelFilter;
@@ -35,9 +38,6 @@
 /// are answered during a long computation.
 const WORKER_THREADS: usize = 2;
 
-/// Stack size of a runtime thread, in bytes.
-const STACK_BYTES: usize = 512 << 10;
-
 /// Options of the command line.
 struct LaunchOptions {
     settings_path: String,
@@ -112,7 +112,7 @@
     EventLog::new(std::io::stdout())?.install(LevelFilter::Info)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(WORKER_THREADS)
-        .thread_stack_size(STACK_BYTES)
+        .thread_stack_size(RUNTIME_STACK_BYTES)
         .enable_all()
         .build()?;
     runtime.block_on(run(options, settings))
