Count the time of a target's write from the answer before it

Cause: the time of a write counted from its reading. A host that has not reached the store for some seconds reads the latest writes of targets just before their entries lapse, takes these for removed by the targets, and ignores the registrations that follow for 7 s.

Change: a write counts from the answer of the store before the one that brought it, which is the earliest time at which it can have been done. Without such an answer it is not known.

Measured: tests of directory and gateway.

Conclusion: a target counts as left only if this host read the store all the while.

--- a/crates/directory/src/removals.rs
+++ b/crates/directory/src/removals.rs
@@ -16,7 +16,8 @@
 pub const HEARTBEAT_DEFAULT: Duration = Duration::from_millis(1500);
 
 /// Time without a write from which a removed entry may have lapsed, in thousandths of the heartbeat period. The store
-/// waits for three periods; half a period covers the different delays with which this host reads the two changes.
+/// waits for three periods; half a period covers the different delays with which this host reads the two changes. The
+/// time counts from the answer before the one with the write.
 const LAPSE_SILENCE_MILLE: u32 = 2500;
 
 /// Time after a removal within which the store may still do a write that was sent before: the platform's six seconds
@@ -66,6 +67,7 @@
 pub struct RemovalMemory {
     heartbeat: Duration,
     removed: IndexMap<TargetId, RemovedIncarnation>,
+    /// Earliest possible times of these writes.
     written_at: IndexMap<TargetId, MonoTime>,
     /// Time of the latest failed call to the store.
     failed_at: Option<MonoTime>,
@@ -94,14 +96,17 @@
         self
     }
 
-    /// Records that a target has written its entry, as read from the store.
-    pub fn on_write(&mut self, id: &TargetId, now: MonoTime) {
-        self.written_at.insert(id.clone(), now);
-    }
-
-    /// Records that it is not known when a target has written its entry.
-    pub fn on_unknown_write(&mut self, id: &TargetId) {
-        self.written_at.shift_remove(id);
+    /// Records that a target has written its entry, as read from the store. The write may have been done at any time since
+    /// the previous answer of the store; `None` if there was none.
+    pub fn on_write(&mut self, id: &TargetId, previous_answer: Option<MonoTime>) {
+        match previous_answer {
+            Some(answered_at) => {
+                self.written_at.insert(id.clone(), answered_at);
+            }
+            None => {
+                self.written_at.shift_remove(id);
+            }
+        }
     }
 
     /// Records a failed call to the store. Entries may lapse while the store is down.
--- a/crates/directory/src/tracker.rs
+++ b/crates/directory/src/tracker.rs
@@ -52,6 +52,8 @@
     /// Targets whose entries lapsed in an outage, with the time until which they stay in use.
     lapsed: IndexMap<TargetId, MonoTime>,
     removals: RemovalMemory,
+    /// Time of the latest answer of the store about targets.
+    targets_read_at: Option<MonoTime>,
     outage: OutageDetector,
 }
 
@@ -246,18 +248,12 @@
         now: MonoTime,
     ) {
         let listed: IndexSet<&TargetId> = entries.iter().map(|entry| &entry.id).collect();
-        let known = &self.directory.targets;
-        let added = listed.iter().filter(|id| !known.contains_key(**id));
-        let added: Vec<TargetId> = added.map(|id| (*id).clone()).collect();
-        let missing = known.keys().filter(|id| !listed.contains(id)).cloned();
+        let known = self.directory.targets.keys();
+        let missing = known.filter(|id| !listed.contains(id)).cloned();
         let mut changes: Vec<DirectoryChange> =
             missing.map(DirectoryChange::TargetRemoved).collect();
         changes.extend(entries.into_iter().map(DirectoryChange::TargetUpdated));
         self.apply(StorePart::Targets, changes, as_of, now);
-        // A full read does not show when an entry was written.
-        for id in &added {
-            self.removals.on_unknown_write(id);
-        }
     }
 
     /// Applies the changes of one part up to a revision. An answer at an older revision of the part is ignored. The
@@ -278,6 +274,9 @@
         for change in changes {
             self.apply_one(&mut next, change, now);
         }
+        if part == StorePart::Targets {
+            self.targets_read_at = Some(now);
+        }
         remove_lapsed(&mut self.lapsed, &mut next, now);
         self.set_directory(next, now);
     }
@@ -310,7 +309,7 @@
     fn apply_entry(&mut self, next: &mut TargetDirectory, entry: TargetEntry, now: MonoTime) {
         let Some(known) = next.targets.get_mut(&entry.id) else {
             if self.removals.is_live(&entry, now) {
-                self.removals.on_write(&entry.id, now);
+                self.removals.on_write(&entry.id, self.targets_read_at);
                 next.targets.insert(entry.id.clone(), entry);
             }
             return;
@@ -320,7 +319,7 @@
         }
         self.lapsed.shift_remove(&entry.id);
         if (known.born, known.sequence) != (entry.born, entry.sequence) {
-            self.removals.on_write(&entry.id, now);
+            self.removals.on_write(&entry.id, self.targets_read_at);
         }
         match known.is_equivalent(&entry) {
             true => known.sequence = entry.sequence,
--- a/crates/directory/tests/tracker.rs
+++ b/crates/directory/tests/tracker.rs
@@ -493,6 +493,21 @@
     assert_eq!(open_ids(&tracker), ["t-2", "t-1"]);
 }
 
+/// Guards against live targets without work: this host did not reach the store for a while, without a failed call, and read
+/// their last writes just before their entries lapsed.
+#[test]
+fn writes_that_are_read_late_do_not_make_a_lapsed_entry_look_removed() {
+    let mut tracker = tracker_with_heartbeats();
+    let entries = ["t-1", "t-2"].map(|id| TargetEntry {
+        sequence: 8,
+        ..entry(id, TargetPhase::Ready)
+    });
+    tracker.replace_targets(entries.into(), StoreRevision::new(7000), at(7000));
+    watch(&mut tracker, 7600, vec![removed("t-1")]);
+    watch(&mut tracker, 8000, vec![written("t-1", 9)]);
+    assert_eq!(open_ids(&tracker), ["t-2", "t-1"]);
+}
+
 /// Guards against a live target without work for good: its entry was removed for another reason, and it goes on writing.
 #[test]
 fn target_that_goes_on_writing_after_its_removal_is_used_again() {
