Keep lapsed targets that count anew without stating their start

Cause: the entries of 92 targets of a zone that was cut off lapsed at 14 s. From 16 to 23 s hosts that had followed the store used 363 to 368 targets, hosts that started then 404. The targets registered again with lower sequence numbers and no start of their incarnation, and since a write with a lower number no longer renews a lapsed entry.

Change: it does if the target does not state its start, so that it cannot be told from a later incarnation.

Evidence: lapsed_entry_stays_if_its_target_counts_anew_without_stating_its_start fails without the change and passes now.

--- a/crates/directory/src/tracker.rs
+++ b/crates/directory/src/tracker.rs
@@ -314,10 +314,14 @@
             }
             return;
         };
-        if known.born == entry.born && entry.sequence < known.sequence {
+        let is_earlier = known.born == entry.born && entry.sequence < known.sequence;
+        // A target that does not state its start may have begun to count anew after its entry lapsed.
+        if !is_earlier || entry.born == 0 {
+            self.lapsed.shift_remove(&entry.id);
+        }
+        if is_earlier {
             return;
         }
-        self.lapsed.shift_remove(&entry.id);
         if (known.born, known.sequence) != (entry.born, entry.sequence) {
             self.removals.on_write(&entry.id, self.targets_read_at);
         }
--- a/crates/directory/tests/tracker.rs
+++ b/crates/directory/tests/tracker.rs
@@ -493,6 +493,26 @@
     assert_eq!(open_ids(&tracker), ["t-2", "t-1"]);
 }
 
+/// Guards against dropping a live target that registers again after an outage and counts anew, because it does not state its
+/// start: its write was taken for a late one.
+#[test]
+fn lapsed_entry_stays_if_its_target_counts_anew_without_stating_its_start() {
+    let unstated = |sequence| {
+        DirectoryChange::TargetUpdated(TargetEntry {
+            born: 0,
+            sequence,
+            ..entry("t-1", TargetPhase::Ready)
+        })
+    };
+    let mut tracker = tracker_with_two_targets();
+    watch(&mut tracker, 1000, vec![unstated(6)]);
+    tracker.on_failure(at(2000));
+    watch(&mut tracker, 7000, vec![removed("t-1")]);
+    watch(&mut tracker, 7500, vec![unstated(1)]);
+    watch(&mut tracker, 9400, Vec::new());
+    assert_eq!(open_ids(&tracker), ["t-1", "t-2"]);
+}
+
 /// Guards against live targets without work: this host did not reach the store for a while, without a failed call, and read
 /// their last writes just before their entries lapsed.
 #[test]
