--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -55,7 +55,6 @@
             OwnCopy,
             ReaderSearch, //
         },
-        removals::RemovalMemory,
         routing::{
             RouteIndex,
             RoutingError, //
--- a/crates/directory/src/removals.rs
+++ b/crates/directory/src/removals.rs
@@ -13,7 +13,7 @@
 use crate::targets::TargetEntry;
 
 /// Period of a target's heartbeats unless the settings state another one.
-pub const HEARTBEAT_DEFAULT: Duration = Duration::from_millis(1500);
+const HEARTBEAT_DEFAULT: Duration = Duration::from_millis(1500);
 
 /// Time without a write from which a removed entry may have lapsed, in thousandths of the heartbeat period. The store
 /// waits for three periods; half a period covers the different delays with which this host reads the two changes. The
@@ -138,10 +138,10 @@
         self.removed.insert(entry.id.clone(), removed);
     }
 
-    /// Returns `true` if an entry that was read from the store is that of a live target, and `false` if it was left by a
-    /// late write of a removed incarnation. An entry without the start of its incarnation cannot be told from that of a
+    /// Records a write of a target that is not registered. Returns `true` if the target is live, and `false` if the entry
+    /// was left by a late write of a removed incarnation. An entry without the start of its incarnation cannot be told from that of a
     /// later one.
-    pub fn is_live(&mut self, entry: &TargetEntry, now: MonoTime) -> bool {
+    pub fn on_registration(&mut self, entry: &TargetEntry, now: MonoTime) -> bool {
         let Some(removed) = self.removed.get_mut(&entry.id) else {
             return true;
         };
--- a/crates/directory/src/tracker.rs
+++ b/crates/directory/src/tracker.rs
@@ -308,7 +308,7 @@
     /// cold time of a target counts from the first reading of its entry.
     fn apply_entry(&mut self, next: &mut TargetDirectory, entry: TargetEntry, now: MonoTime) {
         let Some(known) = next.targets.get_mut(&entry.id) else {
-            if self.removals.is_live(&entry, now) {
+            if self.removals.on_registration(&entry, now) {
                 self.removals.on_write(&entry.id, self.targets_read_at);
                 next.targets.insert(entry.id.clone(), entry);
             }
--- a/crates/dispatch/src/service_pool.rs
+++ b/crates/dispatch/src/service_pool.rs
@@ -283,18 +283,18 @@
         let may_use_blocked = u32::try_from(blocked.count()).unwrap_or(0) > blocked_max;
         let is_failing = self.failures.has_failed(FAILING_RATIO_MIN, now);
         let is_coverage_low = self.is_coverage_low(is_failing, now);
+        // While many requests fail, the platform also wants requests to a target that has recovered since it left
+        // some without an answer. At other times these show that it still hangs.
+        let idle_after = match is_failing {
+            true => stuck_after,
+            false => Duration::MAX,
+        };
+        let share = self.share.zone_fraction;
         let candidates = self.targets.iter().filter_map(|(id, target)| {
             let is_paced = target.is_cold(now) || target.is_limited();
             let trust = target.trust(stuck_after, now);
-            // While many requests fail, the platform also wants requests to a target that has recovered since it left
-            // some without an answer. At other times these show that it still hangs.
-            let is_idle = match is_failing {
-                true => target.is_idle(stuck_after, now),
-                false => target.open_count() == 0,
-            };
-            let is_trial =
-                is_idle && is_trial(request, (id, target), (trust, is_coverage_low), now);
-            let share = self.share.zone_fraction;
+            let is_trial = target.is_idle(idle_after, now)
+                && is_trial(request, (id, target), (trust, is_coverage_low), now);
             let has_slot = match is_trial {
                 true => target.has_trial_slot(share, now),
                 false => target.has_free_slot(share, now),
--- a/crates/dispatch/src/target_slots.rs
+++ b/crates/dispatch/src/target_slots.rs
@@ -148,9 +148,8 @@
     /// Returns `true` if the target has a free slot for a trial, for which requests that got no answer for long do not
     /// count.
     pub fn has_trial_slot(&self, share: CapacityRatio, now: MonoTime) -> bool {
-        let permits = self.permits.values();
-        let open = permits.filter(|permit| now.since(permit.granted_at) <= LOST_AFTER);
-        self.has_slot_beside(open.count(), share, now)
+        let open_count = self.permits.len() - self.stuck_count(LOST_AFTER, now);
+        self.has_slot_beside(open_count, share, now)
     }
 
     /// Returns `true` if the target may get a request beside a number of others.
@@ -184,6 +183,7 @@
         }
     }
 
+    /// Returns the number of requests that have been open for longer than `stuck_after`.
     fn stuck_count(&self, stuck_after: Duration, now: MonoTime) -> usize {
         let permits = self.permits.values();
         let stuck = permits.filter(|permit| now.since(permit.granted_at) > stuck_after);
--- a/crates/gateway/src/body_blocks.rs
+++ b/crates/gateway/src/body_blocks.rs
@@ -33,6 +33,7 @@
 /// A complete body. Copies share its bytes.
 #[derive(Clone, Debug, Default)]
 pub struct BodyBlocks {
+    /// None of them is empty.
     blocks: VecDeque<Bytes>,
     length: usize,
 }
@@ -52,7 +53,7 @@
 impl From<Bytes> for BodyBlocks {
     fn from(bytes: Bytes) -> Self {
         let length = bytes.len();
-        let blocks = VecDeque::from([bytes]);
+        let blocks = (length > 0).then_some(bytes).into_iter().collect();
         Self { blocks, length }
     }
 }
@@ -65,17 +66,15 @@
         mut self: Pin<&mut Self>,
         _: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        while let Some(block) = self.blocks.front_mut() {
-            let part = block.split_to(block.len().min(WRITE_PART_BYTES));
-            if block.is_empty() {
-                self.blocks.pop_front();
-            }
-            if !part.is_empty() {
-                self.length -= part.len();
-                return Poll::Ready(Some(Ok(Frame::data(part))));
-            }
+        let Some(block) = self.blocks.front_mut() else {
+            return Poll::Ready(None);
+        };
+        let part = block.split_to(block.len().min(WRITE_PART_BYTES));
+        if block.is_empty() {
+            self.blocks.pop_front();
         }
-        Poll::Ready(None)
+        self.length -= part.len();
+        Poll::Ready(Some(Ok(Frame::data(part))))
     }
 
     fn is_end_stream(&self) -> bool {
@@ -110,15 +109,10 @@
     }
 
     /// Returns the number of bytes written so far.
-    pub fn len(&self) -> usize {
+    pub fn written(&self) -> usize {
         self.body.length
     }
 
-    /// Returns `true` if nothing was written yet.
-    pub fn is_empty(&self) -> bool {
-        self.body.is_empty()
-    }
-
     /// Appends bytes.
     pub fn write(&mut self, mut data: &[u8]) {
         while !data.is_empty() {
@@ -133,10 +127,11 @@
         }
     }
 
-    /// Completes the block in use and begins another one, which is as long as the body so far.
+    /// Completes the block in use and begins another one, for what is left of the declared length or, without one, as
+    /// long as the body so far.
     fn start_block(&mut self, needed: usize) {
-        let expected = match self.declared.saturating_sub(self.len()) {
-            0 => self.len().max(BLOCK_BYTES_MIN),
+        let expected = match self.declared.saturating_sub(self.written()) {
+            0 => self.written().max(BLOCK_BYTES_MIN),
             left => left,
         };
         let capacity = expected.max(needed).min(BLOCK_BYTES_MAX);
--- a/crates/gateway/src/body_buffer.rs
+++ b/crates/gateway/src/body_buffer.rs
@@ -243,7 +243,7 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        let length = writer.len() + data.len();
+        let length = writer.written() + data.len();
         if length as u64 > length_max {
             return Err(BodyReadError::TooLarge);
         }
