--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -1,8 +1,8 @@
 //! The encoding of messages: one byte for the format version, one for the kind, then the fields in bincode.
 //!
 //! Version 2 added the suspect flag of a target's load, and version 3 the ages and revisions of both parts of the
-//! store, and what targets say about themselves. A host decodes
-//! all versions and answers in the version of the request, so that hosts of two releases work together during a
+//! store, and what targets say about themselves. Version 4 added the positions in the store, the leases of team rates and
+//! the load of pools. A host decodes all versions and answers in the version of the request, so that hosts of two releases work together during a
 //! rolling upgrade.
 
 use std::{
@@ -26,6 +26,7 @@
 use crate::{
     format_v1::HeartbeatV1,
     format_v2::GatewayMessageV2,
+    format_v3::GatewayMessageV3,
     messages::{
         PeerMessage,
         RefusalReason, //
@@ -47,6 +48,8 @@
     pub const V2: Self = Self(2);
     /// Version that added the ages and revisions of both parts of the store.
     pub const V3: Self = Self(3);
+    /// Version that added the positions in the store, the leases of team rates and the load of pools.
+    pub const V4: Self = Self(4);
 
     /// Creates a version from a number, which need not be a supported version.
     pub const fn new(number: u8) -> Self {
@@ -171,13 +174,13 @@
 impl PeerCodec {
     /// Creates a codec that supports all versions up to the current one.
     pub fn new() -> Self {
-        Self::with_highest(FormatVersion::V3)
+        Self::with_highest(FormatVersion::V4)
     }
 
     /// Creates a codec that supports no version above `highest`, as a host of an older release.
     pub fn with_highest(highest: FormatVersion) -> Self {
         Self {
-            highest: highest.min(FormatVersion::V3),
+            highest: highest.min(FormatVersion::V4),
         }
     }
 
@@ -228,6 +231,9 @@
             PeerMessage::Gateway(message) if version < FormatVersion::V3 => {
                 encode_into(&mut bytes, &GatewayMessageV2::from(message))?;
             }
+            PeerMessage::Gateway(message) if version < FormatVersion::V4 => {
+                encode_into(&mut bytes, &GatewayMessageV3::from(message))?;
+            }
             PeerMessage::Gateway(message) => encode_into(&mut bytes, message)?,
         }
         Ok(bytes)
@@ -268,6 +274,9 @@
             16 if version < FormatVersion::V3 => {
                 PeerMessage::Gateway(decode_exact::<GatewayMessageV2>(body)?.into())
             }
+            16 if version < FormatVersion::V4 => {
+                PeerMessage::Gateway(decode_exact::<GatewayMessageV3>(body)?.into())
+            }
             16 => PeerMessage::Gateway(decode_exact(body)?),
             found => return Err(CodecError::UnknownKind { found }),
         };
--- a/crates/peer/src/format_v2.rs
+++ b/crates/peer/src/format_v2.rs
@@ -9,12 +9,15 @@
     Serialize, //
 };
 
-use crate::gateway::{
-    DirectoryUpdate,
-    FollowAnswer,
-    FollowRequest,
-    GatewayMessage,
-    RelayedCall, //
+use crate::{
+    format_v3::AdmitRequestV3,
+    gateway::{
+        DirectoryUpdate,
+        FollowAnswer,
+        FollowRequest,
+        GatewayMessage,
+        RelayedCall, //
+    },
 };
 
 /// A long poll in format version 2, without the revisions of the directory.
@@ -219,14 +222,14 @@
 /// A relayed call in format version 2.
 #[derive(Deserialize, Serialize)]
 pub(crate) enum RelayedCallV2 {
-    Admit(AdmitRequest),
+    Admit(AdmitRequestV3),
     Release(ReleaseNoticeV2),
 }
 
 impl From<&RelayedCall> for RelayedCallV2 {
     fn from(call: &RelayedCall) -> Self {
         match call {
-            RelayedCall::Admit(request) => Self::Admit(request.clone()),
+            RelayedCall::Admit(request) => Self::Admit(request.into()),
             RelayedCall::Release(notice) => Self::Release(notice.into()),
         }
     }
@@ -235,7 +238,7 @@
 impl From<RelayedCallV2> for RelayedCall {
     fn from(call: RelayedCallV2) -> Self {
         match call {
-            RelayedCallV2::Admit(request) => Self::Admit(request),
+            RelayedCallV2::Admit(request) => Self::Admit(request.into()),
             RelayedCallV2::Release(notice) => Self::Release(notice.into()),
         }
     }
@@ -247,7 +250,7 @@
     Gossip(Vec<MemberRecord>),
     Follow(FollowRequestV2),
     FollowAnswer(Box<FollowAnswerV2>),
-    Admit(AdmitRequest),
+    Admit(AdmitRequestV3),
     Admitted(AdmitAnswerV2),
     Release(ReleaseNoticeV2),
     Relayed(RelayedCallV2),
@@ -261,7 +264,7 @@
             GatewayMessage::FollowAnswer(answer) => {
                 Self::FollowAnswer(Box::new(answer.as_ref().into()))
             }
-            GatewayMessage::Admit(request) => Self::Admit(request.clone()),
+            GatewayMessage::Admit(request) => Self::Admit(request.into()),
             GatewayMessage::Admitted(answer) => Self::Admitted(answer.into()),
             GatewayMessage::Release(notice) => Self::Release(notice.into()),
             GatewayMessage::Relayed(call) => Self::Relayed(call.into()),
@@ -277,7 +280,7 @@
             GatewayMessageV2::FollowAnswer(answer) => {
                 Self::FollowAnswer(Box::new((*answer).into()))
             }
-            GatewayMessageV2::Admit(request) => Self::Admit(request),
+            GatewayMessageV2::Admit(request) => Self::Admit(request.into()),
             GatewayMessageV2::Admitted(answer) => Self::Admitted(answer.into()),
             GatewayMessageV2::Release(notice) => Self::Release(notice.into()),
             GatewayMessageV2::Relayed(call) => Self::Relayed(call.into()),
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod failure;
 mod format_v1;
 mod format_v2;
+mod format_v3;
 pub mod forward;
 pub mod gateway;
 pub mod heartbeat;
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -229,7 +229,7 @@
 }
 
 fn encode(message: &PeerMessage) -> Vec<u8> {
-    PeerCodec::new().encode(message, FormatVersion::V3).unwrap()
+    PeerCodec::new().encode(message, FormatVersion::V4).unwrap()
 }
 
 /// Guards against a kind of message that is decoded as another one or fails to decode.
@@ -240,14 +240,16 @@
         let bytes = encode(&message);
         println!("message={name} bytes={}", bytes.len());
         let decoded = codec.decode(&bytes).unwrap();
-        assert_eq!(decoded, (FormatVersion::V3, message.clone()), "{name}");
-        for earlier in [FormatVersion::V1, FormatVersion::V2] {
+        assert_eq!(decoded, (FormatVersion::V4, message.clone()), "{name}");
+        for earlier in [FormatVersion::V1, FormatVersion::V2, FormatVersion::V3] {
             let bytes = codec.encode(&message, earlier).unwrap();
             let (version, decoded) = codec.decode(&bytes).unwrap();
             assert_eq!(version, earlier);
             let has_new_fields = match &message {
                 PeerMessage::Heartbeat(_) => earlier < FormatVersion::V2,
-                PeerMessage::Gateway(GatewayMessage::FollowAnswer(_)) => true,
+                PeerMessage::Gateway(GatewayMessage::FollowAnswer(_)) => {
+                    earlier < FormatVersion::V3
+                }
                 _ => false,
             };
             if !has_new_fields {
@@ -280,7 +282,7 @@
     assert_eq!(
         old.decode(&encode(&message)),
         Err(CodecError::UnknownVersion {
-            found: FormatVersion::V3,
+            found: FormatVersion::V4,
             highest: FormatVersion::V1,
         })
     );
@@ -311,10 +313,10 @@
     let codec = PeerCodec::new();
     let bytes = encode(&PeerMessage::Heartbeat(heartbeat(2, 2)));
     let refusal_of = |bytes: &[u8]| codec.decode(bytes).unwrap_err().refusal();
-    for version in [0, 4, 255] {
+    for version in [0, 5, 255] {
         let mut other = bytes.clone();
         other[0] = version;
-        assert_eq!(refusal_of(&other), RefusalReason::UnknownVersion(3));
+        assert_eq!(refusal_of(&other), RefusalReason::UnknownVersion(4));
     }
     let mut other = bytes.clone();
     other[1] = 15;
