Give up an early answer without a length that ends before the upload

Cause: callers could get a part of an answer as a whole one. A target answered an upload at once with a 200 without a length, closed its side and reset the connection while the upload was still being written; the end of the connection counted as the end of the answer. A reset without an end before it was already noticed. Change: a successful answer that ends with its connection counts only if the connection ended without an error, so that the request was written whole. Other answers are not delayed. Before: 200 for an upload of 8,000,000 bytes (longer than the send buffer of the loopback) with an end before the reset, on a new and on a kept connection; after: 502. Statuses 000, 099, 001 and six more: 502 before and after. Conclusion: an upload that fits into the buffers of the kernel counts as written; whether the target read it is not seen.

--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -15,7 +15,10 @@
 use chicorycroft_proxy::prelude::*;
 use hyper::client::conn::http1::SendRequest;
 use smol_str::SmolStr;
-use tokio::task::AbortHandle;
+use tokio::{
+    task::JoinHandle,
+    time::timeout, //
+};
 
 use crate::body_blocks::BodyBlocks;
 
@@ -41,8 +44,8 @@
     pub address: SocketAddr,
     /// Counter of the bytes read.
     pub read_meter: ReadMeter,
-    /// Handle that aborts the task driving the connection.
-    pub task: AbortHandle,
+    /// The task that drives the connection. It returns whether the connection ended without an error.
+    task: JoinHandle<bool>,
     /// Ids of the requests that the target refused on this connection.
     refused: Vec<SmolStr>,
 }
@@ -53,7 +56,7 @@
         sender: SendRequest<BodyBlocks>,
         address: SocketAddr,
         read_meter: ReadMeter,
-        task: AbortHandle,
+        task: JoinHandle<bool>,
     ) -> Self {
         Self {
             sender,
@@ -64,6 +67,12 @@
         }
     }
 
+    /// Waits for up to `limit` until a connection that the target has closed has ended. Returns `true` if it did without an
+    /// error, so that its request was written completely.
+    pub async fn has_ended_cleanly(&mut self, limit: Duration) -> bool {
+        matches!(timeout(limit, &mut self.task).await, Ok(Ok(true)))
+    }
+
     /// Records that the target refused a request on this connection.
     pub fn on_refused(&mut self, request: &str) {
         self.refused.push(request.into());
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -19,7 +19,12 @@
     Request,
     Response,
     StatusCode,
-    request, //
+    header::{
+        CONTENT_LENGTH,
+        TRANSFER_ENCODING, //
+    },
+    request,
+    response, //
 };
 use hyper::client::conn::http1::Builder;
 use hyper_util::rt::TokioIo;
@@ -107,11 +112,12 @@
     let handshake = Builder::new().max_buf_size(BUFFER_BYTES_MAX).handshake(io);
     let (sender, connection) = handshake.await.map_err(|_| "handshake-failed")?;
     let task = tokio::spawn(async move {
-        if let Err(error) = connection.await {
+        let result = connection.await;
+        if let Err(error) = &result {
             log::debug!("event=target_connection_ended address={address} error=\"{error}\"");
         }
+        result.is_ok()
     });
-    let task = task.abort_handle();
     Ok(TargetConnection::new(sender, address, read_meter, task))
 }
 
@@ -140,7 +146,7 @@
         .take(&entry.id, entry.address, &outgoing.id, state.now());
     if let Some(connection) = pooled {
         let request = build_request(outgoing, &entry.id, time_left());
-        match send(state, connection, request, entry, outgoing).await {
+        match send(state, connection, request, entry, outgoing, &time_left).await {
             // The target closed the idle connection before the request was written.
             outcome if outcome.reason == NOT_WRITTEN => {}
             outcome => return outcome,
@@ -153,18 +159,24 @@
         }
     };
     let request = build_request(outgoing, &entry.id, time_left());
-    send(state, connection, request, entry, outgoing).await
+    send(state, connection, request, entry, outgoing, &time_left).await
 }
 
 /// Reason for an attempt whose request was not written to the connection.
 const NOT_WRITTEN: &str = "not-written";
 
+/// Returns `true` if the end of the connection is the end of the answer.
+fn is_unframed(head: &response::Parts) -> bool {
+    !head.headers.contains_key(CONTENT_LENGTH) && !head.headers.contains_key(TRANSFER_ENCODING)
+}
+
 async fn send(
     state: &Arc<GatewayState>,
     mut connection: TargetConnection,
     request: Request<BodyBlocks>,
     entry: &TargetEntry,
     outgoing: &OutgoingRequest,
+    time_left: impl Fn() -> Duration,
 ) -> ExchangeOutcome {
     let broken = |reason| ExchangeOutcome::failed(AttemptResult::Broken, RunProof::Unknown, reason);
     let not_written =
@@ -192,6 +204,7 @@
         signals,
         ..broken(reason)
     };
+    let is_unframed = is_unframed(&parts);
     let body = AnswerBody::new(body, connection.read_meter.clone());
     let body = match read_answer(&state.body_memory, body, ANSWER_BYTES_MAX).await {
         Ok((blocks, memory)) => BufferedBody::new(blocks, memory),
@@ -203,6 +216,16 @@
         Err(BodyReadError::TooLarge) => return broken("answer-too-large"),
         Err(BodyReadError::Cut | BodyReadError::TooSlow) => return broken("cut-in-answer"),
     };
+    // Without a length, an answer ends with its connection. The target may have closed it in the middle of an upload, and
+    // then the end says nothing about the answer.
+    if is_unframed
+        && parts.status.is_success()
+        && !connection
+            .has_ended_cleanly(POOL_RETURN_TIMEOUT.min(time_left()))
+            .await
+    {
+        return broken("ended-before-request");
+    }
     let keep_alive = headers::keep_alive(&parts.headers);
     let outcome = ExchangeOutcome {
         signals,
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 )]
 
 mod configuration;
+mod early_answers;
 mod metrics;
 mod peers;
 mod pipelining;
