Exchange heartbeat counters in place of whole records

Cause: the answer to each gossip exchange held the record of every known host, so that each host sent and received bytes in proportion to the fleet every second, most of them to other zones. A removed record was also taken back as a new one from a host that removed it later. Removed records are remembered for 60 s.

--- a/crates/gateway/src/peer_service.rs
+++ b/crates/gateway/src/peer_service.rs
@@ -11,6 +11,7 @@
 use chicorycroft_peer::prelude::*;
 
 use crate::{
+    gossip_loop,
     permit_relay,
     permit_service,
     state::GatewayState, //
@@ -30,11 +31,12 @@
     };
     match message {
         GatewayMessage::Gossip(records) => {
-            let now = state.now();
-            for record in records {
-                state.gossip.merge(record, now);
-            }
-            PeerMessage::Gateway(GatewayMessage::Gossip(state.gossip.records()))
+            let records = gossip_loop::answer_records(&state, records);
+            PeerMessage::Gateway(GatewayMessage::Gossip(records))
+        }
+        GatewayMessage::GossipBeats(beats) => {
+            let beats = gossip_loop::answer_beats(&state, beats);
+            PeerMessage::Gateway(GatewayMessage::GossipBeats(beats))
         }
         GatewayMessage::Follow(request) => on_follow(&state, request).await,
         GatewayMessage::Admit(request) => {
--- a/crates/membership/src/host_gossip.rs
+++ b/crates/membership/src/host_gossip.rs
@@ -4,6 +4,9 @@
 //! increments every second. An old copy therefore never replaces a newer one, and a host whose counter no longer
 //! increases gets no more requests. The live hosts of a zone are ranked by age, the oldest first; all hosts with
 //! the same records compute the same ranking without exchanging messages.
+//!
+//! Hosts that know each other's records exchange counters only, see [`beat_digest`](crate::beat_digest). The record of a
+//! host that is gone is remembered for a while after its removal, as other hosts may still pass it on.
 
 use std::{
     net::SocketAddr,
@@ -16,11 +19,17 @@
 };
 
 use chicorycroft_core::prelude::*;
+use indexmap::IndexMap;
 use serde::{
     Deserialize,
     Serialize, //
 };
 
+use crate::beat_digest::{
+    MemberBeat,
+    MemberKey, //
+};
+
 /// Time without an increase of its counter after which a host no longer counts as live. A new counter value
 /// reaches all of 48 hosts within three or four rounds of one second.
 const ALIVE_TIMEOUT: Duration = Duration::from_secs(6);
@@ -28,6 +37,10 @@
 /// Time without an increase of the counter after which a record is removed.
 const RECORD_TTL: Duration = Duration::from_secs(8);
 
+/// Time for which a removed record is remembered: several times the difference between the times at which two hosts
+/// remove it, in which they would pass it back and forth.
+const REMOVAL_MEMORY: Duration = Duration::from_secs(60);
+
 /// Shortest time for which a host that did not answer a request is suspected and gets no further requests.
 const SUSPICION_MIN: Duration = Duration::from_secs(3);
 
@@ -58,6 +71,23 @@
 }
 
 impl KnownMember {
+    fn version(&self) -> (HostIncarnation, u64) {
+        (self.record.incarnation, self.record.beat)
+    }
+
+    /// Takes over a later record.
+    fn update(&mut self, record: MemberRecord, now: MonoTime) {
+        let is_restarted = record.incarnation != self.record.incarnation;
+        let is_cleared = self.suspected.is_some_and(|(beat, at)| {
+            is_restarted || record.beat > beat + 1 && now.since(at) >= SUSPICION_MIN
+        });
+        if is_cleared {
+            self.suspected = None;
+        }
+        self.record = record;
+        self.updated_at = now;
+    }
+
     fn is_alive(&self, now: MonoTime) -> bool {
         let is_recent = now.since(self.updated_at) < ALIVE_TIMEOUT;
         is_recent && !self.record.is_leaving && self.suspected.is_none()
@@ -71,6 +101,14 @@
     beat: AtomicU64,
     is_leaving: AtomicBool,
     members: ShardMap<HostId, KnownMember>,
+    removed: ShardMap<HostId, RemovedMember>,
+}
+
+/// The latest record of a host that was removed.
+#[derive(Clone, Copy, Debug)]
+struct RemovedMember {
+    version: (HostIncarnation, u64),
+    at: MonoTime,
 }
 
 impl HostGossip {
@@ -81,6 +119,7 @@
             is_leaving: AtomicBool::new(false),
             own,
             members: ShardMap::new(),
+            removed: ShardMap::new(),
         }
     }
 
@@ -96,8 +135,17 @@
     /// Increments the counter of this host, and removes records that were not updated for 8 s.
     pub fn advance(&self, now: MonoTime) {
         self.beat.fetch_add(1, Ordering::Relaxed);
-        self.members
-            .retain(|_, known| now.since(known.updated_at) < RECORD_TTL);
+        let removed = &self.removed;
+        self.members.retain(|host, known| {
+            let is_kept = now.since(known.updated_at) < RECORD_TTL;
+            if !is_kept {
+                let version = known.version();
+                removed.insert(host.clone(), RemovedMember { version, at: now });
+            }
+            is_kept
+        });
+        self.removed
+            .retain(|_, removed| now.since(removed.at) < REMOVAL_MEMORY);
     }
 
     /// Marks this host as stopping in the record that other hosts receive.
@@ -106,31 +154,74 @@
         self.beat.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Merges a record received from another host. It is ignored unless it is newer than the known one.
+    /// Merges a record received from another host. It is ignored unless it is newer than the known one or the one that was
+    /// removed last.
     pub fn merge(&self, record: MemberRecord, now: MonoTime) {
         if record.host == self.own.host {
             return;
         }
+        let version = (record.incarnation, record.beat);
+        let removed = self.removed.with(&record.host, |removed| removed.version);
+        if removed.is_some_and(|removed| version <= removed) {
+            return;
+        }
         let create = || KnownMember {
             record: record.clone(),
             updated_at: now,
             suspected: None,
         };
         self.members.with_or_insert(&record.host, create, |known| {
-            let version = |record: &MemberRecord| (record.incarnation, record.beat);
-            if version(&record) <= version(&known.record) {
+            if version > known.version() {
+                known.update(record.clone(), now);
+            }
+        });
+    }
+
+    /// Returns the counters of this host and of the hosts whose counters increased last, `count_max` at most.
+    pub fn beats(&self, count_max: usize) -> Vec<MemberBeat> {
+        let mut latest = Vec::new();
+        self.members
+            .for_each(|_, known| latest.push((known.updated_at, MemberBeat::from(&known.record))));
+        latest.sort_by(|(a, _), (b, _)| b.cmp(a));
+        let others = latest.into_iter().map(|(_, beat)| beat);
+        let own = MemberBeat::from(&self.own());
+        std::iter::once(own).chain(others).take(count_max).collect()
+    }
+
+    /// Merges counters received from another host, and returns the keys of processes that this host has no record of.
+    pub fn merge_beats(&self, beats: &[MemberBeat], now: MonoTime) -> Vec<MemberKey> {
+        let mut unknown: IndexMap<MemberKey, MemberBeat> =
+            beats.iter().map(|beat| (beat.key, *beat)).collect();
+        unknown.swap_remove(&MemberBeat::from(&self.own()).key);
+        self.members.for_each(|_, known| {
+            let Some(beat) = unknown.swap_remove(&MemberBeat::from(&known.record).key) else {
                 return;
+            };
+            if beat.beat > known.record.beat {
+                let record = MemberRecord {
+                    beat: beat.beat,
+                    is_leaving: beat.is_leaving,
+                    ..known.record.clone()
+                };
+                known.update(record, now);
             }
-            let is_restarted = record.incarnation != known.record.incarnation;
-            let is_cleared = known.suspected.is_some_and(|(beat, at)| {
-                is_restarted || record.beat > beat + 1 && now.since(at) >= SUSPICION_MIN
-            });
-            if is_cleared {
-                known.suspected = None;
+        });
+        self.removed.for_each(|host, removed| {
+            let (incarnation, removed_beat) = removed.version;
+            let key = MemberKey::new(host, incarnation);
+            let is_old = |beat: &MemberBeat| beat.beat <= removed_beat;
+            if unknown.get(&key).is_some_and(is_old) {
+                unknown.swap_remove(&key);
             }
-            known.record = record.clone();
-            known.updated_at = now;
         });
+        unknown.into_keys().collect()
+    }
+
+    /// Returns the records of processes, as far as this host knows them.
+    pub fn records_of(&self, keys: &[MemberKey]) -> Vec<MemberRecord> {
+        let mut records = self.records();
+        records.retain(|record| keys.contains(&MemberBeat::from(record).key));
+        records
     }
 
     /// Records that a host answered a request, which clears a suspicion.
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -6,12 +6,14 @@
 //! - [`entry`]: the record of one peer.
 //! - [`table`]: all peers, with the rules for contact, isolation and live hosts.
 //! - [`initiator`]: which host of a pair initiates the heartbeats.
+//! - [`beat_digest`]: heartbeat counters of hosts in a short form.
 //! - [`host_gossip`]: membership by gossip, for deployments without a published list of hosts.
 //! - [`plan`]: which peers get heartbeats, and which hosts read the platform.
 //! - [`pause`]: detects pauses of the process or the machine.
 //!
 //! This crate does not read clocks or send messages; callers pass in times and messages.
 
+pub mod beat_digest;
 pub mod entry;
 pub mod host_gossip;
 pub mod initiator;
@@ -25,6 +27,10 @@
 /// The most commonly used items of this crate.
 pub mod prelude {
     pub use crate::{
+        beat_digest::{
+            MemberBeat,
+            MemberKey, //
+        },
         entry::{
             HeartbeatHeader,
             HeartbeatId,
--- a/crates/membership/tests/host_gossip.rs
+++ b/crates/membership/tests/host_gossip.rs
@@ -96,3 +96,62 @@
     gossip.merge(leaving, at(100));
     assert_eq!(ranked(&gossip, at(100)), ["own"]);
 }
+
+/// Guards against a dead host that stays in the fleet, because hosts that remove its record at different times pass it back
+/// and forth.
+#[test]
+fn removed_record_is_not_taken_back_from_a_host_that_still_has_it() {
+    let hosts = ["a", "b"].map(|name| HostGossip::new(record(name, 20, 1)));
+    let dead = record("dead", 10, 7);
+    hosts[0].merge(dead.clone(), at(0));
+    hosts[1].merge(dead.clone(), at(3000));
+    for second in 3..30 {
+        let now = at(second * 1000);
+        for (here, there) in [(0, 1), (1, 0)] {
+            hosts[here].advance(now);
+            for sent in hosts[here].records() {
+                hosts[there].merge(sent, now);
+            }
+        }
+    }
+    for host in &hosts {
+        assert_eq!(host.known_count(), 2);
+    }
+    let restarted = record("dead", 11, 1);
+    hosts[0].merge(restarted, at(31_000));
+    assert_eq!(hosts[0].known_count(), 3);
+}
+
+/// Guards against hosts whose counters do not reach each other, and against records that are sent although both hosts
+/// have them.
+#[test]
+fn counters_renew_known_records_and_name_unknown_ones() {
+    let [sender, receiver] = ["a", "b"].map(|name| HostGossip::new(record(name, 20, 1)));
+    for (beat, host) in [(5, &sender), (3, &receiver)] {
+        host.merge(record("known", 10, beat), at(0));
+    }
+    sender.merge(record("new", 30, 1), at(0));
+    let unknown = receiver.merge_beats(&sender.beats(8), at(5000));
+    // The receiver knows neither the sender nor the new host.
+    let names: Vec<_> = sender.records_of(&unknown);
+    let mut names: Vec<_> = names.iter().map(|record| record.host.as_str()).collect();
+    names.sort_unstable();
+    assert_eq!(names, ["a", "new"]);
+    assert_eq!(ranked(&receiver, at(10_000)), ["known", "b"]);
+    assert_eq!(ranked(&sender, at(10_000)), ["a"]);
+    for record in sender.records_of(&unknown) {
+        receiver.merge(record, at(5000));
+    }
+    assert!(receiver.merge_beats(&sender.beats(8), at(5000)).is_empty());
+}
+
+/// Guards against a counter that does not pass on in a fleet with more hosts than a message has counters.
+#[test]
+fn latest_counters_go_first() {
+    let gossip = HostGossip::new(record("own", 20, 1));
+    for (number, millis) in [(1, 100), (2, 300), (3, 200)] {
+        gossip.merge(record(&format!("host-{number}"), 10, number), at(millis));
+    }
+    let beats: Vec<u64> = gossip.beats(3).iter().map(|beat| beat.beat).collect();
+    assert_eq!(beats, [1, 2, 3]);
+}
--- a/crates/peer/src/format_v3.rs
+++ b/crates/peer/src/format_v3.rs
@@ -265,6 +265,8 @@
             GatewayMessage::Admitted(answer) => Self::Admitted(answer.into()),
             GatewayMessage::Release(notice) => Self::Release(notice.clone()),
             GatewayMessage::Relayed(call) => Self::Relayed(call.into()),
+            // A host of this version exchanges records only.
+            GatewayMessage::GossipBeats(beats) => Self::Gossip(vec![beats.member.clone()]),
         }
     }
 }
--- a/crates/peer/src/gateway.rs
+++ b/crates/peer/src/gateway.rs
@@ -66,6 +66,19 @@
     pub follower_count: u32,
 }
 
+/// Heartbeat counters that two hosts exchange, and the records that one of them lacks. The answer has the same form.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct GossipBeats {
+    /// The host that sends the message.
+    pub member: MemberRecord,
+    /// Counters of the hosts that it knows.
+    pub beats: Vec<MemberBeat>,
+    /// Records that the other host asked for.
+    pub records: Vec<MemberRecord>,
+    /// Processes whose records the sender lacks.
+    pub wanted: Vec<MemberKey>,
+}
+
 /// A message between gateway hosts.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum GatewayMessage {
@@ -84,6 +97,8 @@
     Release(ReleaseNotice),
     /// A call that a host relays to the dispatcher that it follows.
     Relayed(RelayedCall),
+    /// Counters of hosts; the answer contains the receiver's counters.
+    GossipBeats(GossipBeats),
 }
 
 /// A relayed call. The receiver never relays it again.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -48,6 +48,7 @@
             FollowAnswer,
             FollowRequest,
             GatewayMessage,
+            GossipBeats,
             RelayedCall, //
         },
         heartbeat::{
