Decide about zones by the loads of their pools

Cause: A host knew the load of another zone only by asking it, so that each refused request asked the dispatchers of all zones in turn, and requests waited in the first busy zone whatever the others expected.

Change: `PoolLoad` tells free slots, waiting requests, completions and expected waits by priority of a pool.

A dispatcher whose slots hang states too short a wait until eight requests completed; one request of each burst waits there in vain.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -24,6 +24,7 @@
         PoolAnswer,
         QueueChange, //
     },
+    pool_load::PoolLoad,
     service_pool::ServicePool,
     target_slots::ReleaseEffect,
     team_bucket::TeamBucket,
@@ -135,6 +136,17 @@
         answer
     }
 
+    /// Returns the load of the pool of a service in a zone; `None` if no request for it has arrived yet.
+    pub fn load(
+        &self,
+        service: &ServiceId,
+        zone: Option<&ZoneId>,
+        now: MonoTime,
+    ) -> Option<PoolLoad> {
+        let key = (service.clone(), zone.cloned());
+        self.pools.with(&key, |pool| pool.load(now))
+    }
+
     /// Releases a permit and serves the queue of its pool. The first value tells what the release changed about the
     /// target.
     pub fn release(&self, notice: &ReleaseNotice, now: MonoTime) -> (ReleaseEffect, QueueChange) {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,11 +11,16 @@
 //! - [`target_slots`]: the concurrency limit of one target.
 //! - [`waiting_queue`]: requests that wait for a slot.
 //! - [`pool_answer`]: the decisions of a pool.
+//! - [`pool_load`]: the load of a pool.
 //! - [`service_pool`]: the targets of a service in a zone, and target selection.
 //! - [`retry_terms`]: the retry budget of one dispatcher.
 //! - [`team_bucket`]: the rate and burst of a team over all dispatchers.
 //! - [`dispatcher`]: combines pools, buckets and budgets for all services and teams.
 //! - [`time_budget`]: deadlines, queue waits and hedging delays.
+//! - [`zone_loads`]: the loads of all pools as one host knows them.
+//! - [`wait_choice`]: the zone in which a request waits.
+//! - [`zone_order`]: the order in which a host asks the zones.
+//! - [`zone_door`]: refusal of requests that no zone could serve in time.
 //!
 //! The crate does no I/O and reads no clock: callers pass the current time.
 
@@ -28,13 +33,18 @@
 pub mod messages;
 pub mod pacer;
 pub mod pool_answer;
+pub mod pool_load;
 pub mod retry_terms;
 pub mod service_pool;
 pub mod target_limit;
 pub mod target_slots;
 pub mod team_bucket;
 pub mod time_budget;
+pub mod wait_choice;
 pub mod waiting_queue;
+pub mod zone_door;
+pub mod zone_loads;
+pub mod zone_order;
 
 /// The most commonly used items of this crate.
 pub mod prelude {
@@ -49,6 +59,7 @@
             AttemptResult,
             DispatchGrant,
             PermitNumber,
+            PermitReply,
             ReleaseNotice,
             TeamUsage,
             TicketNumber,
@@ -58,6 +69,12 @@
             PoolAnswer,
             QueueChange, //
         },
+        pool_load::{
+            PoolLoad,
+            PriorityWait,
+            SlotTotal,
+            WaitingCount, //
+        },
         retry_terms::retry_terms,
         target_limit::{
             LimitState,
@@ -69,5 +86,23 @@
             TimeBudget,
             hedge_delay, //
         },
+        wait_choice::WaitChoice,
+        zone_door::{
+            DoorAnswer,
+            DoorRefusal,
+            DoorRequest,
+            body_time, //
+        },
+        zone_loads::{
+            ORDER_PERIOD,
+            REFUSAL_PERIOD,
+            ZoneLoads,
+            ZoneView, //
+        },
+        zone_order::{
+            BodyLength,
+            OrderTerms,
+            away_margin, //
+        },
     };
 }
--- a/crates/dispatch/src/messages.rs
+++ b/crates/dispatch/src/messages.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     evidence::TargetTrust,
+    pool_load::PoolLoad,
     target_limit::LimitState, //
 };
 
@@ -122,6 +123,22 @@
     NoBudget,
 }
 
+/// Answer of a dispatcher with the load of the pool that it decided for.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PermitReply {
+    /// The answer.
+    pub answer: AdmitAnswer,
+    /// Load after the answer; `None` from a dispatcher of an earlier format version, or without a pool.
+    pub load: Option<PoolLoad>,
+}
+
+impl From<AdmitAnswer> for PermitReply {
+    /// Creates a reply without a load.
+    fn from(answer: AdmitAnswer) -> Self {
+        Self { answer, load: None }
+    }
+}
+
 /// How an attempt at a target ended.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum AttemptResult {
--- a/crates/dispatch/src/service_pool.rs
+++ b/crates/dispatch/src/service_pool.rs
@@ -41,11 +41,11 @@
 
 /// Multiple of the mean latency after which an open request makes its target doubtful. Fewer than one ordinary
 /// request in a hundred takes longer.
-const STUCK_FACTOR: u32 = 3;
+pub(crate) const STUCK_FACTOR: u32 = 3;
 
 /// Time without a request after which a host tries a target that it has an idle connection to. The platform asks
 /// that most healthy targets get a request within two seconds while others fail.
-const TRIAL_IDLE_CONNECTED: Duration = Duration::from_millis(1000);
+pub(crate) const TRIAL_IDLE_CONNECTED: Duration = Duration::from_millis(1000);
 
 /// Time without a request after which any host tries a target. It is longer than [`TRIAL_IDLE_CONNECTED`], as a
 /// trial without an idle connection costs a new one.
@@ -61,11 +61,11 @@
 
 /// Fraction of failed attempts from which many requests fail: somewhat less than the tenth from which the platform
 /// checks, as each dispatcher sees the failures of its own zone only.
-const FAILING_RATIO_MIN: CapacityRatio = CapacityRatio::from_mille(90);
+pub(crate) const FAILING_RATIO_MIN: CapacityRatio = CapacityRatio::from_mille(90);
 
 /// Fraction of a pool that may be blocked. Beyond it, blocked targets get requests again, so that the rest
 /// does not carry the whole load.
-const BLOCKED_RATIO_MAX: CapacityRatio = CapacityRatio::from_mille(400);
+pub(crate) const BLOCKED_RATIO_MAX: CapacityRatio = CapacityRatio::from_mille(400);
 
 /// Age up to which a good answer is fresh. A third of the targets begin a gray failure within nine seconds, so a
 /// target with a good answer of this age has failed since in one of twenty cases, and with one that is three
@@ -83,20 +83,20 @@
 /// The targets of one service in one zone.
 #[derive(Clone, Debug)]
 pub struct ServicePool {
-    targets: IndexMap<TargetId, TargetSlots>,
-    queue: WaitingQueue,
+    pub(crate) targets: IndexMap<TargetId, TargetSlots>,
+    pub(crate) queue: WaitingQueue,
     /// Requests in flight, for fair queueing.
     open_requests: IndexMap<PermitNumber, OpenRequest>,
     /// Moving average over the good answers.
-    mean_latency: Duration,
+    pub(crate) mean_latency: Duration,
     cold_rate: RequestRate,
-    share: FleetShare,
+    pub(crate) share: FleetShare,
     /// Digest of the directory that the targets were last taken from.
     directory_digest: Option<ContentDigest>,
     /// Arrival of the last idempotent request.
     idempotent_at: Option<MonoTime>,
-    completions: CompletionWindow,
-    failures: FailureWindow,
+    pub(crate) completions: CompletionWindow,
+    pub(crate) failures: FailureWindow,
 }
 
 /// Sort key of a target for a request; the lowest is selected.
@@ -233,7 +233,7 @@
     /// Returns the expected time until a request of this priority gets a slot: the longer one of the estimates by
     /// the number of slots and by the requests that completed in the last second, if these are enough. Blocked and
     /// cold targets do not count, as they serve next to nothing.
-    fn expected_wait(&self, priority: u8, now: MonoTime) -> Duration {
+    pub(crate) fn expected_wait(&self, priority: u8, now: MonoTime) -> Duration {
         let serving = self.targets.values().filter(|target| {
             !target.is_cold(now) && target.evidence().trust(now) != TargetTrust::Blocked
         });
--- a/crates/dispatch/tests/dispatcher/main.rs
+++ b/crates/dispatch/tests/dispatcher/main.rs
@@ -15,3 +15,5 @@
 mod time_budget;
 mod trials;
 mod waiting;
+mod zone_fleet;
+mod zone_loads;
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -14,3 +14,4 @@
 mod requests;
 mod stops;
 mod test_gateway;
+mod zone_loads;
