Use the loads of zones in the gateway

Cause: Refused requests cost four to six calls in three zones, waited in the first busy zone, and had their whole body read before anyone asked for a slot.

Change: `GatewayMessage::Admitted` carries `PermitReply`, the answer with the load of the pool; format versions 2 and 3 have none. The search leaves out zones that were full within 250 ms, waits in the zone that is expected to serve first, and tries the next one while time is left. Requests are refused at the door, those with a body of known length before it is read: the connection is then closed as after other early refusals. `peers::host_that_is_not_the_dispatcher_relays_permit_requests` expects the new message and a load with it.

Of 4 heads with a body of 360 KB during overload, at least 3 are refused before the body.

Conclusion: A cut zone has no load and so opens the door of all hosts, as the design wants; calls are then saved by the order alone.

--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -33,6 +33,7 @@
     },
     request,
 };
+use http_body::Body;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use rand::RngExt;
@@ -46,6 +47,10 @@
         read_body, //
     },
     exchange::OutgoingRequest,
+    load_view::{
+        ZONES_FULL,
+        ask_door, //
+    },
     request_attempts::{
         RequestAttempts,
         RequestOutcome,
@@ -259,6 +264,40 @@
     }
 }
 
+/// Decision about a request whose body has not been read.
+struct BodyDoor<'a> {
+    service: &'a ServiceId,
+    team: Option<&'a TeamId>,
+    priority: u8,
+    wait: Duration,
+}
+
+impl BodyDoor<'_> {
+    /// Refuses a request that no zone can serve even after its body has arrived, and returns whether it is a sample. A
+    /// body without a length is read first, because slots may be free by its end.
+    fn ask(&self, state: &GatewayState, body: &Incoming, id: &str) -> Result<bool, RequestRefusal> {
+        let Some(length) = body.size_hint().exact().filter(|length| *length > 0) else {
+            return Ok(false);
+        };
+        let request = DoorRequest {
+            service: self.service,
+            team: self.team,
+            priority: self.priority,
+            wait: self.wait,
+            body_time: body_time(length),
+        };
+        match ask_door(state, &request, id) {
+            DoorAnswer::Open => Ok(false),
+            DoorAnswer::Sample => Ok(true),
+            DoorAnswer::Refused(refusal) => Err(RequestRefusal {
+                answer: RefusalAnswer::Unavailable,
+                retry_after: Some(refusal.expected_wait),
+                reason: ZONES_FULL,
+            }),
+        }
+    }
+}
+
 /// Routes a request, authenticates its key and reads its body. The returned permit holds the memory of the
 /// body.
 async fn plan_request(
@@ -290,6 +329,13 @@
     let service = destination_of(route, id.map_or("", SmolStr::as_str));
     let service = service.ok_or_else(|| refuse(RefusalAnswer::Unavailable, "no-destination"))?;
     let (priority, team) = (index.priority(route, team), team.cloned());
+    let door = BodyDoor {
+        service,
+        team: team.as_ref(),
+        priority,
+        wait: budget.wait_max(route.objective),
+    };
+    let is_sample = door.ask(state, &body, id.map_or("-", SmolStr::as_str))?;
     let limits = index.config().limits();
     let body_max = limits.body_bytes_max;
     let read = read_body(&state.body_memory, body, body_max, budget.left).await;
@@ -305,6 +351,7 @@
             attempts_max: route.attempts_max,
             objective: route.objective,
             deadline,
+            is_sample,
             outgoing: build_outgoing(parts, body, team),
         },
         memory,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,8 @@
 //! - [`body_blocks`]: the bytes of a body in blocks.
 //! - [`body_buffer`]: buffers the bodies of requests and answers within a memory limit.
 //! - [`request_attempts`]: runs the attempts of one request, including retries and hedges.
+//! - `target_search`: search of a request for a target with a free slot.
+//! - `load_view`: uses the loads that dispatchers return.
 //! - `zone_search`: collects the answers of the zones while a request looks for a target.
 //! - [`permit_client`]: obtains permits from dispatchers and releases them.
 //! - [`exchange`]: sends one attempt to a target and reads the response.
@@ -48,6 +50,7 @@
 pub mod gossip_loop;
 pub mod host;
 pub mod ingress;
+mod load_view;
 pub mod metrics;
 pub mod peer_calls;
 pub mod peer_service;
@@ -61,6 +64,7 @@
 pub mod store_cache;
 pub mod store_loop;
 pub mod store_reader;
+mod target_search;
 mod target_signals;
 pub mod task_supervisor;
 mod zone_search;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -5,6 +5,7 @@
 use chicorycroft_directory::prelude::*;
 use prometheus::{
     Encoder,
+    Histogram,
     HistogramOpts,
     HistogramVec,
     IntCounter,
@@ -24,6 +25,9 @@
 /// Upper bounds of the buckets for the age of the copy of the store, in seconds. The platform's bounds are 2 to 3 s.
 const COPY_AGE_BUCKETS: [f64; 9] = [0.1, 0.25, 0.5, 0.75, 1.0, 1.25, 1.5, 2.0, 2.5];
 
+/// Upper bounds of the buckets for the age of a load, in seconds. Refusals use loads of up to 0.25 s.
+const LOAD_AGE_BUCKETS: [f64; 6] = [0.01, 0.025, 0.05, 0.1, 0.15, 0.25];
+
 /// All metrics of a gateway process.
 #[derive(Debug)]
 pub struct GatewayMetrics {
@@ -35,6 +39,9 @@
     copy_age: HistogramVec,
     config_version: IntGauge,
     refused_documents: IntCounter,
+    door_refusals: IntCounter,
+    calls_saved: IntCounterVec,
+    load_age: Histogram,
 }
 
 impl GatewayMetrics {
@@ -85,6 +92,22 @@
                 "gateway_documents_refused_total",
                 "Documents of the store that could not be decoded, counted at each read.",
             )?,
+            door_refusals: IntCounter::new(
+                "gateway_door_refusals_total",
+                "Requests refused by the loads of the zones, without a call.",
+            )?,
+            calls_saved: counter(
+                "gateway_permit_calls_saved_total",
+                "Calls to dispatchers that the loads of the zones made needless, by reason.",
+                "reason",
+            )?,
+            load_age: Histogram::with_opts(
+                HistogramOpts::new(
+                    "gateway_zone_load_age_seconds",
+                    "Age of the load of a full zone when it decided about a request.",
+                )
+                .buckets(LOAD_AGE_BUCKETS.to_vec()),
+            )?,
         };
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.requests.clone()))?;
@@ -94,6 +117,9 @@
         registry.register(Box::new(metrics.copy_age.clone()))?;
         registry.register(Box::new(metrics.config_version.clone()))?;
         registry.register(Box::new(metrics.refused_documents.clone()))?;
+        registry.register(Box::new(metrics.door_refusals.clone()))?;
+        registry.register(Box::new(metrics.calls_saved.clone()))?;
+        registry.register(Box::new(metrics.load_age.clone()))?;
         Ok(metrics)
     }
 
@@ -114,6 +140,22 @@
         self.permits.with_label_values(&[answer]).inc();
     }
 
+    /// Counts a request that the loads of the zones refused.
+    pub fn on_door_refusal(&self) {
+        self.door_refusals.inc();
+    }
+
+    /// Counts calls to dispatchers that were not made.
+    pub fn on_calls_saved(&self, reason: &str, count: usize) {
+        let calls = self.calls_saved.with_label_values(&[reason]);
+        calls.inc_by(count as u64);
+    }
+
+    /// Records the age of the load of a full zone when a decision used it.
+    pub fn on_load_use(&self, age: Duration) {
+        self.load_age.observe(age.as_secs_f64());
+    }
+
     /// Records the age of a part of the copy of the store when a decision used it.
     pub fn on_copy_use(
         &self,
--- a/crates/gateway/src/peer_service.rs
+++ b/crates/gateway/src/peer_service.rs
@@ -38,12 +38,12 @@
         }
         GatewayMessage::Follow(request) => on_follow(&state, request).await,
         GatewayMessage::Admit(request) => {
-            let answer = permit_relay::admit(&state, &request).await;
-            PeerMessage::Gateway(GatewayMessage::Admitted(answer))
+            let reply = permit_relay::admit(&state, &request).await;
+            PeerMessage::Gateway(GatewayMessage::Admitted(reply))
         }
         GatewayMessage::Relayed(RelayedCall::Admit(request)) => {
-            let answer = permit_service::admit(&state, &request).await;
-            PeerMessage::Gateway(GatewayMessage::Admitted(answer))
+            let reply = permit_service::admit(&state, &request).await;
+            PeerMessage::Gateway(GatewayMessage::Admitted(reply))
         }
         GatewayMessage::Release(notice) => {
             permit_relay::release(&state, notice);
--- a/crates/gateway/src/permit_client.rs
+++ b/crates/gateway/src/permit_client.rs
@@ -13,6 +13,7 @@
 use smol_str::SmolStr;
 
 use crate::{
+    load_view::record_reply,
     peer_calls::{
         call_member,
         notify, //
@@ -210,8 +211,10 @@
     state: &Arc<GatewayState>,
     request: &AdmitRequest,
 ) -> PermitAnswer {
-    let answer = permit_service::admit(state, request).await;
-    accept_answer(state, request, PermitSource::Local, answer)
+    let sent_at = state.now();
+    let reply = permit_service::admit(state, request).await;
+    record_reply(state, request, &reply, sent_at);
+    accept_answer(state, request, PermitSource::Local, reply.answer)
 }
 
 /// Requests a permit from the dispatcher of a zone, or from the next host in rank if it does not answer.
@@ -231,14 +234,18 @@
             0 => request.wait() + ANSWER_LIMIT,
             _ => request.wait() + 2 * ANSWER_LIMIT,
         };
+        let sent_at = state.now();
         match call_member(state, &member, message, limit).await {
-            Ok(GatewayMessage::Admitted(answer)) => {
-                return accept_answer(state, request, PermitSource::Remote(member), answer);
+            Ok(GatewayMessage::Admitted(reply)) => {
+                record_reply(state, request, &reply, sent_at);
+                let source = PermitSource::Remote(member);
+                return accept_answer(state, request, source, reply.answer);
             }
             Ok(_) => log::warn!("event=peer_answer_unexpected host={}", member.host),
             // `call_member` has logged the loss of the host; the next host is tried.
             Err(_) => {}
         }
     }
+    state.zone_loads.record_silence(zone, state.now());
     PermitAnswer::NoAnswer
 }
--- a/crates/gateway/src/permit_relay.rs
+++ b/crates/gateway/src/permit_relay.rs
@@ -24,18 +24,18 @@
 
 /// Answers a permit request. The dispatcher that this host follows decides, or this host itself if it is the
 /// dispatcher or gets no answer.
-pub async fn admit(state: &Arc<GatewayState>, request: &AdmitRequest) -> AdmitAnswer {
+pub async fn admit(state: &Arc<GatewayState>, request: &AdmitRequest) -> PermitReply {
     if let Some(dispatcher) = state.remote_dispatcher() {
         let message = GatewayMessage::Relayed(RelayedCall::Admit(request.clone()));
         let limit = request.wait() + ANSWER_LIMIT;
         match call_member(state, &dispatcher, message, limit).await {
-            Ok(GatewayMessage::Admitted(answer)) => {
+            Ok(GatewayMessage::Admitted(reply)) => {
                 log::info!(
                     "event=permit_relayed id={} dispatcher={}",
                     request.request,
                     dispatcher.host
                 );
-                return answer;
+                return reply;
             }
             Ok(_) => log::warn!("event=peer_answer_unexpected host={}", dispatcher.host),
             // `call_member` has logged the loss of the host; this host decides.
--- a/crates/gateway/src/permit_service.rs
+++ b/crates/gateway/src/permit_service.rs
@@ -41,8 +41,15 @@
     }
 }
 
-/// Answers a permit request. Waits for a slot if none is free and the request allows it.
-pub async fn admit(state: &Arc<GatewayState>, request: &AdmitRequest) -> AdmitAnswer {
+/// Answers a permit request with the load of its pool. Waits for a slot if none is free and the request allows it.
+pub async fn admit(state: &Arc<GatewayState>, request: &AdmitRequest) -> PermitReply {
+    let answer = decide(state, request).await;
+    let zone = request.zone.as_ref();
+    let load = state.dispatcher.load(&request.service, zone, state.now());
+    PermitReply { answer, load }
+}
+
+async fn decide(state: &Arc<GatewayState>, request: &AdmitRequest) -> AdmitAnswer {
     let Some(index) = state.store_cache.index() else {
         return AdmitAnswer::NoTarget;
     };
--- a/crates/gateway/src/request_attempts.rs
+++ b/crates/gateway/src/request_attempts.rs
@@ -26,21 +26,15 @@
     },
     permit_client::{
         HeldPermit,
-        PermitAnswer,
-        request_local_permit,
-        request_zone_permit, //
+        PermitAnswer, //
     },
     state::GatewayState,
-    target_signals::record_signals,
-    zone_search::ZoneSearch, //
+    target_signals::record_signals, //
 };
 
 /// Maximum number of attempts started for one request, including those that did not reach their target.
 const STARTED_MAX: u32 = 5;
 
-/// Maximum number of permits of one zone in a row that a request does not use because this host knows better.
-const UNUSABLE_GRANTS_MAX: usize = 3;
-
 /// Properties of a request that do not change between attempts.
 #[derive(Clone, Debug)]
 pub struct RequestPlan {
@@ -60,6 +54,8 @@
     pub objective: Duration,
     /// Time at which the request is abandoned.
     pub deadline: MonoTime,
+    /// Whether the dispatchers are asked although the loads of the zones refuse the request.
+    pub is_sample: bool,
     /// The request that is sent to targets.
     pub outgoing: OutgoingRequest,
 }
@@ -76,8 +72,8 @@
 /// State of the attempts of one request.
 #[derive(Debug)]
 pub struct RequestAttempts {
-    state: Arc<GatewayState>,
-    plan: RequestPlan,
+    pub(crate) state: Arc<GatewayState>,
+    pub(crate) plan: RequestPlan,
     tried: Vec<TargetId>,
     sent_count: u32,
     started_count: u32,
@@ -88,13 +84,13 @@
 }
 
 /// Refusal of a request whose permit cannot be used.
-const BUSY_ANSWER: AdmitAnswer = AdmitAnswer::Busy {
+pub(crate) const BUSY_ANSWER: AdmitAnswer = AdmitAnswer::Busy {
     retry_millis: 0,
     has_less_trusted: false,
 };
 
 /// A permit and the directory entry of its target.
-type PermittedTarget = (HeldPermit, TargetEntry);
+pub(crate) type PermittedTarget = (HeldPermit, TargetEntry);
 
 impl RequestAttempts {
     /// Creates the state of a request that has not been sent.
@@ -129,12 +125,12 @@
         self.proof = self.proof.join(outcome.proof);
     }
 
-    fn budget(&self) -> TimeBudget {
+    pub(crate) fn budget(&self) -> TimeBudget {
         let left = self.plan.deadline.since(self.state.now());
         TimeBudget { left }
     }
 
-    fn admit_request(
+    pub(crate) fn admit_request(
         &self,
         zone: Option<&ZoneId>,
         wait: Duration,
@@ -159,87 +155,17 @@
     }
 
     /// Returns the targets that must not be selected: those already tried and those that this host excludes.
-    fn excluded_targets(&self) -> Vec<TargetId> {
+    pub(crate) fn excluded_targets(&self) -> Vec<TargetId> {
         let directory = self.state.store_cache.directory();
         let mut excluded = self.state.excluded.excluded(&directory, self.state.now());
         excluded.extend(self.tried.iter().cloned());
         excluded
     }
 
-    /// Returns the zones with targets of the service in the order of the search, the local one first.
-    fn zones(&self) -> Vec<ZoneId> {
-        let own = &self.state.settings.zone;
-        let directory = self.state.store_cache.directory();
-        let mut others = directory.zones_of(&self.plan.service);
-        let own = others.shift_take(own);
-        own.into_iter().chain(others).collect()
-    }
-
-    /// Finds a target and obtains a permit for it.
-    ///
-    /// Searches each zone, the local one first, for a target that is neither blocked nor doubtful, then the zones
-    /// that reported less trusted targets with a free slot. If `may_wait` is set, it then waits for a slot in the first
-    /// busy zone. If no dispatcher answered, this host decides with its own dispatcher.
-    async fn find_target(&mut self, may_wait: bool) -> Result<PermittedTarget, AdmitAnswer> {
-        let mut search = ZoneSearch::new(self.zones());
-        let least_trust = TargetTrust::Unknown;
-        for zone in search.zones.clone() {
-            let request = self.admit_request(Some(&zone), Duration::ZERO, least_trust);
-            match self.request_permit(&zone, request, &mut search).await {
-                Err(refusal) if search.continues_after(&zone, &refusal) => {}
-                result => return result,
-            }
-        }
-        for zone in search.less_trusted_zones.clone() {
-            let request = self.admit_request(Some(&zone), Duration::ZERO, TargetTrust::Blocked);
-            match self.request_permit(&zone, request, &mut search).await {
-                Err(refusal) if search.continues_after(&zone, &refusal) => {}
-                result => return result,
-            }
-        }
-        if let Some(zone) = search.busy_zone.clone().filter(|_| may_wait) {
-            let wait = self.budget().wait_max(self.plan.objective);
-            let request = self.admit_request(Some(&zone), wait, TargetTrust::Blocked);
-            return self.request_permit(&zone, request, &mut search).await;
-        }
-        match search.is_unanswered {
-            true => self.find_target_locally().await,
-            false => Err(search.refusal),
-        }
-    }
-
-    /// Requests a permit from the dispatcher of a zone, and again if this host knows better than to use it.
-    async fn request_permit(
-        &mut self,
-        zone: &ZoneId,
-        mut request: AdmitRequest,
-        search: &mut ZoneSearch,
-    ) -> Result<PermittedTarget, AdmitAnswer> {
-        for _ in 0..UNUSABLE_GRANTS_MAX {
-            let answer = request_zone_permit(&self.state, zone, &request).await;
-            search.record(zone, &answer);
-            match self.accept_permit(answer)? {
-                Some(permitted) => return Ok(permitted),
-                None => {
-                    request.tried = self.excluded_targets();
-                    request.charged_team = None;
-                }
-            }
-        }
-        Err(BUSY_ANSWER)
-    }
-
-    /// Obtains a permit from this host's own dispatcher, for use when no other dispatcher answers.
-    async fn find_target_locally(&mut self) -> Result<PermittedTarget, AdmitAnswer> {
-        let request = self.admit_request(None, Duration::ZERO, TargetTrust::Blocked);
-        let answer = request_local_permit(&self.state, &request).await;
-        self.accept_permit(answer)?.ok_or(BUSY_ANSWER)
-    }
-
     /// Returns the target of a granted permit, or `None` if this host knows that the target must not be used: it may
     /// learn that a target leaves before its dispatcher does, and a new dispatcher does not know which targets stated a
     /// rate limit. The release of the permit tells it.
-    fn accept_permit(
+    pub(crate) fn accept_permit(
         &mut self,
         answer: PermitAnswer,
     ) -> Result<Option<PermittedTarget>, AdmitAnswer> {
@@ -273,6 +199,9 @@
 
     /// Sends attempts until one succeeds or no further attempt is allowed.
     pub async fn run(&mut self) -> RequestOutcome {
+        if let Some(refused) = self.ask_door() {
+            return refused;
+        }
         loop {
             let is_first = self.started_count == 0;
             let (permit, entry) = match self.find_target(is_first).await {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -118,6 +118,8 @@
     pub excluded: ExcludedTargets,
     /// Rate limits that targets stated to this host.
     pub stated_limits: StatedLimits,
+    /// Loads of the pools of all zones, as dispatchers returned them.
+    pub zone_loads: ZoneLoads,
     /// Counters and histograms.
     pub metrics: GatewayMetrics,
     /// Memory for bodies of requests and answers.
@@ -163,6 +165,7 @@
             connections: ConnectionPool::new(),
             excluded: ExcludedTargets::new(),
             stated_limits: StatedLimits::new(),
+            zone_loads: ZoneLoads::new(),
             metrics,
             body_memory: BodyMemory::new(body_kib),
             seeds: RwLock::new(settings.seeds.clone()),
--- a/crates/gateway/src/target_search.rs
+++ b/crates/gateway/src/target_search.rs
@@ -37,6 +37,7 @@
             team: self.plan.team.as_ref(),
             priority: self.plan.priority,
             wait: self.budget().wait_max(self.plan.objective),
+            body_time: Duration::ZERO,
         }
     }
 
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -151,7 +151,13 @@
     let address = follower.settings.peer_address;
     let answer = call(state, address, admit, LIMIT).await.unwrap();
     assert!(
-        matches!(answer, GatewayMessage::Admitted(AdmitAnswer::Granted(_))),
+        matches!(
+            &answer,
+            GatewayMessage::Admitted(PermitReply {
+                answer: AdmitAnswer::Granted(_),
+                load: Some(_),
+            })
+        ),
         "{answer:?}"
     );
     assert_eq!(
--- a/crates/gateway/tests/gateway/zone_loads.rs
+++ b/crates/gateway/tests/gateway/zone_loads.rs
@@ -1,13 +1,26 @@
 //! Requests of a service whose slots are all in use, in one zone and in two.
 
-use std::time::Duration;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
 
 use chicorycroft_adapter::prelude::*;
 use chicorycroft_core::prelude::*;
 use chicorycroft_gateway::prelude::*;
 use chicorycroft_platform_standin::prelude::*;
 use futures_util::future::join_all;
-use tokio::time::sleep;
+use tokio::{
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::TcpStream,
+    time::{
+        sleep,
+        timeout, //
+    },
+};
 
 use crate::test_gateway::{
     CallerAnswer,
@@ -108,3 +121,34 @@
     println!("served {served} of 8, {waited} of the 4 that found no slot");
     assert!(waited >= 2, "{waited} of 4 got a slot");
 }
+
+/// Sends the head of a request with a long body, and returns `true` if it is refused before the body is sent.
+async fn is_refused_by_head(address: SocketAddr) -> bool {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let head = "POST /buy/a HTTP/1.1\r\nhost: shop.example\r\nx-request-id: id-2\r\nx-deadline-ms: 3000\r\n\
+                authorization: Bearer key-1\r\ncontent-length: 360000\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut status = [0; 12];
+    let read = timeout(Duration::from_millis(200), stream.read_exact(&mut status)).await;
+    matches!(read, Ok(Ok(_))) && status.ends_with(b"503")
+}
+
+/// Guards against a body that fills the link of a host although the zones have been full for long.
+#[tokio::test]
+async fn long_body_is_not_read_while_all_zones_are_full() {
+    let gateway = TestGateway::new(1).await;
+    gateway.targets[0].set_default_behaviour(answer_after(LONG));
+    let send_heads = async {
+        sleep(Duration::from_millis(400)).await;
+        let address = gateway.host.caller_address();
+        let heads = join_all((0..4).map(|_| is_refused_by_head(address))).await;
+        heads.into_iter().filter(|is_refused| *is_refused).count()
+    };
+    let load = send_spaced(&gateway.host, 100, Duration::from_millis(6));
+    let (_, refused) = tokio::join!(load, send_heads);
+    // One request in eight that the loads refuse is let through.
+    assert!(
+        refused >= 3,
+        "{refused} of 4 were refused before their body"
+    );
+}
--- a/crates/peer/src/format_v2.rs
+++ b/crates/peer/src/format_v2.rs
@@ -265,7 +265,7 @@
                 Self::FollowAnswer(Box::new(answer.as_ref().into()))
             }
             GatewayMessage::Admit(request) => Self::Admit(request.into()),
-            GatewayMessage::Admitted(answer) => Self::Admitted(answer.into()),
+            GatewayMessage::Admitted(reply) => Self::Admitted((&reply.answer).into()),
             GatewayMessage::Release(notice) => Self::Release(notice.into()),
             GatewayMessage::Relayed(call) => Self::Relayed(call.into()),
         }
@@ -281,7 +281,7 @@
                 Self::FollowAnswer(Box::new((*answer).into()))
             }
             GatewayMessageV2::Admit(request) => Self::Admit(request.into()),
-            GatewayMessageV2::Admitted(answer) => Self::Admitted(answer.into()),
+            GatewayMessageV2::Admitted(answer) => Self::Admitted(AdmitAnswer::from(answer).into()),
             GatewayMessageV2::Release(notice) => Self::Release(notice.into()),
             GatewayMessageV2::Relayed(call) => Self::Relayed(call.into()),
         }
--- a/crates/peer/src/format_v3.rs
+++ b/crates/peer/src/format_v3.rs
@@ -262,7 +262,7 @@
                 Self::FollowAnswer(Box::new(answer.as_ref().into()))
             }
             GatewayMessage::Admit(request) => Self::Admit(request.into()),
-            GatewayMessage::Admitted(answer) => Self::Admitted(answer.into()),
+            GatewayMessage::Admitted(reply) => Self::Admitted((&reply.answer).into()),
             GatewayMessage::Release(notice) => Self::Release(notice.clone()),
             GatewayMessage::Relayed(call) => Self::Relayed(call.into()),
         }
@@ -278,7 +278,7 @@
                 Self::FollowAnswer(Box::new((*answer).into()))
             }
             GatewayMessageV3::Admit(request) => Self::Admit(request.into()),
-            GatewayMessageV3::Admitted(answer) => Self::Admitted(answer.into()),
+            GatewayMessageV3::Admitted(answer) => Self::Admitted(AdmitAnswer::from(answer).into()),
             GatewayMessageV3::Release(notice) => Self::Release(notice),
             GatewayMessageV3::Relayed(call) => Self::Relayed(call.into()),
         }
--- a/crates/peer/src/gateway.rs
+++ b/crates/peer/src/gateway.rs
@@ -79,7 +79,7 @@
     /// Request for a permit.
     Admit(AdmitRequest),
     /// Answer to a request for a permit.
-    Admitted(AdmitAnswer),
+    Admitted(PermitReply),
     /// Return of a permit.
     Release(ReleaseNotice),
     /// A call that a host relays to the dispatcher that it follows.
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use chicorycroft_core::prelude::*;
 use chicorycroft_directory::prelude::*;
+use chicorycroft_dispatch::prelude::*;
 use chicorycroft_membership::prelude::*;
 use chicorycroft_peer::{
     codec::MESSAGE_BYTES_MAX,
@@ -454,3 +455,36 @@
     );
     assert_eq!(assembly.wants()[0].offset, 0);
 }
+
+/// Guards against a rolling upgrade during which a dispatcher of the earlier release cannot read an answer with a load, or
+/// in which its own answers are read as if they had one.
+#[test]
+fn answer_of_version_3_has_no_load_in_both_directions() {
+    let message = |load| {
+        let answer = AdmitAnswer::OverRate { retry_millis: 700 };
+        PeerMessage::Gateway(GatewayMessage::Admitted(PermitReply { answer, load }))
+    };
+    let loaded = message(Some(PoolLoad {
+        waiting: WaitingCount::new(7),
+        completions: RequestRate::from_whole(40),
+        next_slot_millis: 25,
+        waits: vec![PriorityWait {
+            priority: 1,
+            wait_millis: 700,
+        }],
+        ..PoolLoad::default()
+    }));
+    let new = PeerCodec::new();
+    assert_eq!(
+        new.decode(&encode(&loaded)).unwrap(),
+        (FormatVersion::V4, loaded.clone())
+    );
+    for earlier in [FormatVersion::V2, FormatVersion::V3] {
+        let old = PeerCodec::with_highest(earlier);
+        let expected = (earlier, message(None));
+        let from_new = new.encode(&loaded, earlier).unwrap();
+        assert_eq!(old.decode(&from_new).unwrap(), expected);
+        let from_old = old.encode(&loaded, earlier).unwrap();
+        assert_eq!(new.decode(&from_old).unwrap(), expected);
+    }
+}
