Queue fairly by team and objective, and keep places for returns

Cause: the queue served strictly by priority and then by the team's open requests, which it counted for each waiting request at each release. It knew no objective, so that callers returned late into the slots of those who could be in time; low priorities got nothing; callers told to return met a queue of newcomers; a retry never waited for a slot. The completion rate counted at most 256 requests, and that of a pool in partial use as the most it can complete. Change: WaitingQueue orders by priority with a floor of one grant in ten, then by team (TeamTurns, start-time fair queueing), then by objective (PriorityLine), in logarithmic time. PoolQueue turns a request away on arrival, or as soon as it can't be served in time; ReturnSchedule gives return times and counts their tickets. PoolPace is the estimate taken out of ServicePool; CompletionWindow counts in buckets and by the part of the slots in use. AdmitRequest states what is left of the objective, Busy the return time; earlier versions map to none and to the expected wait. Retry-After is the return time without jitter, or absent. Retries of idempotent requests wait within the objective. Metrics and lines for operators.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -22,7 +22,8 @@
     },
     pool_answer::{
         PoolAnswer,
-        QueueChange, //
+        QueueChange,
+        QueueTotals, //
     },
     service_pool::ServicePool,
     target_slots::ReleaseEffect,
@@ -163,6 +164,14 @@
         all
     }
 
+    /// Returns what happened in the queues of all pools since their start, and what waits.
+    pub fn queue_totals(&self) -> QueueTotals {
+        let mut totals = QueueTotals::default();
+        self.pools
+            .for_each(|_, pool| totals.add(&pool.queue_totals()));
+        totals
+    }
+
     /// Removes a waiting request from its queue, as its caller has disconnected.
     pub fn cancel(&self, service: &ServiceId, zone: Option<&ZoneId>, ticket: TicketNumber) {
         let key = (service.clone(), zone.cloned());
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,11 @@
 //! - [`target_limit`]: the request rate that a target states.
 //! - [`target_slots`]: the concurrency limit of one target.
 //! - [`waiting_queue`]: requests that wait for a slot.
+//! - [`priority_line`]: requests of one priority that wait.
+//! - [`team_turns`]: fair queueing over teams.
+//! - [`return_schedule`]: return times of refused requests, and the tickets that keep their places.
+//! - [`wait_estimate`]: expected time until a slot is free.
+//! - [`pool_queue`]: which requests wait, and which are turned away.
 //! - [`pool_answer`]: the decisions of a pool.
 //! - [`service_pool`]: the targets of a service in a zone, and target selection.
 //! - [`retry_terms`]: the retry budget of one dispatcher.
@@ -28,12 +33,17 @@
 pub mod messages;
 pub mod pacer;
 pub mod pool_answer;
+pub mod pool_queue;
+pub mod priority_line;
 pub mod retry_terms;
+pub mod return_schedule;
 pub mod service_pool;
 pub mod target_limit;
 pub mod target_slots;
 pub mod team_bucket;
+pub mod team_turns;
 pub mod time_budget;
+pub mod wait_estimate;
 pub mod waiting_queue;
 
 /// The most commonly used items of this crate.
@@ -55,8 +65,10 @@
             whole_millis, //
         },
         pool_answer::{
+            BusyTerms,
             PoolAnswer,
-            QueueChange, //
+            QueueChange,
+            QueueTotals, //
         },
         retry_terms::retry_terms,
         target_limit::{
@@ -67,7 +79,8 @@
         team_bucket::REPORT_VALID_FOR,
         time_budget::{
             TimeBudget,
-            hedge_delay, //
+            hedge_delay,
+            wait_after, //
         },
     };
 }
--- a/crates/dispatch/src/messages.rs
+++ b/crates/dispatch/src/messages.rs
@@ -61,6 +61,9 @@
     pub wait_millis: u32,
     /// Time that the request has left, in milliseconds; its permit expires with it.
     pub left_millis: u32,
+    /// Time until the end of the request's latency objective, in milliseconds, and 0 after it; `None` if its route has
+    /// none.
+    pub objective_millis: Option<u32>,
     /// Targets to which the host holds an idle connection.
     pub connected: Vec<TargetId>,
     /// Least trusted state in which a target is acceptable.
@@ -76,6 +79,12 @@
         Duration::from_millis(self.wait_millis.into())
     }
 
+    /// Returns the time until the end of the latency objective; `None` without one.
+    pub fn objective_left(&self) -> Option<Duration> {
+        let millis = self.objective_millis?;
+        Some(Duration::from_millis(millis.into()))
+    }
+
     /// Returns the time that the request has left.
     pub fn time_left(&self) -> Duration {
         Duration::from_millis(self.left_millis.into())
@@ -110,8 +119,10 @@
     },
     /// No acceptable target has a slot, and none is expected within the wait.
     Busy {
-        /// Time after which a retry may pass, in milliseconds.
+        /// Expected time until a slot is free, in milliseconds.
         retry_millis: u32,
+        /// Time after which the caller may return and has a place kept, in milliseconds; `None` if a return has no use.
+        return_millis: Option<u32>,
         /// Whether a target below the requested trust has a slot.
         #[serde(rename = "has_lesser")]
         has_less_trusted: bool,
--- a/crates/dispatch/src/pool_answer.rs
+++ b/crates/dispatch/src/pool_answer.rs
@@ -1,6 +1,9 @@
 //! What a pool decides about a request, and about those that wait.
 
-use std::time::Duration;
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
 
 use chicorycroft_core::prelude::*;
 
@@ -25,6 +28,8 @@
     Busy {
         /// Expected time until a slot is free.
         expected_wait: Duration,
+        /// Time until a caller may return and has a place kept; `None` if a return has no use.
+        return_after: Option<Duration>,
         /// Whether a target below the requested trust has a slot.
         has_less_trusted: bool,
     },
@@ -34,13 +39,53 @@
     NoTarget,
 }
 
+/// What a request is told that is turned away.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct BusyTerms {
+    /// Expected time until a slot is free.
+    pub expected_wait: Duration,
+    /// Time until a caller may return and has a place kept; `None` if a return has no use.
+    pub return_after: Option<Duration>,
+}
+
+/// What happened in the queues of a dispatcher since its start.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct QueueTotals {
+    /// Requests that wait now, by priority.
+    pub waiting: BTreeMap<u8, u64>,
+    /// Requests that were turned away, on arrival or after a wait.
+    pub refused: u64,
+    /// Requests that waited and were told that they will not be served in time.
+    pub told_late: u64,
+    /// Return tickets that were given.
+    pub given: u64,
+    /// Return tickets that were taken by a request that came when they were due.
+    pub kept: u64,
+    /// Requests that came while their team had tickets of which none was due.
+    pub early: u64,
+}
+
+impl QueueTotals {
+    /// Adds the numbers of another queue.
+    pub fn add(&mut self, other: &Self) {
+        for (priority, count) in &other.waiting {
+            *self.waiting.entry(*priority).or_default() += count;
+        }
+        self.refused += other.refused;
+        self.told_late += other.told_late;
+        self.given += other.given;
+        self.kept += other.kept;
+        self.early += other.early;
+    }
+}
+
 /// Waiting requests that left the queue.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct QueueChange {
     /// Requests that got a slot.
     pub granted: Vec<(TicketNumber, DispatchGrant)>,
-    /// Requests whose wait is over, and the expected time until a slot is free.
-    pub expired: Vec<(TicketNumber, Duration)>,
-    /// Teams that were charged for the requests whose wait is over.
+    /// Requests that will not be served in time, and what they are told.
+    pub expired: Vec<(TicketNumber, BusyTerms)>,
+    /// Teams that were charged for the requests that will not be served in time.
     pub expired_teams: Vec<TeamId>,
 }
--- a/crates/dispatch/src/service_pool.rs
+++ b/crates/dispatch/src/service_pool.rs
@@ -27,13 +27,15 @@
     },
     pool_answer::{
         PoolAnswer,
-        QueueChange, //
+        QueueChange,
+        QueueTotals, //
     },
+    pool_queue::PoolQueue,
     target_slots::{
         ReleaseEffect,
         TargetSlots, //
     },
-    waiting_queue::WaitingQueue,
+    wait_estimate::PoolPace,
 };
 
 /// Assumed mean latency before the first answer.
@@ -72,21 +74,18 @@
 /// seconds old in one of three.
 const FRESH_FOR: Duration = Duration::from_millis(400);
 
-/// A request in flight.
-#[derive(Clone, Debug)]
-struct OpenRequest {
-    team: Option<TeamId>,
-    /// Time at which its permit expires.
-    ends_at: MonoTime,
-}
+/// Most waiting requests that are passed over in turn because no free slot suits them.
+const UNSUITED_MAX: usize = 4;
 
 /// The targets of one service in one zone.
 #[derive(Clone, Debug)]
 pub struct ServicePool {
     targets: IndexMap<TargetId, TargetSlots>,
-    queue: WaitingQueue,
-    /// Requests in flight, for fair queueing.
-    open_requests: IndexMap<PermitNumber, OpenRequest>,
+    queue: PoolQueue,
+    /// Requests in flight, and the time at which their permits expire.
+    open_requests: IndexMap<PermitNumber, MonoTime>,
+    /// Time before which no permit expires.
+    expires_at: MonoTime,
     /// Moving average over the good answers.
     mean_latency: Duration,
     cold_rate: RequestRate,
@@ -148,8 +147,9 @@
     pub fn new() -> Self {
         Self {
             targets: IndexMap::new(),
-            queue: WaitingQueue::new(),
+            queue: PoolQueue::new(),
             open_requests: IndexMap::new(),
+            expires_at: MonoTime::START,
             mean_latency: INITIAL_LATENCY,
             cold_rate: RequestRate::ZERO,
             share: FleetShare::default(),
@@ -209,44 +209,32 @@
         if request.is_idempotent {
             self.idempotent_at = Some(now);
         }
-        // Waiting requests of the same or a higher priority are served first.
-        let is_first = self.queue.ahead_of(request.priority) == 0;
-        if is_first && let Some(grant) = self.try_grant(request, next_number(), now) {
+        if self.queue.is_next(request, now)
+            && let Some(grant) = self.try_grant(request, next_number(), now)
+        {
+            self.queue.record_grant(request, now);
             return PoolAnswer::Granted(grant);
         }
-        let expected_wait = self.expected_wait(request.priority, now);
-        if request.wait_millis == 0 || expected_wait > request.wait() {
-            let any_trust = AdmitRequest {
-                least_trust: TargetTrust::Blocked,
-                ..request.clone()
-            };
-            return PoolAnswer::Busy {
-                expected_wait,
-                has_less_trusted: self.select(&any_trust, now).is_some(),
-            };
+        let (pace, ticket) = (self.pace(now), || TicketNumber::new(next_number()));
+        match self.queue.enter(request, ticket, pace, now) {
+            Ok(ticket) => PoolAnswer::Waiting(ticket),
+            Err(terms) => {
+                let any_trust = AdmitRequest {
+                    least_trust: TargetTrust::Blocked,
+                    ..request.clone()
+                };
+                PoolAnswer::Busy {
+                    expected_wait: terms.expected_wait,
+                    return_after: terms.return_after,
+                    has_less_trusted: self.select(&any_trust, now).is_some(),
+                }
+            }
         }
-        let ticket = TicketNumber::new(next_number());
-        self.queue.push(ticket, request.clone(), now);
-        PoolAnswer::Waiting(ticket)
     }
 
-    /// Returns the expected time until a request of this priority gets a slot: the longer one of the estimates by
-    /// the number of slots and by the requests that completed in the last second, if these are enough. Blocked and
-    /// cold targets do not count, as they serve next to nothing.
-    fn expected_wait(&self, priority: u8, now: MonoTime) -> Duration {
-        let serving = self.targets.values().filter(|target| {
-            !target.is_cold(now) && target.evidence().trust(now) != TargetTrust::Blocked
-        });
-        let rate: f64 = serving
-            .map(|target| target.capacity(self.mean_latency))
-            .sum();
-        let interval = match rate > 0.0 {
-            true => Duration::from_secs_f64(rate.recip()),
-            false => self.mean_latency,
-        };
-        let interval = interval.max(self.completions.mean_interval(now).unwrap_or_default());
-        let ahead = u32::try_from(self.queue.ahead_of(priority)).unwrap_or(u32::MAX);
-        interval.saturating_mul(ahead.saturating_add(1))
+    fn pace(&self, now: MonoTime) -> PoolPace {
+        let targets = self.targets.values();
+        PoolPace::new(targets, &self.completions, self.mean_latency, now)
     }
 
     fn try_grant(
@@ -262,9 +250,9 @@
         let rates = (self.cold_rate, self.share.zone_fraction);
         let ends_at = target.grant(permit, request.time_left(), rates, now);
         let limit = target.limit();
-        let team = request.team.clone();
-        self.open_requests
-            .insert(permit, OpenRequest { team, ends_at });
+        self.open_requests.insert(permit, ends_at);
+        self.expires_at = self.expires_at.min(ends_at);
+        self.completions.record_grant(self.open_requests.len(), now);
         Some(DispatchGrant {
             permit,
             target: id,
@@ -380,50 +368,54 @@
     }
 
     fn expire(&mut self, now: MonoTime) {
+        if now < self.expires_at {
+            return;
+        }
         for target in self.targets.values_mut() {
             target.expire(now);
         }
-        // A release that is lost must not count for the team for ever.
-        self.open_requests
-            .retain(|_, request| now < request.ends_at);
+        self.open_requests.retain(|_, ends_at| now < *ends_at);
+        let next = self.open_requests.values().min();
+        self.expires_at = next.copied().unwrap_or(MonoTime::from_micros(u64::MAX));
     }
 
-    /// Grants free slots to waiting requests, and removes those whose wait is over.
+    /// Grants free slots to waiting requests, and removes those that will not be served in time.
     pub fn serve_queue(&mut self, next_number: impl Fn() -> u64, now: MonoTime) -> QueueChange {
         let mut change = QueueChange::default();
         if self.queue.is_empty() {
             return change;
         }
         self.expire(now);
-        for (ticket, request) in self.queue.take_expired(now) {
-            change
-                .expired
-                .push((ticket, self.expected_wait(u8::MAX, now)));
-            change.expired_teams.extend(request.charged_team);
+        let pace = self.pace(now);
+        while let Some((ticket, waiting, terms)) = self.queue.take_late(pace, now) {
+            change.expired.push((ticket, terms));
+            change.expired_teams.extend(waiting.request.charged_team);
         }
-        let open_requests = &self.open_requests;
-        let open_of = |team: Option<&TeamId>| {
-            open_requests
-                .values()
-                .filter(|request| request.team.as_ref() == team)
-                .count()
-        };
-        for ticket in self.queue.in_order(open_of) {
-            let Some(waiting) = self.queue.get(ticket) else {
-                continue;
-            };
-            let mut request = waiting.request.clone();
-            let waited = whole_millis(now.since(waiting.since));
-            request.left_millis = request.left_millis.saturating_sub(waited);
-            let Some(grant) = self.try_grant(&request, next_number(), now) else {
-                break;
-            };
-            self.queue.remove(ticket);
-            change.granted.push((ticket, grant));
+        let mut unsuited = Vec::new();
+        while unsuited.len() < UNSUITED_MAX
+            && let Some((ticket, request)) = self.queue.first(now)
+        {
+            match self.try_grant(&request, next_number(), now) {
+                Some(grant) => {
+                    self.queue.grant(ticket, now);
+                    change.granted.push((ticket, grant));
+                }
+                // A request without targets to exclude finds none only if no slot is free.
+                None if request.tried.is_empty() => break,
+                None => unsuited.extend(self.queue.set_aside(ticket)),
+            }
+        }
+        for (ticket, waiting) in unsuited {
+            self.queue.put_back(ticket, waiting);
         }
         change
     }
 
+    /// Returns what happened in the queue since its start, and what waits.
+    pub fn queue_totals(&self) -> QueueTotals {
+        self.queue.totals()
+    }
+
     /// Removes a waiting request from the queue, as its caller has disconnected, and returns the team that was charged
     /// for it.
     pub fn cancel(&mut self, ticket: TicketNumber) -> Option<TeamId> {
--- a/crates/dispatch/src/time_budget.rs
+++ b/crates/dispatch/src/time_budget.rs
@@ -75,6 +75,16 @@
     }
 }
 
+/// Returns the part of a wait that a request may still use `elapsed` after its arrival, so that also a retry waits
+/// only for as long as its objective allows. An objective of zero means that the route has none.
+pub fn wait_after(wait: Duration, objective: Duration, elapsed: Duration) -> Duration {
+    let wait_max = objective * WAIT_OBJECTIVE_TENTHS / 10;
+    match objective.is_zero() {
+        true => wait,
+        false => wait.min(wait_max.saturating_sub(elapsed)),
+    }
+}
+
 /// Returns the delay after which an idempotent request is also sent to a second target.
 ///
 /// Load pattern: a target hangs while all others answer as usual, and the caller's objective is two
--- a/crates/dispatch/tests/dispatcher/common.rs
+++ b/crates/dispatch/tests/dispatcher/common.rs
@@ -94,6 +94,7 @@
         is_repeat: false,
         wait_millis: 0,
         left_millis: 3000,
+        objective_millis: None,
         connected: Vec::new(),
         least_trust: TargetTrust::Blocked,
         tried: Vec::new(),
--- a/crates/dispatch/tests/dispatcher/main.rs
+++ b/crates/dispatch/tests/dispatcher/main.rs
@@ -9,9 +9,13 @@
 mod charging;
 mod common;
 mod limits;
+mod overload;
+mod queue_order;
 mod retry_terms;
+mod returns;
 mod selection;
 mod team_bucket;
 mod time_budget;
 mod trials;
+mod turning_away;
 mod waiting;
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -75,6 +75,8 @@
 struct RequestRefusal {
     answer: RefusalAnswer,
     retry_after: Option<Duration>,
+    /// Whether a place is kept for exactly this time.
+    is_kept: bool,
     reason: &'static str,
 }
 
@@ -84,6 +86,17 @@
         Self {
             answer,
             retry_after,
+            is_kept: false,
+            reason,
+        }
+    }
+
+    /// Creates the refusal of a request for which no slot is free in time.
+    fn turned_away(return_after: Option<Duration>, reason: &'static str) -> Self {
+        Self {
+            answer: RefusalAnswer::Unavailable,
+            retry_after: return_after.map(|time| time.max(RETRY_AFTER_MIN)),
+            is_kept: true,
             reason,
         }
     }
@@ -98,6 +111,14 @@
     queued: Duration,
 }
 
+impl RequestArrival {
+    /// Returns the time at which the request reached this host.
+    fn arrived_at(self) -> MonoTime {
+        let queued = u64::try_from(self.queued.as_micros()).unwrap_or(u64::MAX);
+        MonoTime::from_micros(self.handed_over_at.as_micros().saturating_sub(queued))
+    }
+}
+
 /// Writes the log line and metrics of a request exactly once, also if the caller disconnects first and the
 /// request is dropped.
 struct RequestGuard {
@@ -188,10 +209,14 @@
 
 /// Converts a refusal into the response to the caller.
 fn refuse(id: Option<&str>, refusal: RequestRefusal) -> CallerResponse {
+    let retry_after = match refusal.is_kept {
+        true => refusal.retry_after,
+        false => refusal.retry_after.map(add_jitter),
+    };
     CallerResponse {
         response: refusal
             .answer
-            .respond(id, refusal.retry_after.map(add_jitter))
+            .respond(id, retry_after)
             .map(BufferedBody::from),
         outcome: refusal.answer.name().into(),
         reason: refusal.reason,
@@ -221,17 +246,18 @@
         Some(RequestOutcome::Refused(answer, wait, reason)) => refuse(RequestRefusal {
             answer,
             retry_after: wait.or_else(|| RequestRefusal::new(answer, reason).retry_after),
+            is_kept: false,
             reason,
         }),
+        Some(RequestOutcome::TurnedAway(return_after)) => {
+            refuse(RequestRefusal::turned_away(return_after, "busy"))
+        }
         // The deadline passed during an attempt, which the target may have run.
         None if attempts.proof() != RunProof::NotRun => refuse(RequestRefusal::new(
             RefusalAnswer::TimedOut,
             "no-answer-in-time",
         )),
-        None => refuse(RequestRefusal::new(
-            RefusalAnswer::Unavailable,
-            "no-slot-in-time",
-        )),
+        None => refuse(RequestRefusal::turned_away(None, "no-slot-in-time")),
     }
 }
 
@@ -304,6 +330,7 @@
             is_idempotent: route.class == RequestClass::Idempotent,
             attempts_max: route.attempts_max,
             objective: route.objective,
+            arrived_at: arrival.arrived_at(),
             deadline,
             outgoing: build_outgoing(parts, body, team),
         },
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 //! Dispatch path:
 //! - [`permit_relay`]: forwards permit requests to the dispatcher of the zone.
 //! - [`permit_service`]: grants permits on this host and queues requests that have to wait.
+//! - [`queue_report`]: log lines of the queues.
 //! - [`peer_calls`]: calls to other hosts.
 //! - [`peer_service`]: handles messages from other hosts.
 //!
@@ -54,6 +55,7 @@
 pub mod permit_client;
 pub mod permit_relay;
 pub mod permit_service;
+pub mod queue_report;
 pub mod ready_service;
 pub mod refused_documents;
 pub mod request_attempts;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use chicorycroft_directory::prelude::*;
+use chicorycroft_dispatch::prelude::*;
 use prometheus::{
     Encoder,
     HistogramOpts,
@@ -10,6 +11,7 @@
     IntCounter,
     IntCounterVec,
     IntGauge,
+    IntGaugeVec,
     Opts,
     Registry,
     TextEncoder, //
@@ -24,6 +26,11 @@
 /// Upper bounds of the buckets for the age of the copy of the store, in seconds. The platform's bounds are 2 to 3 s.
 const COPY_AGE_BUCKETS: [f64; 9] = [0.1, 0.25, 0.5, 0.75, 1.0, 1.25, 1.5, 2.0, 2.5];
 
+/// Raises a counter to a total.
+fn raise(counter: &IntCounter, total: u64) {
+    counter.inc_by(total.saturating_sub(counter.get()));
+}
+
 /// All metrics of a gateway process.
 #[derive(Debug)]
 pub struct GatewayMetrics {
@@ -35,6 +42,10 @@
     copy_age: HistogramVec,
     config_version: IntGauge,
     refused_documents: IntCounter,
+    waiting: IntGaugeVec,
+    turned_away: IntCounter,
+    told_late: IntCounter,
+    tickets: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -85,6 +96,26 @@
                 "gateway_documents_refused_total",
                 "Documents of the store that could not be decoded, counted at each read.",
             )?,
+            waiting: IntGaugeVec::new(
+                Opts::new(
+                    "gateway_waiting",
+                    "Requests that wait for a slot at this dispatcher, by priority.",
+                ),
+                &["priority"],
+            )?,
+            turned_away: IntCounter::new(
+                "gateway_turned_away_total",
+                "Requests that this dispatcher turned away, on arrival or after a wait.",
+            )?,
+            told_late: IntCounter::new(
+                "gateway_told_late_total",
+                "Requests that waited at this dispatcher and were then turned away.",
+            )?,
+            tickets: counter(
+                "gateway_return_tickets_total",
+                "Return tickets given and kept, and requests that came early for those of their team.",
+                "event",
+            )?,
         };
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.requests.clone()))?;
@@ -94,6 +125,10 @@
         registry.register(Box::new(metrics.copy_age.clone()))?;
         registry.register(Box::new(metrics.config_version.clone()))?;
         registry.register(Box::new(metrics.refused_documents.clone()))?;
+        registry.register(Box::new(metrics.waiting.clone()))?;
+        registry.register(Box::new(metrics.turned_away.clone()))?;
+        registry.register(Box::new(metrics.told_late.clone()))?;
+        registry.register(Box::new(metrics.tickets.clone()))?;
         Ok(metrics)
     }
 
@@ -139,8 +174,25 @@
 
     /// Raises the counter of refused documents to a total.
     pub fn on_refused_documents(&self, total: u64) {
-        let counted = self.refused_documents.get();
-        self.refused_documents.inc_by(total.saturating_sub(counted));
+        raise(&self.refused_documents, total);
+    }
+
+    /// Sets the gauges of the queues, and raises their counters to the totals.
+    pub fn on_queues(&self, totals: &QueueTotals) {
+        for (priority, count) in &totals.waiting {
+            let waiting = self.waiting.with_label_values(&[&*priority.to_string()]);
+            waiting.set(i64::try_from(*count).unwrap_or(i64::MAX));
+        }
+        raise(&self.turned_away, totals.refused);
+        raise(&self.told_late, totals.told_late);
+        let tickets = [
+            ("given", totals.given),
+            ("kept", totals.kept),
+            ("early", totals.early),
+        ];
+        for (event, total) in tickets {
+            raise(&self.tickets.with_label_values(&[event]), total);
+        }
     }
 
     /// Returns all metrics in the Prometheus text format.
--- a/crates/gateway/src/permit_service.rs
+++ b/crates/gateway/src/permit_service.rs
@@ -15,6 +15,10 @@
         CopyUse,
         record_copy_use, //
     },
+    queue_report::{
+        log_queues,
+        log_turned_away, //
+    },
     state::GatewayState,
 };
 
@@ -22,6 +26,9 @@
 /// that would trigger it.
 const QUEUE_PERIOD: Duration = Duration::from_millis(50);
 
+/// Interval at which changes of the queues are logged.
+const REPORT_PERIOD: Duration = Duration::from_secs(1);
+
 /// Additional time for the dispatcher to answer a request whose wait has ended.
 const ANSWER_MARGIN: Duration = Duration::from_millis(100);
 
@@ -60,11 +67,16 @@
         PoolAnswer::NoTarget => AdmitAnswer::NoTarget,
         PoolAnswer::Busy {
             expected_wait,
+            return_after,
             has_less_trusted,
-        } => AdmitAnswer::Busy {
-            retry_millis: whole_millis(expected_wait),
-            has_less_trusted,
-        },
+        } => {
+            let terms = BusyTerms {
+                expected_wait,
+                return_after,
+            };
+            log_turned_away(state, request, terms, Duration::ZERO);
+            busy_answer(terms, has_less_trusted)
+        }
         PoolAnswer::OverRate { retry_after } => {
             log_refusal(request, config, share, "over-rate");
             AdmitAnswer::OverRate {
@@ -79,18 +91,40 @@
             let answer = wait_for_slot(state, request, ticket).await;
             if let AdmitAnswer::Granted(grant) = &answer {
                 record_copy_use(state, CopyUse::Grant, &request.request);
-                log_grant(
-                    request,
-                    grant,
-                    (share, directory.as_of),
-                    state.now().since(now),
-                );
+                let waited = state.now().since(now);
+                log_grant(request, grant, (share, directory.as_of), waited);
+            }
+            if let Some(terms) = busy_terms(&answer) {
+                log_turned_away(state, request, terms, state.now().since(now));
             }
             answer
         }
     }
 }
 
+fn busy_answer(terms: BusyTerms, has_less_trusted: bool) -> AdmitAnswer {
+    AdmitAnswer::Busy {
+        retry_millis: whole_millis(terms.expected_wait),
+        return_millis: terms.return_after.map(whole_millis),
+        has_less_trusted,
+    }
+}
+
+fn busy_terms(answer: &AdmitAnswer) -> Option<BusyTerms> {
+    let millis = |millis: u32| Duration::from_millis(millis.into());
+    match *answer {
+        AdmitAnswer::Busy {
+            retry_millis,
+            return_millis,
+            ..
+        } => Some(BusyTerms {
+            expected_wait: millis(retry_millis),
+            return_after: return_millis.map(millis),
+        }),
+        _ => None,
+    }
+}
+
 fn log_refusal(request: &AdmitRequest, config: &GatewayConfig, share: FleetShare, reason: &str) {
     let terms = request.team.as_ref().and_then(|team| config.team(team));
     log::info!(
@@ -145,6 +179,7 @@
         Ok(Ok(answer)) => answer,
         _ => AdmitAnswer::Busy {
             retry_millis: request.wait_millis,
+            return_millis: None,
             has_less_trusted: false,
         },
     }
@@ -160,14 +195,10 @@
             log::debug!("event=grant_not_taken ticket={ticket}");
         }
     }
-    for (ticket, expected_wait) in change.expired {
-        let retry_millis = whole_millis(expected_wait);
+    for (ticket, terms) in change.expired {
         if let Some(sender) = state.tickets.remove(&ticket) {
             // The requesting host may have disconnected.
-            let _ = sender.send(AdmitAnswer::Busy {
-                retry_millis,
-                has_less_trusted: false,
-            });
+            let _ = sender.send(busy_answer(terms, false));
         }
     }
 }
@@ -196,8 +227,12 @@
 
 /// Serves the queues at an interval for as long as the process runs.
 pub async fn serve_queues(state: Arc<GatewayState>) {
+    let (mut totals, mut logged_at) = (QueueTotals::default(), state.now());
     loop {
         tokio::time::sleep(QUEUE_PERIOD).await;
+        if state.now().since(logged_at) >= REPORT_PERIOD {
+            (totals, logged_at) = (log_queues(&state, totals), state.now());
+        }
         if !state.tickets.is_empty() {
             let directory = state.store_cache.directory();
             let change = state.dispatcher.serve_queues(&directory, state.now());
--- a/crates/gateway/src/ready_service.rs
+++ b/crates/gateway/src/ready_service.rs
@@ -27,6 +27,7 @@
 }
 
 async fn metrics(State(state): State<Arc<GatewayState>>) -> Result<String, (StatusCode, String)> {
+    state.metrics.on_queues(&state.dispatcher.queue_totals());
     let text = state.metrics.text();
     text.map_err(|error| (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()))
 }
--- a/crates/gateway/src/request_attempts.rs
+++ b/crates/gateway/src/request_attempts.rs
@@ -58,6 +58,8 @@
     pub attempts_max: u32,
     /// Latency objective of the route; zero if it has none.
     pub objective: Duration,
+    /// Time at which the request arrived.
+    pub arrived_at: MonoTime,
     /// Time at which the request is abandoned.
     pub deadline: MonoTime,
     /// The request that is sent to targets.
@@ -71,6 +73,8 @@
     Answered(Response<BufferedBody>),
     /// This host refused the request, with an optional retry delay and the reason for the log.
     Refused(RefusalAnswer, Option<Duration>, &'static str),
+    /// No slot was free in time, with the time for which a place is kept; `None` if a return has no use.
+    TurnedAway(Option<Duration>),
 }
 
 /// State of the attempts of one request.
@@ -90,6 +94,7 @@
 /// Refusal of a request whose permit cannot be used.
 const BUSY_ANSWER: AdmitAnswer = AdmitAnswer::Busy {
     retry_millis: 0,
+    return_millis: None,
     has_less_trusted: false,
 };
 
@@ -134,6 +139,10 @@
         TimeBudget { left }
     }
 
+    fn elapsed(&self) -> Duration {
+        self.state.now().since(self.plan.arrived_at)
+    }
+
     fn admit_request(
         &self,
         zone: Option<&ZoneId>,
@@ -141,6 +150,10 @@
         least_trust: TargetTrust,
     ) -> AdmitRequest {
         let charged_team = self.plan.team.clone().filter(|_| !self.is_charged);
+        let (objective, elapsed) = (self.plan.objective, self.elapsed());
+        let wait = wait_after(wait, objective, elapsed);
+        let objective = Some(objective).filter(|objective| !objective.is_zero());
+        let objective_left = objective.map(|objective| objective.saturating_sub(elapsed));
         AdmitRequest {
             request: self.plan.id.clone(),
             service: self.plan.service.clone(),
@@ -152,6 +165,7 @@
             is_repeat: self.sent_count > 0,
             wait_millis: whole_millis(wait),
             left_millis: whole_millis(self.budget().left),
+            objective_millis: objective_left.map(whole_millis),
             connected: self.state.connections.connected_targets(self.state.now()),
             least_trust,
             tried: self.excluded_targets(),
@@ -275,7 +289,8 @@
     pub async fn run(&mut self) -> RequestOutcome {
         loop {
             let is_first = self.started_count == 0;
-            let (permit, entry) = match self.find_target(is_first).await {
+            let (permit, entry) = match self.find_target(is_first || self.plan.is_idempotent).await
+            {
                 Ok(permitted) => permitted,
                 Err(refusal) => return self.refuse(&refusal),
             };
@@ -397,8 +412,8 @@
             AdmitAnswer::OverRate { retry_millis } => {
                 RequestOutcome::Refused(RefusalAnswer::OverRate, wait(retry_millis), "over-rate")
             }
-            AdmitAnswer::Busy { retry_millis, .. } => {
-                RequestOutcome::Refused(RefusalAnswer::Unavailable, wait(retry_millis), "busy")
+            AdmitAnswer::Busy { return_millis, .. } => {
+                RequestOutcome::TurnedAway(return_millis.and_then(wait))
             }
             AdmitAnswer::NoBudget => {
                 RequestOutcome::Refused(RefusalAnswer::Unavailable, None, "no-budget")
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -34,6 +34,7 @@
     clock::GatewayClock,
     connection_pool::ConnectionPool,
     metrics::GatewayMetrics,
+    queue_report::QueueReport,
     refused_documents::RefusedDocument,
     store_cache::StoreCache, //
 };
@@ -120,6 +121,8 @@
     pub stated_limits: StatedLimits,
     /// Counters and histograms.
     pub metrics: GatewayMetrics,
+    /// Log lines about requests that were turned away.
+    pub queue_report: QueueReport,
     /// Memory for bodies of requests and answers.
     pub body_memory: BodyMemory,
     seeds: RwLock<Vec<SocketAddr>>,
@@ -164,6 +167,7 @@
             excluded: ExcludedTargets::new(),
             stated_limits: StatedLimits::new(),
             metrics,
+            queue_report: QueueReport::new(),
             body_memory: BodyMemory::new(body_kib),
             seeds: RwLock::new(settings.seeds.clone()),
             followers: ShardMap::new(),
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -143,6 +143,7 @@
         is_repeat: false,
         wait_millis: 100,
         left_millis: 1000,
+        objective_millis: None,
         connected: Vec::new(),
         least_trust: TargetTrust::Blocked,
         tried: Vec::new(),
--- a/crates/peer/src/format_v2.rs
+++ b/crates/peer/src/format_v2.rs
@@ -147,6 +147,7 @@
             &AdmitAnswer::Busy {
                 retry_millis,
                 has_less_trusted,
+                ..
             } => Self::Busy {
                 retry_millis,
                 has_less_trusted,
@@ -173,6 +174,8 @@
                 has_less_trusted,
             } => Self::Busy {
                 retry_millis,
+                // Earlier versions keep no places; their callers return after the expected wait.
+                return_millis: Some(retry_millis),
                 has_less_trusted,
             },
             AdmitAnswerV2::NoTarget => Self::NoTarget,
--- a/crates/peer/src/format_v3.rs
+++ b/crates/peer/src/format_v3.rs
@@ -158,6 +158,7 @@
             is_repeat: request.is_repeat,
             wait_millis: request.wait_millis,
             left_millis: request.left_millis,
+            objective_millis: None,
             connected: request.connected,
             least_trust: request.least_trust,
             tried: request.tried,
@@ -188,6 +189,7 @@
             &AdmitAnswer::Busy {
                 retry_millis,
                 has_less_trusted,
+                ..
             } => Self::Busy {
                 retry_millis,
                 has_less_trusted,
@@ -208,6 +210,8 @@
                 has_less_trusted,
             } => Self::Busy {
                 retry_millis,
+                // Earlier versions keep no places; their callers return after the expected wait.
+                return_millis: Some(retry_millis),
                 has_less_trusted,
             },
             AdmitAnswerV3::NoTarget => Self::NoTarget,
