Count retries that wait against the retry budget

Change: the dispatcher counts a retry when it begins to wait, and does not give it back if it gets no slot. Conclusion: a wave of retries that wait stays within the budget. First requests from the queue are not counted as requests of the budget, as before.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -126,7 +126,8 @@
             pool.admit(request, || self.next_number(), now)
         });
         match &answer {
-            PoolAnswer::Granted(_) if request.is_repeat => {
+            // A retry that waits is counted at once, as others ask for the budget before it gets its slot.
+            PoolAnswer::Granted(_) | PoolAnswer::Waiting(_) if request.is_repeat => {
                 self.retries.record_retry(&request.service, now);
             }
             PoolAnswer::Granted(_) => self.retries.record_request(&request.service, now),
--- a/crates/dispatch/tests/dispatcher/returns.rs
+++ b/crates/dispatch/tests/dispatcher/returns.rs
@@ -148,3 +148,28 @@
         millis(600)
     );
 }
+
+/// Guards against retries that wait for a slot and do not count against the retry budget.
+#[test]
+fn retry_that_waits_counts_against_the_budget() {
+    let terms = retry_terms(CapacityRatio::from_mille(200), 56, 3);
+    let dispatcher = ZoneDispatcher::new(0).with_retry_terms(terms);
+    let directory = directory_of(1);
+    for _ in 0..2 {
+        grant(&dispatcher, &directory, &request_of("held", 0), at(0));
+    }
+    let retry = AdmitRequest {
+        is_repeat: true,
+        left_millis: 60_000,
+        ..request_of("a", 60_000)
+    };
+    let answers: Vec<_> = (0..20)
+        .map(|_| admit(&dispatcher, &directory, &retry, at(1)))
+        .collect();
+    let waiting = answers
+        .iter()
+        .filter(|answer| matches!(answer, PoolAnswer::Waiting(_)));
+    // The free retries of one of three zones.
+    assert_eq!(waiting.count(), 13);
+    assert_eq!(answers.last(), Some(&PoolAnswer::NoBudget));
+}
