Test what callers and operators see of requests that are turned away

Cause: the return time, its absence and the counters were tested at the dispatcher only. Change: a gateway test with twelve requests for two slots, and one that bounds the log lines of a second.

--- a/crates/gateway/tests/gateway/metrics.rs
+++ b/crates/gateway/tests/gateway/metrics.rs
@@ -1,6 +1,14 @@
 //! Metrics at a separate address.
 
-use std::net::SocketAddr;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use chicorycroft_core::prelude::*;
+use chicorycroft_gateway::queue_report::QueueReport;
+use chicorycroft_platform_standin::prelude::*;
+use tokio::time::Instant;
 
 use crate::test_gateway::{
     TestGateway,
@@ -57,3 +65,51 @@
         }
     }
 }
+
+/// Guards against callers that are told to return although no place is kept for them, against refusals after a wait,
+/// and against operators who cannot see that requests are turned away: twelve requests for two slots, which serve five
+/// of them in time.
+#[tokio::test]
+async fn requests_that_are_turned_away_are_told_at_once_and_counted() {
+    let mut gateway = TestGateway::new(1).await;
+    let work = Duration::from_millis(250);
+    gateway.targets[0].set_next_behaviours(vec![TargetBehaviour::Answer(work); 12]);
+    let start = Instant::now();
+    let calls = (0..12).map(|number| {
+        let (gateway, line) = (&gateway, format!("POST /buy/{number}"));
+        async move {
+            let answer = gateway.call(&line, "key-1", "x").await;
+            (answer, start.elapsed())
+        }
+    });
+    let answers = futures_util::future::join_all(calls).await;
+    let refused = answers.iter().filter(|(answer, _)| answer.status == 503);
+    let mut refused_count = 0;
+    for (answer, elapsed) in refused {
+        refused_count += 1;
+        assert!(*elapsed < Duration::from_millis(400), "{elapsed:?}");
+        let mut lines = answer.head.lines();
+        let stated = lines.find_map(|line| line.strip_prefix("retry-after: "));
+        let stated = stated.map(|seconds| seconds.parse::<f64>().unwrap());
+        assert!(stated.is_none_or(|seconds| (0.15..=0.334).contains(&seconds)));
+    }
+    assert!((4..=8).contains(&refused_count), "{refused_count}");
+    let free: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    let address = gateway.host.serve_metrics(free).await.unwrap();
+    let text = call(address, "GET /metrics", "", "").await.body;
+    let line = format!("gateway_turned_away_total {refused_count}");
+    assert!(text.contains(&line), "{line} is missing in {text}");
+    assert!(text.contains("gateway_waiting{priority="), "{text}");
+}
+
+/// Guards against log lines about each of some hundred requests that are turned away in a second.
+#[test]
+fn lines_about_turned_away_requests_are_bounded() {
+    let report = QueueReport::new();
+    let written = |from: u64| {
+        let times = from..from + 1000;
+        let times = times.filter(|millis| report.may_write(MonoTime::from_millis(*millis)));
+        times.count()
+    };
+    assert_eq!((written(5000), written(6000)), (10, 10));
+}
