Give the tickets of returns to those they were meant for

Cause: newcomers of a team took the tickets of its returns, so that half of the callers who returned in time were turned away again. The adaptive margin of a team's pace applied to its own turn, so that a low priority was shut out once requests of it had waited in vain. Change: a ticket has the deadline of its first request. While returns with that deadline are seen, newcomers, whose deadline is later, take none; where callers state their whole time again, 16 tickets lapse and the tickets are the team's. The time for a return to be in time includes its ways and a quarter more than the mean latency. A priority that others go before gets return times for a tenth of the completions. Returns after their objective get 0.05 of the completions. The pace counts the time for which slots were in use. The margin applies to the requests ahead only. Conclusion: a caller that returns when told is answered.

--- a/crates/dispatch/src/messages.rs
+++ b/crates/dispatch/src/messages.rs
@@ -85,6 +85,11 @@
         Some(Duration::from_millis(millis.into()))
     }
 
+    /// Returns the time at which the request's time is over.
+    pub fn ends_at(&self, now: MonoTime) -> MonoTime {
+        now.after(self.time_left())
+    }
+
     /// Returns the time that the request has left.
     pub fn time_left(&self) -> Duration {
         Duration::from_millis(self.left_millis.into())
--- a/crates/dispatch/src/pool_queue.rs
+++ b/crates/dispatch/src/pool_queue.rs
@@ -32,6 +32,12 @@
 /// Part of the time left within which callers return.
 const RETURN_PART: u32 = 3;
 
+/// Multiple of the mean latency, in quarters, that a return is expected to take at its target.
+const RETURN_LATENCY_QUARTERS: u32 = 5;
+
+/// Time that a return takes beside its target: the ways to and from the caller, and its turn among other returns.
+const RETURN_TIME: Duration = Duration::from_millis(100);
+
 /// The queue of a pool and its return schedule.
 #[derive(Clone, Debug, Default)]
 pub struct PoolQueue {
@@ -65,9 +71,14 @@
         totals
     }
 
+    fn is_return(&self, request: &AdmitRequest, now: MonoTime) -> bool {
+        let returns = &self.returns;
+        !request.is_repeat && returns.is_due(&kind_of(request), request.ends_at(now), now)
+    }
+
     /// Returns `true` if a request that arrives gets a free slot before those that wait.
     pub fn is_next(&self, request: &AdmitRequest, now: MonoTime) -> bool {
-        let is_return = self.returns.is_due(&kind_of(request), now);
+        let is_return = self.is_return(request, now);
         self.queue.is_next(request.priority, is_return)
     }
 
@@ -83,7 +94,10 @@
             return;
         }
         self.returns.expire(now);
-        if self.returns.take(&kind_of(request), now) {
+        if self
+            .returns
+            .take(&kind_of(request), request.ends_at(now), now)
+        {
             self.totals.kept += 1;
         } else if self.returns.has_tickets(&request.team) {
             self.totals.early += 1;
@@ -93,13 +107,17 @@
     /// Returns the expected wait of a new request: those that are served before it, and the returns that are due until
     /// then.
     fn expected_wait(&self, waiting: &WaitingRequest, pace: PoolPace, now: MonoTime) -> Duration {
-        let place = self.queue.place_of(waiting);
-        let wait = pace.time_for(place.ahead + 1).max(place.by_pace);
+        let (priority, place) = (waiting.request.priority, self.queue.place_of(waiting));
+        let wait_for = |same: u64, higher_due: u64| {
+            let before = self.queue.grants_before(priority, same, higher_due);
+            pace.time_for(before + 1).max(place.by_pace)
+        };
+        let wait = wait_for(place.ahead, 0);
         if waiting.is_return {
             return wait;
         }
-        let priority = waiting.request.priority;
-        wait + pace.time_for(self.returns.due_before(now.after(wait), priority))
+        let (same_due, higher_due) = self.returns.due_before(now.after(wait), priority);
+        wait_for(place.ahead + same_due, higher_due)
     }
 
     /// Returns how long a request may wait: while others wait, a new one only for as long as it will meet an objective
@@ -125,7 +143,7 @@
         pace: PoolPace,
         now: MonoTime,
     ) -> Result<TicketNumber, BusyTerms> {
-        let is_return = !request.is_repeat && self.returns.is_due(&kind_of(request), now);
+        let is_return = self.is_return(request, now);
         let waiting = WaitingRequest::new(request.clone(), pace.mean_latency, now);
         let waiting = waiting.with_return(is_return);
         let expected_wait = self.expected_wait(&waiting, pace, now);
@@ -153,16 +171,19 @@
         now: MonoTime,
     ) -> BusyTerms {
         let objective = request.objective_left();
+        let needed = pace.mean_latency * RETURN_LATENCY_QUARTERS / 4 + RETURN_TIME;
         let terms = ReturnTerms {
-            interval: pace.interval,
+            interval: pace.time_for(self.queue.grants_per_turn(request.priority)),
             team_count: self.queue.team_count(request.priority),
             queue_time: pace.time_for(self.queue.len() as u64),
             latest: request.time_left() / RETURN_PART,
-            latest_in_time: objective.map(|left| left.saturating_sub(pace.mean_latency)),
+            latest_in_time: objective.map(|left| left.saturating_sub(needed)),
         };
         let return_after = match request.is_repeat {
             true => None,
-            false => self.returns.give(&kind_of(request), terms, now),
+            false => self
+                .returns
+                .give(&kind_of(request), request.ends_at(now), terms, now),
         };
         self.totals.refused += 1;
         self.totals.given += u64::from(return_after.is_some());
--- a/crates/dispatch/src/priority_line.rs
+++ b/crates/dispatch/src/priority_line.rs
@@ -33,9 +33,10 @@
 /// Most requests of a team that are compared with a new one to find its place.
 const COMPARED_MAX: usize = 256;
 
-/// Least factor, in tenths, by which the pace of a team may slow down while a request waits. Without it a line that is
-/// filled to its limit turns away half of the requests that it admitted last.
-const MARGIN_MIN: u32 = 13;
+/// Least factor, in tenths, by which the turns of a team may slow down while a request waits behind others. Without it a
+/// line that is filled to its limit turns away half of the requests that it admitted last; with 20 a fifth more of them
+/// wait in vain than with 30.
+const MARGIN_MIN: u32 = 30;
 
 /// Largest factor, in tenths.
 const MARGIN_MAX: u32 = 80;
@@ -139,13 +140,12 @@
         self.margin = (self.margin + MARGIN_STEPS.0).min(MARGIN_MAX);
     }
 
-    /// Returns the expected time for a number of turns.
-    fn time_for(&self, turns: u64) -> Duration {
-        let turns = u32::try_from(turns).unwrap_or(u32::MAX);
-        self.interval()
-            .saturating_mul(turns)
-            .saturating_mul(self.margin)
-            / 10
+    /// Returns the expected time until the turn of a request with others of its team ahead. The factor does not apply to
+    /// its own turn: a team with no others gets one, from which its pace is measured again.
+    fn time_after(&self, ahead: u64) -> Duration {
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        let turns = ahead.saturating_mul(self.margin).saturating_add(10);
+        self.interval().saturating_mul(turns) / 10
     }
 
     fn interval(&self) -> Duration {
@@ -253,7 +253,7 @@
         // Each other team gets a turn for each of this one.
         let lag = self.turns.lag_of(team);
         let by_turns = self.returned_count + own + others * (own + 1 + lag);
-        let by_pace = self.paces.get(team).map(|pace| pace.time_for(own + 1));
+        let by_pace = self.paces.get(team).map(|pace| pace.time_after(own));
         LinePlace {
             ahead: by_turns.min(self.count + lag),
             by_pace: by_pace.unwrap_or_default(),
--- a/crates/dispatch/src/return_schedule.rs
+++ b/crates/dispatch/src/return_schedule.rs
@@ -4,10 +4,13 @@
 //! told to return would meet a queue of newcomers. The schedule covers the next four seconds in slots of 50 ms. It
 //! gives out a fraction of the completions that the pool was measured to have, less those that the queue needs. The
 //! caller returns with a new request, so a ticket belongs to its team and priority: a request of these takes a ticket
-//! that is due, and one that comes earlier takes none.
+//! that is due, and one that comes earlier takes none. Callers that state the time that they have left return with the
+//! deadline of their first request. While such returns are seen, newcomers with a later deadline take no tickets.
 
 use std::{
+    cmp::Ordering,
     collections::BTreeMap,
+    ops::RangeInclusive,
     time::Duration, //
 };
 
@@ -30,16 +33,31 @@
 /// of hosts with a tenth of a core.
 const LATE_SLOTS: u64 = 8;
 
+/// Largest difference between the deadlines of a request and its return: the ways to the hosts and their delays. A
+/// newcomer with the same time left has one that is later by at least [`RETURN_MIN`] less an early slot.
+const DEADLINE_TOLERANCE: Duration = Duration::from_millis(95);
+
+/// Evidence that returns have the deadlines of their tickets: at most this, as at the start, and more by
+/// [`RECOGNISED_STEP`] with each of them and less by one with each ticket that lapses. Without any, the callers state
+/// their whole time again, and newcomers take tickets too.
+const RECOGNISED_MAX: u64 = 16;
+
+/// Evidence of one return: some callers do not return, so that one in five is enough.
+const RECOGNISED_STEP: u64 = 4;
+
 /// Fraction of the completions that are given to returns which still meet their objective.
 const IN_TIME_SHARE: CapacityRatio = CapacityRatio::from_mille(900);
 
 /// Fraction of the completions that are given to returns after their objective. Newcomers that are in time are worth
 /// two to ten times as much.
-const LATE_SHARE: CapacityRatio = CapacityRatio::from_mille(200);
+const LATE_SHARE: CapacityRatio = CapacityRatio::from_mille(50);
 
 /// Most tickets of a schedule.
 const TICKETS_MAX: u64 = 4096;
 
+/// The tickets of a slot: of each kind, their number by the deadline of the first request.
+type SlotTickets = IndexMap<ReturnKind, BTreeMap<MonoTime, u64>>;
+
 /// Whose return a ticket is for.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct ReturnKind {
@@ -65,12 +83,26 @@
 }
 
 /// The return schedule of one pool.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct ReturnSchedule {
-    slots: BTreeMap<u64, IndexMap<ReturnKind, u64>>,
+    slots: BTreeMap<u64, SlotTickets>,
     /// Outstanding tickets of each team.
     teams: IndexMap<Option<TeamId>, u64>,
     count: u64,
+    /// See [`RECOGNISED_MAX`].
+    recognised: u64,
+}
+
+/// Returns the number of tickets of a kind in a slot.
+fn count_of(tickets: &BTreeMap<MonoTime, u64>) -> u64 {
+    tickets.values().sum()
+}
+
+/// Returns the deadlines that a return may have for a ticket with a deadline.
+fn near(ends_at: MonoTime) -> RangeInclusive<MonoTime> {
+    let tolerance = DEADLINE_TOLERANCE.as_micros() as u64;
+    let earliest = ends_at.as_micros().saturating_sub(tolerance);
+    MonoTime::from_micros(earliest)..=ends_at.after(DEADLINE_TOLERANCE)
 }
 
 /// Returns the number of the slot that a time falls into.
@@ -78,10 +110,21 @@
     time.as_micros() / (SLOT.as_micros() as u64)
 }
 
+impl Default for ReturnSchedule {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl ReturnSchedule {
     /// Creates a schedule without tickets.
     pub fn new() -> Self {
-        Self::default()
+        Self {
+            slots: BTreeMap::new(),
+            teams: IndexMap::new(),
+            count: 0,
+            recognised: RECOGNISED_MAX,
+        }
     }
 
     /// Returns the number of tickets that are neither taken nor lapsed.
@@ -94,7 +137,9 @@
         while let Some(slot) = self.slots.first_entry()
             && slot.key() + LATE_SLOTS < slot_of(now)
         {
-            for (kind, count) in slot.remove() {
+            for (kind, tickets) in slot.remove() {
+                let count = count_of(&tickets);
+                self.recognised = self.recognised.saturating_sub(count);
                 self.drop_tickets(&kind.team, count);
             }
         }
@@ -110,26 +155,46 @@
         }
     }
 
-    /// Returns the number of tickets up to a time that go before newcomers of a priority.
-    pub fn due_before(&self, time: MonoTime, priority: u8) -> u64 {
+    /// Returns the numbers of tickets up to a time of a priority and of higher ones.
+    pub fn due_before(&self, time: MonoTime, priority: u8) -> (u64, u64) {
+        let (mut same, mut higher) = (0, 0);
         let slots = self.slots.range(..=slot_of(time));
-        let tickets = slots.flat_map(|(_, tickets)| tickets);
-        let before = tickets.filter(|(kind, _)| kind.priority <= priority);
-        before.map(|(_, count)| count).sum()
+        for (kind, tickets) in slots.flat_map(|(_, kinds)| kinds) {
+            match kind.priority.cmp(&priority) {
+                Ordering::Less => higher += count_of(tickets),
+                Ordering::Equal => same += count_of(tickets),
+                Ordering::Greater => {}
+            }
+        }
+        (same, higher)
     }
 
-    fn due_slot(&self, kind: &ReturnKind, now: MonoTime) -> Option<u64> {
+    /// Returns the slot and the deadline of the ticket that a request with a deadline takes.
+    fn due_ticket(
+        &self,
+        kind: &ReturnKind,
+        ends_at: MonoTime,
+        now: MonoTime,
+    ) -> Option<(u64, MonoTime)> {
         let slot = slot_of(now);
-        let mut due = self
+        let slots = self
             .slots
             .range(slot.saturating_sub(LATE_SLOTS)..=slot + EARLY_SLOTS);
-        let slot = due.find(|(_, tickets)| tickets.contains_key(kind));
-        slot.map(|(slot, _)| *slot)
+        let mut due = slots.filter_map(|(slot, kinds)| Some((*slot, kinds.get(kind)?)));
+        let own = due.clone().find_map(|(slot, tickets)| {
+            let (ends_at, _) = tickets.range(near(ends_at)).next()?;
+            Some((slot, *ends_at))
+        });
+        if own.is_some() || self.recognised > 0 {
+            return own;
+        }
+        let (slot, tickets) = due.next()?;
+        tickets.keys().next().map(|ends_at| (slot, *ends_at))
     }
 
-    /// Returns `true` if a ticket of a kind is due.
-    pub fn is_due(&self, kind: &ReturnKind, now: MonoTime) -> bool {
-        self.due_slot(kind, now).is_some()
+    /// Returns `true` if a ticket is due for a request of a kind with a deadline.
+    pub fn is_due(&self, kind: &ReturnKind, ends_at: MonoTime, now: MonoTime) -> bool {
+        self.due_ticket(kind, ends_at, now).is_some()
     }
 
     /// Returns `true` if a team has tickets, due or not.
@@ -137,17 +202,26 @@
         self.teams.contains_key(team)
     }
 
-    /// Takes the earliest due ticket of a kind, and returns `true` if there is one.
-    pub fn take(&mut self, kind: &ReturnKind, now: MonoTime) -> bool {
-        let Some(slot) = self.due_slot(kind, now) else {
+    /// Takes the ticket that is due for a request of a kind with a deadline, and returns `true` if there is one.
+    pub fn take(&mut self, kind: &ReturnKind, ends_at: MonoTime, now: MonoTime) -> bool {
+        let Some((slot, ticket)) = self.due_ticket(kind, ends_at, now) else {
             return false;
         };
-        if let Some(tickets) = self.slots.get_mut(&slot) {
-            if let Some(count) = tickets.get_mut(kind) {
-                *count -= 1;
+        if near(ends_at).contains(&ticket) {
+            self.recognised = (self.recognised + RECOGNISED_STEP).min(RECOGNISED_MAX);
+        }
+        if let Some(kinds) = self.slots.get_mut(&slot)
+            && let Some(tickets) = kinds.get_mut(kind)
+            && let Some(count) = tickets.get_mut(&ticket)
+        {
+            *count -= 1;
+            if *count == 0 {
+                tickets.remove(&ticket);
             }
-            tickets.retain(|_, count| *count > 0);
             if tickets.is_empty() {
+                kinds.swap_remove(kind);
+            }
+            if kinds.is_empty() {
                 self.slots.remove(&slot);
             }
         }
@@ -155,11 +229,12 @@
         true
     }
 
-    /// Gives a ticket for the earliest time at which the pool has completions to spare, and returns the time until
-    /// then; `None` if there is none that is of use.
+    /// Gives a ticket to a request with a deadline, for the earliest time at which the pool has completions to spare, and
+    /// returns the time until then; `None` if there is none that is of use.
     pub fn give(
         &mut self,
         kind: &ReturnKind,
+        ends_at: MonoTime,
         terms: ReturnTerms,
         now: MonoTime,
     ) -> Option<Duration> {
@@ -180,6 +255,8 @@
             .entry(slot)
             .or_default()
             .entry(kind.clone())
+            .or_default()
+            .entry(ends_at)
             .or_default() += 1;
         *self.teams.entry(kind.team.clone()).or_default() += 1;
         self.count += 1;
@@ -221,7 +298,7 @@
             let in_slot = self
                 .slots
                 .get(&slot)
-                .map_or(0, |kinds| kinds.values().sum());
+                .map_or(0, |kinds| kinds.values().map(count_of).sum());
             if in_slot < slot_max && start_of(slot).since(now) <= latest {
                 found = Some(slot);
             }
--- a/crates/dispatch/src/service_pool.rs
+++ b/crates/dispatch/src/service_pool.rs
@@ -252,7 +252,7 @@
         let limit = target.limit();
         self.open_requests.insert(permit, ends_at);
         self.expires_at = self.expires_at.min(ends_at);
-        self.completions.record_grant(self.open_requests.len(), now);
+        self.completions.record_open(self.open_requests.len(), now);
         Some(DispatchGrant {
             permit,
             target: id,
@@ -375,6 +375,7 @@
             target.expire(now);
         }
         self.open_requests.retain(|_, ends_at| now < *ends_at);
+        self.completions.record_open(self.open_requests.len(), now);
         let next = self.open_requests.values().min();
         self.expires_at = next.copied().unwrap_or(MonoTime::from_micros(u64::MAX));
     }
--- a/crates/dispatch/src/wait_estimate.rs
+++ b/crates/dispatch/src/wait_estimate.rs
@@ -31,9 +31,9 @@
         mean_latency: Duration,
         now: MonoTime,
     ) -> Self {
-        let (mut rate, mut slot_count) = (0.0, 0);
+        let (mut rate, mut slot_count) = (0.0, 0u64);
         for target in targets {
-            slot_count += usize::from(target.entry().slots.get());
+            slot_count += u64::from(target.entry().slots.get());
             if !target.is_cold(now) && target.evidence().trust(now) != TargetTrust::Blocked {
                 rate += target.capacity(mean_latency);
             }
--- a/crates/dispatch/src/waiting_queue.rs
+++ b/crates/dispatch/src/waiting_queue.rs
@@ -130,6 +130,14 @@
         higher.map(|(_, level)| level.line.count()).sum()
     }
 
+    /// Returns the number of grants of which a priority gets one: one of ten while a higher priority waits.
+    pub fn grants_per_turn(&self, priority: u8) -> u64 {
+        match self.higher_than(priority) {
+            0 => 1,
+            _ => FLOOR_GRANTS,
+        }
+    }
+
     /// Returns `true` if a new request gets a free slot although others wait, as all of them are of a lower rank.
     pub fn is_next(&self, priority: u8, is_return: bool) -> bool {
         let level = self.levels.get(&priority);
@@ -146,7 +154,7 @@
         level.map_or(0, |level| level.line.team_count())
     }
 
-    /// Returns the place of a new request.
+    /// Returns the place of a new request among those of its priority.
     pub fn place_of(&self, waiting: &WaitingRequest) -> LinePlace {
         let (request, is_return) = (&waiting.request, waiting.is_return);
         let level = self.levels.get(&request.priority);
@@ -154,12 +162,15 @@
             let line = &level.line;
             line.place_of(&request.team, waiting.in_time_until, is_return)
         });
-        let place = place.unwrap_or_default();
-        let by_floor = (place.ahead + 1).saturating_mul(FLOOR_GRANTS) - 1;
-        LinePlace {
-            ahead: (place.ahead + self.higher_than(request.priority)).min(by_floor),
-            ..place
-        }
+        place.unwrap_or_default()
+    }
+
+    /// Returns the number of grants before a request that has `same` others of its priority ahead. `higher_due` is the
+    /// number of returns of a higher priority that are due until then.
+    pub fn grants_before(&self, priority: u8, same: u64, higher_due: u64) -> u64 {
+        let by_floor = (same + 1).saturating_mul(FLOOR_GRANTS) - 1;
+        let higher = self.higher_than(priority) + higher_due;
+        (same + higher).min(by_floor)
     }
 
     /// Adds a request.
