--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -22,7 +22,8 @@
     },
     pool_answer::{
         PoolAnswer,
-        QueueChange, //
+        QueueChange,
+        QueueTotals, //
     },
     pool_load::PoolLoad,
     service_pool::ServicePool,
@@ -126,7 +127,8 @@
             pool.admit(request, || self.next_number(), now)
         });
         match &answer {
-            PoolAnswer::Granted(_) if request.is_repeat => {
+            // A retry that waits is counted at once, as others ask for the budget before it gets its slot.
+            PoolAnswer::Granted(_) | PoolAnswer::Waiting(_) if request.is_repeat => {
                 self.retries.record_retry(&request.service, now);
             }
             PoolAnswer::Granted(_) => self.retries.record_request(&request.service, now),
@@ -175,6 +177,14 @@
         all
     }
 
+    /// Returns what happened in the queues of all pools since their start, and what waits.
+    pub fn queue_totals(&self) -> QueueTotals {
+        let mut totals = QueueTotals::default();
+        self.pools
+            .for_each(|_, pool| totals.add(&pool.queue_totals()));
+        totals
+    }
+
     /// Removes a waiting request from its queue, as its caller has disconnected.
     pub fn cancel(&self, service: &ServiceId, zone: Option<&ZoneId>, ticket: TicketNumber) {
         let key = (service.clone(), zone.cloned());
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,11 @@
 //! - [`target_limit`]: the request rate that a target states.
 //! - [`target_slots`]: the concurrency limit of one target.
 //! - [`waiting_queue`]: requests that wait for a slot.
+//! - [`priority_line`]: requests of one priority that wait.
+//! - [`team_turns`]: fair queueing over teams.
+//! - [`return_schedule`]: return times of refused requests, and the tickets that keep their places.
+//! - [`wait_estimate`]: expected time until a slot is free.
+//! - [`pool_queue`]: which requests wait, and which are turned away.
 //! - [`pool_answer`]: the decisions of a pool.
 //! - [`pool_load`]: the load of a pool.
 //! - [`service_pool`]: the targets of a service in a zone, and target selection.
@@ -34,13 +39,18 @@
 pub mod pacer;
 pub mod pool_answer;
 pub mod pool_load;
+pub mod pool_queue;
+pub mod priority_line;
 pub mod retry_terms;
+pub mod return_schedule;
 pub mod service_pool;
 pub mod target_limit;
 pub mod target_slots;
 pub mod team_bucket;
+pub mod team_turns;
 pub mod time_budget;
 pub mod wait_choice;
+pub mod wait_estimate;
 pub mod waiting_queue;
 pub mod zone_door;
 pub mod zone_loads;
@@ -66,8 +76,10 @@
             whole_millis, //
         },
         pool_answer::{
+            BusyTerms,
             PoolAnswer,
-            QueueChange, //
+            QueueChange,
+            QueueTotals, //
         },
         pool_load::{
             PoolLoad,
@@ -84,7 +96,8 @@
         team_bucket::REPORT_VALID_FOR,
         time_budget::{
             TimeBudget,
-            hedge_delay, //
+            hedge_delay,
+            wait_after, //
         },
         wait_choice::WaitChoice,
         zone_door::{
--- a/crates/dispatch/src/pool_load.rs
+++ b/crates/dispatch/src/pool_load.rs
@@ -28,7 +28,7 @@
 };
 
 /// Number of priorities whose expected waits are told apart; lower ones share that of the last.
-const PRIORITIES_MAX: u8 = 8;
+const PRIORITIES_MAX: usize = 8;
 
 define_counter!(
     /// Number of slots of a pool.
@@ -85,7 +85,11 @@
 impl ServicePool {
     /// Returns the load of the pool.
     pub fn load(&self, now: MonoTime) -> PoolLoad {
-        let interval = self.completions.mean_interval(now);
+        let slots = self.targets.values();
+        let slots = slots
+            .map(|target| u64::from(target.entry().slots.get()))
+            .sum();
+        let interval = self.completions.mean_interval(slots, now);
         let rate = interval.map(|interval| interval.as_secs_f64().recip() * 1e6);
         PoolLoad {
             free_slots: SlotTotal::new(self.free_slots(now)),
@@ -93,7 +97,7 @@
             completions: rate.map_or(RequestRate::ZERO, |rate| {
                 RequestRate::from_micros(rate as u64)
             }),
-            next_slot_millis: whole_millis(self.expected_wait_at_head(now)),
+            next_slot_millis: whole_millis(self.pace(now).interval),
             waits: self.priority_waits(now),
         }
     }
@@ -129,32 +133,19 @@
         self.targets.values().map(free_of).sum()
     }
 
-    /// Returns the expected time until the next slot is free, which is the wait of a request with none before it.
-    fn expected_wait_at_head(&self, now: MonoTime) -> Duration {
-        let ahead = u32::try_from(self.queue.ahead_of(0)).unwrap_or(u32::MAX);
-        self.expected_wait(0, now) / ahead.saturating_add(1)
-    }
-
     /// Returns the expected waits of the priorities in which requests wait.
     fn priority_waits(&self, now: MonoTime) -> Vec<PriorityWait> {
-        let (mut waits, mut counted) = (Vec::new(), 0);
-        for priority in 0..PRIORITIES_MAX {
-            let is_last = priority + 1 == PRIORITIES_MAX;
-            let ahead = match is_last {
-                true => self.queue.len(),
-                false => self.queue.ahead_of(priority),
-            };
-            if ahead > counted {
-                counted = ahead;
-                let behind = if is_last { u8::MAX } else { priority };
-                waits.push(PriorityWait {
-                    priority,
-                    wait_millis: whole_millis(self.expected_wait(behind, now)),
-                });
-            }
-            if counted == self.queue.len() {
-                break;
+        let (mut waits, mut ahead) = (Vec::<PriorityWait>::new(), 0);
+        let pace = self.pace(now);
+        for (priority, count) in self.queue.counts().filter(|(_, count)| *count > 0) {
+            ahead += count;
+            if waits.len() == PRIORITIES_MAX {
+                waits.pop();
             }
+            waits.push(PriorityWait {
+                priority,
+                wait_millis: whole_millis(pace.time_for(ahead + 1)),
+            });
         }
         waits
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use chicorycroft_directory::prelude::*;
+use chicorycroft_dispatch::prelude::*;
 use prometheus::{
     Encoder,
     Histogram,
@@ -11,6 +12,7 @@
     IntCounter,
     IntCounterVec,
     IntGauge,
+    IntGaugeVec,
     Opts,
     Registry,
     TextEncoder, //
@@ -28,6 +30,11 @@
 /// Upper bounds of the buckets for the age of a load, in seconds. Refusals use loads of up to 0.25 s.
 const LOAD_AGE_BUCKETS: [f64; 6] = [0.01, 0.025, 0.05, 0.1, 0.15, 0.25];
 
+/// Raises a counter to a total.
+fn raise(counter: &IntCounter, total: u64) {
+    counter.inc_by(total.saturating_sub(counter.get()));
+}
+
 /// All metrics of a gateway process.
 #[derive(Debug)]
 pub struct GatewayMetrics {
@@ -42,6 +49,10 @@
     door_refusals: IntCounter,
     calls_saved: IntCounterVec,
     load_age: Histogram,
+    waiting: IntGaugeVec,
+    turned_away: IntCounter,
+    told_late: IntCounter,
+    tickets: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -108,6 +119,26 @@
                 )
                 .buckets(LOAD_AGE_BUCKETS.to_vec()),
             )?,
+            waiting: IntGaugeVec::new(
+                Opts::new(
+                    "gateway_waiting",
+                    "Requests that wait for a slot at this dispatcher, by priority.",
+                ),
+                &["priority"],
+            )?,
+            turned_away: IntCounter::new(
+                "gateway_turned_away_total",
+                "Requests that this dispatcher turned away, on arrival or after a wait.",
+            )?,
+            told_late: IntCounter::new(
+                "gateway_told_late_total",
+                "Requests that waited at this dispatcher and were then turned away.",
+            )?,
+            tickets: counter(
+                "gateway_return_tickets_total",
+                "Return tickets given and kept, and requests that came early for those of their team.",
+                "event",
+            )?,
         };
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.requests.clone()))?;
@@ -120,6 +151,10 @@
         registry.register(Box::new(metrics.door_refusals.clone()))?;
         registry.register(Box::new(metrics.calls_saved.clone()))?;
         registry.register(Box::new(metrics.load_age.clone()))?;
+        registry.register(Box::new(metrics.waiting.clone()))?;
+        registry.register(Box::new(metrics.turned_away.clone()))?;
+        registry.register(Box::new(metrics.told_late.clone()))?;
+        registry.register(Box::new(metrics.tickets.clone()))?;
         Ok(metrics)
     }
 
@@ -181,8 +216,25 @@
 
     /// Raises the counter of refused documents to a total.
     pub fn on_refused_documents(&self, total: u64) {
-        let counted = self.refused_documents.get();
-        self.refused_documents.inc_by(total.saturating_sub(counted));
+        raise(&self.refused_documents, total);
+    }
+
+    /// Sets the gauges of the queues, and raises their counters to the totals.
+    pub fn on_queues(&self, totals: &QueueTotals) {
+        for (priority, count) in &totals.waiting {
+            let waiting = self.waiting.with_label_values(&[&*priority.to_string()]);
+            waiting.set(i64::try_from(*count).unwrap_or(i64::MAX));
+        }
+        raise(&self.turned_away, totals.refused);
+        raise(&self.told_late, totals.told_late);
+        let tickets = [
+            ("given", totals.given),
+            ("kept", totals.kept),
+            ("early", totals.early),
+        ];
+        for (event, total) in tickets {
+            raise(&self.tickets.with_label_values(&[event]), total);
+        }
     }
 
     /// Returns all metrics in the Prometheus text format.
--- a/crates/gateway/src/request_attempts.rs
+++ b/crates/gateway/src/request_attempts.rs
@@ -52,6 +52,8 @@
     pub attempts_max: u32,
     /// Latency objective of the route; zero if it has none.
     pub objective: Duration,
+    /// Time at which the request arrived.
+    pub arrived_at: MonoTime,
     /// Time at which the request is abandoned.
     pub deadline: MonoTime,
     /// Whether the dispatchers are asked although the loads of the zones refuse the request.
@@ -67,6 +69,8 @@
     Answered(Response<BufferedBody>),
     /// This host refused the request, with an optional retry delay and the reason for the log.
     Refused(RefusalAnswer, Option<Duration>, &'static str),
+    /// No slot was free in time, with the time for which a place is kept; `None` if a return has no use.
+    TurnedAway(Option<Duration>),
 }
 
 /// State of the attempts of one request.
@@ -86,6 +90,7 @@
 /// Refusal of a request whose permit cannot be used.
 pub(crate) const BUSY_ANSWER: AdmitAnswer = AdmitAnswer::Busy {
     retry_millis: 0,
+    return_millis: None,
     has_less_trusted: false,
 };
 
@@ -130,6 +135,10 @@
         TimeBudget { left }
     }
 
+    fn elapsed(&self) -> Duration {
+        self.state.now().since(self.plan.arrived_at)
+    }
+
     pub(crate) fn admit_request(
         &self,
         zone: Option<&ZoneId>,
@@ -137,6 +146,10 @@
         least_trust: TargetTrust,
     ) -> AdmitRequest {
         let charged_team = self.plan.team.clone().filter(|_| !self.is_charged);
+        let (objective, elapsed) = (self.plan.objective, self.elapsed());
+        let wait = wait_after(wait, objective, elapsed);
+        let objective = Some(objective).filter(|objective| !objective.is_zero());
+        let objective_left = objective.map(|objective| objective.saturating_sub(elapsed));
         AdmitRequest {
             request: self.plan.id.clone(),
             service: self.plan.service.clone(),
@@ -148,6 +161,7 @@
             is_repeat: self.sent_count > 0,
             wait_millis: whole_millis(wait),
             left_millis: whole_millis(self.budget().left),
+            objective_millis: objective_left.map(whole_millis),
             connected: self.state.connections.connected_targets(self.state.now()),
             least_trust,
             tried: self.excluded_targets(),
@@ -204,7 +218,8 @@
         }
         loop {
             let is_first = self.started_count == 0;
-            let (permit, entry) = match self.find_target(is_first).await {
+            let (permit, entry) = match self.find_target(is_first || self.plan.is_idempotent).await
+            {
                 Ok(permitted) => permitted,
                 Err(refusal) => return self.refuse(&refusal),
             };
@@ -326,8 +341,8 @@
             AdmitAnswer::OverRate { retry_millis } => {
                 RequestOutcome::Refused(RefusalAnswer::OverRate, wait(retry_millis), "over-rate")
             }
-            AdmitAnswer::Busy { retry_millis, .. } => {
-                RequestOutcome::Refused(RefusalAnswer::Unavailable, wait(retry_millis), "busy")
+            AdmitAnswer::Busy { return_millis, .. } => {
+                RequestOutcome::TurnedAway(return_millis.and_then(wait))
             }
             AdmitAnswer::NoBudget => {
                 RequestOutcome::Refused(RefusalAnswer::Unavailable, None, "no-budget")
