--- a/crates/gateway/tests/gateway/requests.rs
+++ b/crates/gateway/tests/gateway/requests.rs
@@ -159,6 +159,35 @@
     assert_eq!(statuses, [200, 200, 200]);
 }
 
+/// Guards against an idempotent request whose first attempt fails while all other slots are in use, and that is given up
+/// although one becomes free within its objective.
+#[tokio::test]
+async fn retry_waits_for_a_slot() {
+    let gateway = TestGateway::new(2).await;
+    let work = Duration::from_millis(300);
+    for target in &gateway.targets {
+        target.set_next_behaviours(vec![TargetBehaviour::Answer(work); 2]);
+    }
+    let fill = async {
+        let calls = ["GET /look/1", "GET /look/2", "GET /look/3"];
+        let [first, second, third] = calls.map(|line| gateway.call(line, "key-1", ""));
+        tokio::join!(first, second, third)
+    };
+    let fail = async {
+        gateway
+            .wait_until(|_| gateway.received_requests().len() == 3)
+            .await;
+        let mut targets = gateway.targets.iter();
+        let free = targets.find(|target| target.requests().len() == 1);
+        free.expect("a target with a free slot")
+            .set_next_behaviours([TargetBehaviour::Fail]);
+        gateway.call("GET /look/4", "key-1", "").await
+    };
+    let (_, answer) = tokio::join!(fill, fail);
+    assert_eq!(answer.status, 200);
+    assert_eq!(gateway.received_requests().len(), 5);
+}
+
 /// Guards against requests that are neither logged nor counted because their caller disconnected shortly before
 /// the response.
 #[tokio::test]
