Adapt the test of permit formats to replies with a load

Change: the test wraps its answer; it checks the same. Measured: cargo test -p chicorycroft-peer. Conclusion: none.

--- a/crates/peer/tests/admit_formats.rs
+++ b/crates/peer/tests/admit_formats.rs
@@ -26,11 +26,12 @@
 }
 
 fn busy(return_millis: Option<u32>) -> GatewayMessage {
-    GatewayMessage::Admitted(AdmitAnswer::Busy {
+    let answer = AdmitAnswer::Busy {
         retry_millis: 250,
         return_millis,
         has_less_trusted: true,
-    })
+    };
+    GatewayMessage::Admitted(answer.into())
 }
 
 /// Returns a message as a host gets it that was sent in a format version.
