Let the door of hosts know what dispatchers refuse by their queues

Change: a refusal at the door also follows from what dispatchers stated to the same team and priority within the period, until a zone shows a free slot. Its Retry-After lies within a third of the time left.

--- a/crates/dispatch/src/zone_door.rs
+++ b/crates/dispatch/src/zone_door.rs
@@ -59,11 +59,28 @@
     pub report: Option<u32>,
 }
 
+/// The last refusal of requests of a team and priority by the dispatchers.
+#[derive(Clone, Copy, Debug)]
+struct SeenRefusal {
+    at: MonoTime,
+    /// Longest time that the request would have waited.
+    wait: Duration,
+    /// Shortest wait that a dispatcher stated.
+    stated_wait: Duration,
+}
+
+impl SeenRefusal {
+    /// Returns what is left of the stated wait; `None` if the refusal is too old to decide.
+    fn wait_left(&self, now: MonoTime) -> Option<Duration> {
+        let age = now.since(self.at);
+        (age < REFUSAL_PERIOD).then(|| self.stated_wait.saturating_sub(age))
+    }
+}
+
 /// The refusals of a service.
 #[derive(Clone, Debug, Default)]
 pub struct ServiceDoor {
-    /// Times at which dispatchers last refused requests, by team and priority.
-    refused_at: IndexMap<(Option<TeamId>, u8), MonoTime>,
+    refusals: IndexMap<(Option<TeamId>, u8), SeenRefusal>,
     /// Requests that the loads would have refused.
     refusable_count: u32,
     unreported_count: u32,
@@ -81,12 +98,27 @@
         Self::default()
     }
 
-    /// Records that the dispatchers refused a request.
-    pub fn record_refusal(&mut self, request: &DoorRequest<'_>, now: MonoTime) {
-        self.refused_at
-            .retain(|_, at| now.since(*at) < REFUSAL_PERIOD);
+    /// Records that the dispatchers refused a request, with the shortest wait that they stated.
+    pub fn record_refusal(
+        &mut self,
+        request: &DoorRequest<'_>,
+        stated_wait: Duration,
+        now: MonoTime,
+    ) {
+        self.refusals
+            .retain(|_, seen| seen.wait_left(now).is_some());
         let key = (request.team.cloned(), request.priority);
-        self.refused_at.insert(key, now);
+        let seen = SeenRefusal {
+            at: now,
+            wait: request.wait,
+            stated_wait,
+        };
+        self.refusals.insert(key, seen);
+    }
+
+    /// Records that a zone has a free slot, so that what the dispatchers refused before counts no more.
+    pub fn record_free_slot(&mut self) {
+        self.refusals.clear();
     }
 
     /// Decides about a request by the views of all zones of its service.
@@ -100,8 +132,13 @@
         now: MonoTime,
     ) -> DoorAnswer {
         let key = (request.team.cloned(), request.priority);
-        let refused_at = self.refused_at.get(&key);
-        let was_refused = refused_at.is_some_and(|at| now.since(*at) < REFUSAL_PERIOD);
+        let seen = self.refusals.get(&key).copied();
+        let seen = seen.and_then(|seen| Some((seen, seen.wait_left(now)?)));
+        let Some((refusal, stated_left)) = seen else {
+            return DoorAnswer::Open;
+        };
+        // A dispatcher knows the place of a team in its queue, which the load does not tell.
+        let expected_wait = |view: &ZoneView| view.expected_wait(request.priority).max(stated_left);
         let is_hopeless = |view: &ZoneView| {
             // In a zone that is full for long, others take the slots that become free while the body arrives.
             let body_time = match view.is_steady {
@@ -109,18 +146,18 @@
                 false => request.body_time,
             };
             let wait_max = request.wait + body_time;
-            view.is_full() && view.expected_wait(request.priority) > wait_max
+            // The dispatchers have just refused a request that would have waited as long.
+            let was_refused = !refusal.stated_wait.is_zero() && wait_max <= refusal.wait;
+            view.is_full() && (was_refused || expected_wait(view) > wait_max)
         };
-        if !was_refused || views.is_empty() || !views.iter().all(is_hopeless) {
+        if views.is_empty() || !views.iter().all(is_hopeless) {
             return DoorAnswer::Open;
         }
         self.refusable_count = self.refusable_count.wrapping_add(1);
         if self.refusable_count.is_multiple_of(SAMPLE_ONE_IN) {
             return DoorAnswer::Sample;
         }
-        let waits = views
-            .iter()
-            .map(|view| view.expected_wait(request.priority));
+        let waits = views.iter().map(expected_wait);
         DoorAnswer::Refused(DoorRefusal {
             expected_wait: waits.min().unwrap_or_default(),
             age: views.iter().map(|view| view.age).max().unwrap_or_default(),
--- a/crates/dispatch/src/zone_loads.rs
+++ b/crates/dispatch/src/zone_loads.rs
@@ -141,6 +141,9 @@
     pub fn record(&self, service: &ServiceId, zone: &ZoneId, load: PoolLoad, now: MonoTime) {
         self.services
             .with_or_insert(service, ServiceLoads::default, |loads| {
+                if load.has_free_slot() {
+                    loads.door.record_free_slot();
+                }
                 let known = loads.zones.get(zone);
                 let known = known.filter(|known| {
                     let was_full = !known.load.has_free_slot() && !load.has_free_slot();
@@ -206,12 +209,12 @@
         zones.iter().map(view_of).collect()
     }
 
-    /// Records that all zones refused a request for want of a slot. Only a request of the same team and priority may be
+    /// Records that all zones refused a request for want of a slot, with the shortest wait that they stated. Only a request of the same team and priority may be
     /// refused at the door after it.
-    pub fn record_refusal(&self, request: &DoorRequest<'_>, now: MonoTime) {
+    pub fn record_refusal(&self, request: &DoorRequest<'_>, stated_wait: Duration, now: MonoTime) {
         self.services
             .with_or_insert(request.service, ServiceLoads::default, |loads| {
-                loads.door.record_refusal(request, now);
+                loads.door.record_refusal(request, stated_wait, now);
             });
     }
 
--- a/crates/gateway/src/target_search.rs
+++ b/crates/gateway/src/target_search.rs
@@ -29,6 +29,10 @@
 /// Maximum number of permits of one zone in a row that a request does not use because this host knows better.
 const UNUSABLE_GRANTS_MAX: usize = 3;
 
+/// Part of the time left within which a caller that is refused at the door returns. With the jitter on the stated time it is
+/// a third, up to which callers follow it.
+const RETURN_PART: u32 = 5;
+
 impl RequestAttempts {
     /// Returns what a refusal by the loads of the zones depends on.
     fn door_request(&self) -> DoorRequest<'_> {
@@ -102,6 +106,7 @@
         let metrics = &self.state.metrics;
         metrics.on_calls_saved("full-zone", search.full_zones.len());
         let until = self.state.now().after(self.door_request().wait);
+        let mut stated_wait: Option<Duration> = None;
         loop {
             let left = until.since(self.state.now());
             let Some(zone) = search.choice.next_zone(left) else {
@@ -111,15 +116,19 @@
             let loads = &self.state.zone_loads;
             loads.record_waiting(&self.plan.service, &zone);
             match self.request_permit(&zone, request, search).await {
-                Err(AdmitAnswer::Busy { .. } | AdmitAnswer::NoTarget) => {}
+                Err(AdmitAnswer::Busy { retry_millis, .. }) => {
+                    let wait = Duration::from_millis(retry_millis.into());
+                    stated_wait = Some(stated_wait.map_or(wait, |known| known.min(wait)));
+                }
+                Err(AdmitAnswer::NoTarget) => {}
                 result => return result,
             }
         }
         if matches!(search.refusal, AdmitAnswer::Busy { .. }) {
-            let now = self.state.now();
+            let (now, stated_wait) = (self.state.now(), stated_wait.unwrap_or_default());
             self.state
                 .zone_loads
-                .record_refusal(&self.door_request(), now);
+                .record_refusal(&self.door_request(), stated_wait, now);
         }
         Err(search.refusal.clone())
     }
@@ -159,11 +168,11 @@
         }
         match ask_door(&self.state, &self.door_request(), &self.plan.id) {
             DoorAnswer::Open | DoorAnswer::Sample => None,
-            DoorAnswer::Refused(refusal) => Some(RequestOutcome::Refused(
-                RefusalAnswer::Unavailable,
-                Some(refusal.expected_wait),
-                ZONES_FULL,
-            )),
+            DoorAnswer::Refused(refusal) => {
+                let wait = refusal.expected_wait.min(self.budget().left / RETURN_PART);
+                let answer = RefusalAnswer::Unavailable;
+                Some(RequestOutcome::Refused(answer, Some(wait), ZONES_FULL))
+            }
         }
     }
 }
