--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -17,7 +17,6 @@
     messages::{
         AdmitRequest,
         ReleaseNotice,
-        TeamUsage,
         TicketNumber, //
     },
     pool_answer::{
@@ -26,7 +25,10 @@
     },
     service_pool::ServicePool,
     target_slots::ReleaseEffect,
-    team_bucket::TeamBucket,
+    team_tokens::{
+        TeamBuckets,
+        limit_of, //
+    },
 };
 
 /// Free retries of a service at a host that decides for itself. All hosts may do so at once, and the platform's allowance
@@ -39,7 +41,7 @@
 #[derive(Debug, Default)]
 pub struct ZoneDispatcher {
     pools: ShardMap<PoolKey, ServicePool>,
-    buckets: ShardMap<TeamId, TeamBucket>,
+    teams: TeamBuckets,
     retries: RetryBudget,
     numbers: AtomicU64,
 }
@@ -79,20 +81,16 @@
         let Some(team) = &request.charged_team else {
             return Ok(());
         };
-        let terms = config.team(team);
-        let Some((rate, burst)) = terms.and_then(|terms| Some((terms.rate?, terms.burst))) else {
-            return Ok(());
-        };
-        self.buckets
-            .with_or_insert(team, TeamBucket::new, |bucket| {
-                bucket.try_take(rate, burst, share.fraction, now)
-            })
+        match limit_of(team, config) {
+            Some(limit) => self.teams.try_take(team, limit, share.fraction, now),
+            None => Ok(()),
+        }
     }
 
     /// Returns the token of a request that is not sent with a permit of this dispatcher.
     fn give_back<'a>(&self, teams: impl IntoIterator<Item = &'a TeamId>) {
         for team in teams {
-            self.buckets.with(team, TeamBucket::give_back);
+            self.teams.give_back(team);
         }
     }
 
@@ -170,40 +168,8 @@
         self.give_back(&team.flatten());
     }
 
-    fn usage_by(&self, count_of: impl Fn(&TeamBucket) -> u64) -> Vec<TeamUsage> {
-        let mut usage = Vec::new();
-        self.buckets.for_each(|team, bucket| {
-            usage.push(TeamUsage {
-                team: team.clone(),
-                spent: count_of(bucket),
-            });
-        });
-        usage
-    }
-
-    /// Returns the requests of each team that were charged here since the start, for the other dispatchers.
-    pub fn usage(&self) -> Vec<TeamUsage> {
-        self.usage_by(TeamBucket::spent)
-    }
-
-    /// Returns the requests of each team that were charged here or reported by others, for standby hosts.
-    pub fn total_usage(&self) -> Vec<TeamUsage> {
-        self.usage_by(TeamBucket::total)
-    }
-
-    /// Records the usage that another dispatcher reports.
-    pub fn on_usage(
-        &self,
-        host: &HostId,
-        incarnation: HostIncarnation,
-        usage: &[TeamUsage],
-        now: MonoTime,
-    ) {
-        for report in usage {
-            self.buckets
-                .with_or_insert(&report.team, TeamBucket::new, |bucket| {
-                    bucket.on_report(host, incarnation, report.spent, now);
-                });
-        }
+    /// Returns the buckets of the teams.
+    pub fn teams(&self) -> &TeamBuckets {
+        &self.teams
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -13,7 +13,11 @@
 //! - [`pool_answer`]: the decisions of a pool.
 //! - [`service_pool`]: the targets of a service in a zone, and target selection.
 //! - [`retry_terms`]: the retry budget of one dispatcher.
-//! - [`team_bucket`]: the rate and burst of a team over all dispatchers.
+//! - [`rate_lease`]: which host lends its unit of the team rates to which dispatcher.
+//! - [`fleet_roster`]: the number of hosts among which the team rates are divided.
+//! - [`rate_share`]: the share of the team rates that a dispatcher may spend, and its history.
+//! - [`team_bucket`]: the tokens of a team at one dispatcher.
+//! - [`team_tokens`]: the buckets of all teams at one dispatcher.
 //! - [`dispatcher`]: combines pools, buckets and budgets for all services and teams.
 //! - [`time_budget`]: deadlines, queue waits and hedging delays.
 //!
@@ -24,15 +28,19 @@
 pub mod evidence;
 pub mod excluded_targets;
 pub mod failure_window;
+pub mod fleet_roster;
 pub mod fleet_share;
 pub mod messages;
 pub mod pacer;
 pub mod pool_answer;
+pub mod rate_lease;
+pub mod rate_share;
 pub mod retry_terms;
 pub mod service_pool;
 pub mod target_limit;
 pub mod target_slots;
 pub mod team_bucket;
+pub mod team_tokens;
 pub mod time_budget;
 pub mod waiting_queue;
 
@@ -42,14 +50,21 @@
         dispatcher::ZoneDispatcher,
         evidence::TargetTrust,
         excluded_targets::ExcludedTargets,
+        fleet_roster::{
+            FleetCount,
+            FleetRoster,
+            size_assumed, //
+        },
         fleet_share::FleetShare,
         messages::{
             AdmitAnswer,
             AdmitRequest,
             AttemptResult,
+            BucketLevels,
             DispatchGrant,
             PermitNumber,
             ReleaseNotice,
+            TeamTokens,
             TeamUsage,
             TicketNumber,
             whole_millis, //
@@ -58,13 +73,24 @@
             PoolAnswer,
             QueueChange, //
         },
+        rate_lease::{
+            LEASE_TERM,
+            LeaseBook,
+            LeaseBorrower,
+            LeaseHolder, //
+        },
+        rate_share::{
+            StandbyCopy,
+            share_of_units, //
+        },
         retry_terms::retry_terms,
         target_limit::{
             LimitState,
             StatedLimits,
             TargetLimiter, //
         },
-        team_bucket::REPORT_VALID_FOR,
+        team_bucket::TeamLimit,
+        team_tokens::TeamBuckets,
         time_budget::{
             TimeBudget,
             hedge_delay, //
--- a/crates/dispatch/src/messages.rs
+++ b/crates/dispatch/src/messages.rs
@@ -185,3 +185,21 @@
     /// Number of requests.
     pub spent: u64,
 }
+
+/// Tokens of a team: those that it lacks, those that are given, or the level of its bucket.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TeamTokens {
+    /// The team.
+    pub team: TeamId,
+    /// Number of tokens.
+    pub tokens: TokenAmount,
+}
+
+/// The buckets of a dispatcher, for the hosts that would take over from it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct BucketLevels {
+    /// Share of the team rates that the dispatcher uses.
+    pub share: CapacityRatio,
+    /// Buckets below their capacity, with their tokens above a debt of one.
+    pub teams: Vec<TeamTokens>,
+}
--- a/crates/dispatch/src/team_bucket.rs
+++ b/crates/dispatch/src/team_bucket.rs
@@ -1,120 +1,201 @@
-//! Distributed token bucket: the rate and burst of a team over all dispatchers.
+//! Token bucket of a team at one dispatcher.
 //!
-//! Load pattern: one team sends many times its rate through all zones at once, while network partitions
-//! separate hosts. Each dispatcher refills a bucket at the whole rate and takes out the tokens that it
-//! spends and those that the others report; a dispatcher without reports refills at its share of the rate only.
-//! The bucket goes below zero on late reports, so that a burst is paid back and the sum stays at the rate. It is
-//! nearly empty at the start of its process, because an earlier process may have spent the burst. The standby of
-//! a dispatcher receives its spending for the same reason. A request that finds no slot gives its token back, so that
-//! a team gets its whole rate also while many of its requests are refused for want of a slot.
+//! Load pattern: one team sends many times its rate through all zones at once, while dispatchers are replaced and network
+//! partitions separate hosts. The bucket refills at the dispatcher's share of the rate at each time, so that the buckets of
+//! all dispatchers together refill at the rate. Tokens move between dispatchers to where the requests are; they are
+//! deducted before they are sent. The bucket is nearly empty at the start of its process, because an earlier process may
+//! have spent the burst. A standby copies the level of the dispatcher's bucket and goes on from it. A request that finds no
+//! slot gives its token back, so that a team gets its whole rate also while many of its requests are refused for want of a
+//! slot.
 
 use std::time::Duration;
 
 use chicorycroft_core::prelude::*;
-use indexmap::IndexMap;
+
+use crate::rate_share::ShareHistory;
 
 /// Millionths of a token.
 const MICROS: i128 = 1_000_000;
 
+/// Tokens that all dispatchers together may be in debt. A dispatcher with a part of a token grants a request if the parts
+/// of all of them may be a whole one; the platform allows a team 20 requests beyond its window.
+const DEBT_MAX: i128 = 10 * MICROS;
+
 /// Longest delay that a refused caller is asked to wait before a retry.
 const RETRY_DELAY_MAX: Duration = Duration::from_secs(2);
 
-/// Time for which a report of another dispatcher is valid. After a longer gap the two count as partitioned,
-/// and the smaller partition keeps to its share of the rate from then on.
-pub const REPORT_VALID_FOR: Duration = Duration::from_millis(1500);
-
 /// Refill time that a bucket is credited with at the start of its process, as callers that were disconnected by a
 /// restart return within this time. It is below the excess that the platform allows a team in a window of five
 /// seconds: a quarter of that window's tokens.
 const INITIAL_FILL: Duration = Duration::from_millis(500);
 
+/// Longest time before a takeover for which a copy is refilled: the age of the latest copy.
+const COPY_AGE_MAX: Duration = Duration::from_millis(300);
+
+/// Time after the start of the process in which a growing share brings its part of the initial fill.
+const INITIAL_PERIOD: Duration = Duration::from_secs(5);
+
+/// Length of a period in which demand is counted. Dispatchers exchange tokens within it.
+const DEMAND_PERIOD: Duration = Duration::from_millis(500);
+
+/// Rate and burst of a team.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct TeamLimit {
+    /// Requests per second.
+    pub rate: RequestRate,
+    /// Requests at once beyond the rate.
+    pub burst: BurstSize,
+}
+
 /// The tokens of a team at one dispatcher.
 #[derive(Clone, Debug, Default)]
 pub struct TeamBucket {
-    /// Tokens in millionths; negative while late reports are paid back.
+    /// Tokens in millionths; negative by at most one token.
     tokens: i128,
-    filled_at: Option<MonoTime>,
+    filled_at: MonoTime,
+    /// Largest share whose part of the initial fill was credited.
+    initial_share: CapacityRatio,
+    /// Whether the level is that of another dispatcher, which may have refilled and spent it since.
+    is_copy: bool,
     spent: u64,
-    /// Tokens spent here and reported by other dispatchers since the start.
-    total: u64,
-    /// Latest report of each other dispatcher, by host and incarnation.
-    reports: IndexMap<(HostId, HostIncarnation), SpendingReport>,
+    limit: TeamLimit,
+    demand: DemandCount,
 }
 
-/// Tokens that another dispatcher has spent since its start, by its latest report.
-#[derive(Clone, Copy, Debug)]
-struct SpendingReport {
-    spent: u64,
-    /// Tokens spent here at the time of the report.
-    own_spent: u64,
-    at: MonoTime,
+/// Requests in the current period and in the one before.
+#[derive(Clone, Copy, Debug, Default)]
+struct DemandCount {
+    period: u128,
+    current: u64,
+    previous: u64,
+}
+
+impl DemandCount {
+    fn advance(&mut self, now: MonoTime) {
+        let period = u128::from(now.as_micros()) / DEMAND_PERIOD.as_micros();
+        if period > self.period {
+            self.previous = match period == self.period + 1 {
+                true => self.current,
+                false => 0,
+            };
+            (self.period, self.current) = (period, 0);
+        }
+    }
+
+    /// Returns the tokens in millionths that are needed within a period, if demand stays as it was.
+    fn tokens(&mut self, now: MonoTime) -> i128 {
+        self.advance(now);
+        i128::from(self.current.max(self.previous)) * MICROS
+    }
 }
 
 fn share_of(micros: u64, share: CapacityRatio) -> i128 {
     i128::from(micros) * i128::from(share.as_mille()) / i128::from(CapacityRatio::MAX_MILLE)
 }
 
+/// Returns the tokens that accrue over a time.
+fn accrued(rate: i128, time: Duration) -> i128 {
+    let time = i128::try_from(time.as_micros()).unwrap_or(i128::MAX);
+    rate.saturating_mul(time) / MICROS
+}
+
+/// Returns the tokens from which a dispatcher with a share grants a request. Those of all dispatchers add up to one token
+/// at least, as long as the debts together are within [`DEBT_MAX`].
+fn threshold(share: CapacityRatio) -> i128 {
+    let whole = i128::from(CapacityRatio::MAX_MILLE);
+    let share = i128::from(share.as_mille());
+    let debt = (MICROS * (whole - share) / whole).min(DEBT_MAX * share / whole);
+    MICROS - debt
+}
+
+/// Returns an amount of tokens, zero for a debt.
+fn amount_of(micros: i128) -> TokenAmount {
+    TokenAmount::from_micros(u64::try_from(micros.max(0)).unwrap_or(u64::MAX))
+}
+
 impl TeamBucket {
     /// Creates a bucket that is nearly empty at the start of the process and refills from then on.
     pub fn new() -> Self {
         Self::default()
     }
 
-    /// Adds the tokens since the last refill, and returns the share of the rate in millionths per second.
-    fn refill(
-        &mut self,
-        rate: RequestRate,
-        burst: BurstSize,
-        share: CapacityRatio,
-        now: MonoTime,
-    ) -> i128 {
-        let capacity = share_of(burst.as_micros(), share).max(MICROS);
-        let rate = share_of(rate.as_micros(), share);
-        let time = match self.filled_at.replace(now) {
-            Some(at) => now.since(at),
-            None => now.since(MonoTime::START) + INITIAL_FILL,
+    /// Returns the most tokens that a bucket of a share refills to.
+    fn capacity(&self, share: CapacityRatio) -> i128 {
+        share_of(self.limit.burst.as_micros(), share).max(MICROS)
+    }
+
+    /// Adds the tokens since the last refill, by the shares that held. Tokens above the capacity of a share that has
+    /// become smaller are kept.
+    fn refill(&mut self, shares: &ShareHistory, now: MonoTime) {
+        let Some(active_since) = shares.active_since() else {
+            return;
         };
-        let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
-        self.tokens += rate.saturating_mul(i128::from(micros)) / MICROS;
-        self.tokens = self.tokens.min(capacity);
-        rate
+        if self.limit.rate.is_zero() {
+            return;
+        }
+        let from = match std::mem::take(&mut self.is_copy) {
+            true => {
+                let age_max = u64::try_from(COPY_AGE_MAX.as_micros()).unwrap_or(0);
+                let since = active_since.as_micros().saturating_sub(age_max);
+                self.filled_at.max(MonoTime::from_micros(since))
+            }
+            false => self.filled_at,
+        };
+        let rate = self.limit.rate.as_micros();
+        for (share, time) in shares.between(from, now) {
+            let credit = accrued(share_of(rate, share), time);
+            let filled = (self.tokens + credit).min(self.capacity(share));
+            self.tokens = self.tokens.max(filled);
+        }
+        self.filled_at = self.filled_at.max(now);
+        let share = shares.latest();
+        if share > self.initial_share {
+            if now.since(MonoTime::START) < INITIAL_PERIOD {
+                let part = share.as_mille() - self.initial_share.as_mille();
+                let rate = share_of(rate, CapacityRatio::from_mille(part));
+                let filled = self.tokens + accrued(rate, INITIAL_FILL);
+                self.tokens = self.tokens.max(filled.min(self.capacity(share)));
+            }
+            self.initial_share = share;
+        }
     }
 
-    /// Takes one token of a bucket with `share` of the team's rate and burst.
+    /// Takes one token of a bucket that refills by a history of shares.
     ///
     /// # Errors
     ///
     /// Returns the time until the next token, limited to 2 s, if the bucket is empty.
     pub fn try_take(
         &mut self,
-        rate: RequestRate,
-        burst: BurstSize,
-        share: CapacityRatio,
+        limit: TeamLimit,
+        shares: &ShareHistory,
         now: MonoTime,
     ) -> Result<(), Duration> {
-        let rate = self.refill(rate, burst, share, now);
-        if self.tokens >= MICROS {
+        self.limit = limit;
+        self.refill(shares, now);
+        self.demand.advance(now);
+        self.demand.current += 1;
+        let threshold = threshold(shares.latest());
+        if self.tokens >= threshold {
             self.tokens -= MICROS;
             self.spent += 1;
-            self.total += 1;
             return Ok(());
         }
-        let micros = ((MICROS - self.tokens) * MICROS).checked_div(rate);
+        let rate = share_of(limit.rate.as_micros(), shares.latest());
+        let micros = ((threshold - self.tokens) * MICROS).checked_div(rate);
         let micros = micros.and_then(|micros| u64::try_from(micros).ok());
         Err(micros
             .map_or(RETRY_DELAY_MAX, Duration::from_micros)
             .min(RETRY_DELAY_MAX))
     }
 
-    /// Returns the token of a request that was not sent to a target. Other dispatchers that were told of it count one
-    /// token less of the later ones.
+    /// Returns the token of a request that was not sent to a target.
     pub fn give_back(&mut self) {
         if self.spent == 0 {
             return;
         }
         self.tokens += MICROS;
         self.spent -= 1;
-        self.total -= 1;
     }
 
     /// Returns the number of tokens spent here since the start.
@@ -122,51 +203,58 @@
         self.spent
     }
 
-    /// Returns the number of tokens spent here or reported by other dispatchers since the start.
-    pub fn total(&self) -> u64 {
-        self.total
+    /// Returns the tokens that the team lacks for its demand within the next period, at most up to the capacity.
+    pub fn shortage(&mut self, shares: &ShareHistory, now: MonoTime) -> TokenAmount {
+        self.refill(shares, now);
+        let demand = self.demand.tokens(now);
+        let wanted = demand.min(self.capacity(shares.latest()));
+        amount_of(wanted - self.tokens)
     }
 
-    /// Records the tokens that another dispatcher has spent since its start, and charges the increase since its
-    /// last report. A report that is lower than an earlier one of the same incarnation has no effect on the tokens.
-    pub fn on_report(
+    /// Deducts tokens for another dispatcher, at most those that are not needed here within the next period.
+    pub fn give(
         &mut self,
-        host: &HostId,
-        incarnation: HostIncarnation,
-        spent: u64,
+        wanted: TokenAmount,
+        limit: TeamLimit,
+        shares: &ShareHistory,
         now: MonoTime,
-    ) {
-        let key = (host.clone(), incarnation);
-        let previous = self.reports.get(&key).copied();
-        // The first report of a dispatcher may cover hours, so only later increases are charged.
-        let increase = previous.map_or(0, |previous| spent.saturating_sub(previous.spent));
-        let report = SpendingReport {
-            spent: spent.max(previous.map_or(0, |previous| previous.spent)),
-            own_spent: self.spent,
-            at: now,
-        };
-        self.reports
-            .retain(|(name, start), _| name != host || *start == incarnation);
-        self.reports.insert(key, report);
-        self.total += increase;
-        if let Some(previous) = previous {
-            self.tokens -= self.debt_of(increase, previous, now);
-        }
+    ) -> TokenAmount {
+        self.limit = limit;
+        self.refill(shares, now);
+        let surplus = self.tokens - self.demand.tokens(now);
+        let given = surplus.min(wanted.as_micros().into()).max(0);
+        self.tokens -= given;
+        amount_of(given)
     }
 
-    /// Returns the tokens that a reported increase takes from this bucket, in millionths.
-    ///
-    /// After a gap of more than [`REPORT_VALID_FOR`] between reports, the debt is limited to the tokens that were
-    /// spent here, scaled to the part of the gap in which this bucket still used the whole rate. For the rest of
-    /// the gap it kept to its share and is charged nothing.
-    fn debt_of(&self, increase: u64, previous: SpendingReport, now: MonoTime) -> i128 {
-        let gap = now.since(previous.at);
-        if gap <= REPORT_VALID_FOR {
-            return i128::from(increase) * MICROS;
-        }
-        let own = self.spent.saturating_sub(previous.own_spent);
-        let unreported = i128::from(increase.min(own)) * MICROS;
-        let micros = |time: Duration| i128::try_from(time.as_micros()).unwrap_or(i128::MAX);
-        unreported * micros(REPORT_VALID_FOR) / micros(gap)
+    /// Adds tokens that another dispatcher has deducted.
+    pub fn receive(&mut self, tokens: TokenAmount) {
+        self.tokens += i128::from(tokens.as_micros());
+    }
+
+    /// Returns the tokens above a debt of one, for a standby, or `None` if the bucket is full.
+    pub fn level(
+        &mut self,
+        limit: TeamLimit,
+        shares: &ShareHistory,
+        now: MonoTime,
+    ) -> Option<TokenAmount> {
+        self.limit = limit;
+        self.refill(shares, now);
+        let is_below = self.tokens < self.capacity(shares.latest());
+        is_below.then(|| amount_of(self.tokens + MICROS))
+    }
+
+    /// Takes over the [`level`](Self::level) of a dispatcher's bucket, whose share is `share`.
+    pub fn copy_level(&mut self, tokens: TokenAmount, share: CapacityRatio, now: MonoTime) {
+        self.tokens = i128::from(tokens.as_micros()) - MICROS;
+        self.filled_at = now;
+        self.initial_share = share;
+        self.is_copy = true;
+    }
+
+    /// Returns `true` if the level was copied at `now`.
+    pub fn is_copied_at(&self, now: MonoTime) -> bool {
+        self.is_copy && self.filled_at == now
     }
 }
--- a/crates/dispatch/tests/dispatcher/charging.rs
+++ b/crates/dispatch/tests/dispatcher/charging.rs
@@ -49,14 +49,15 @@
     }
 }
 
-/// Plays ten seconds in which the team sends eight times its rate through several zones whose dispatchers report to
-/// each other each half second. Each request asks the zones in turn. Returns the requests granted.
+/// Plays ten seconds in which the team sends eight times its rate through several zones whose dispatchers have equal shares
+/// and move tokens each half second. Each request asks the zones in turn. Returns the requests granted.
 fn play_overload(zone_count: u64, targets_per_zone: usize) -> u64 {
     let (config, directory) = (config_with_rate(), directory_of(targets_per_zone));
     let dispatchers: Vec<ZoneDispatcher> = (0..zone_count).map(ZoneDispatcher::new).collect();
-    let hosts: Vec<HostId> = (0..zone_count)
-        .map(|zone| HostId::new(&format!("host-{zone}")).unwrap())
-        .collect();
+    let share = FleetShare {
+        fraction: CapacityRatio::from_mille(u16::try_from(1000 / zone_count).unwrap()),
+        ..WHOLE
+    };
     let mut running: VecDeque<(u64, usize, DispatchGrant)> = VecDeque::new();
     let mut granted = 0;
     // The first second uses up the burst and is not counted.
@@ -66,10 +67,12 @@
             release(&dispatchers[zone], &grant, AttemptResult::Good, at(millis));
         }
         if turn % 160 == 0 {
-            for (host, from) in hosts.iter().zip(&dispatchers) {
-                for (to_host, to) in hosts.iter().zip(&dispatchers) {
-                    if host != to_host {
-                        to.on_usage(host, HostIncarnation::new(1), &from.usage(), at(millis));
+            for (zone, to) in dispatchers.iter().enumerate() {
+                let wanted = to.teams().shortages(at(millis));
+                for (other, from) in dispatchers.iter().enumerate() {
+                    if other != zone {
+                        let given = from.teams().give(&wanted, &config, at(millis));
+                        to.teams().receive(&given);
                     }
                 }
             }
@@ -77,14 +80,11 @@
         for step in 0..dispatchers.len() {
             let zone = (turn + step) % dispatchers.len();
             let request = uncharged(turn as u64, 0);
-            match dispatchers[zone].admit(&request, &config, &directory, WHOLE, at(millis)) {
-                PoolAnswer::Granted(grant) => {
-                    granted += u64::from(millis >= 1000);
-                    running.push_back((millis + WORK_MILLIS, zone, grant));
-                    break;
-                }
-                PoolAnswer::OverRate { .. } if step == 0 => break,
-                _ => {}
+            let answer = dispatchers[zone].admit(&request, &config, &directory, share, at(millis));
+            if let PoolAnswer::Granted(grant) = answer {
+                granted += u64::from(millis >= 1000);
+                running.push_back((millis + WORK_MILLIS, zone, grant));
+                break;
             }
         }
     }
@@ -122,7 +122,7 @@
         let request = uncharged(number, wait);
         dispatcher.admit(&request, &config, &directory, WHOLE, at(millis))
     };
-    let spent = || dispatcher.usage()[0].spent;
+    let spent = || dispatcher.teams().usage()[0].spent;
     // Two requests take both slots of the only target.
     assert!(matches!(admit(1, 0, 10_000), PoolAnswer::Granted(_)));
     assert!(matches!(admit(2, 0, 10_000), PoolAnswer::Granted(_)));
--- a/crates/dispatch/tests/dispatcher/main.rs
+++ b/crates/dispatch/tests/dispatcher/main.rs
@@ -9,6 +9,7 @@
 mod charging;
 mod common;
 mod limits;
+mod rate_lease;
 mod retry_terms;
 mod selection;
 mod team_bucket;
--- a/crates/gateway/src/follow_loop.rs
+++ b/crates/gateway/src/follow_loop.rs
@@ -19,17 +19,15 @@
 
 use crate::{
     peer_calls::call_member,
-    state::{
-        DispatcherReport,
-        GatewayState, //
-    },
+    state::GatewayState, //
 };
 
 /// Pause before asking a host again whose directory was older than the local one. It would return the same
 /// directory immediately; its next one comes with its watch of the store, about every 0.5 s.
 const STALE_ANSWER_PAUSE: Duration = Duration::from_millis(200);
 
-/// Long-poll wait between dispatchers. It bounds the delay until the other zones learn what a team has spent.
+/// Long-poll wait between dispatchers and of standbys. It bounds the delay until tokens move to the zone that needs them,
+/// and the age of the bucket levels of a standby.
 const DISPATCHER_WAIT: Duration = Duration::from_millis(250);
 
 /// Timeout for an answer, in addition to the long-poll wait.
@@ -50,7 +48,7 @@
 fn upstreams(state: &GatewayState) -> Vec<Upstream> {
     let now = state.now();
     let own = &state.settings.zone;
-    let ranked = state.gossip.ranked(own, now);
+    let ranked = state.ranked(own);
     let is_self = |record: &MemberRecord| record.host == state.settings.host;
     let follow = |member| Upstream {
         member,
@@ -125,6 +123,7 @@
                 .entry(key(&upstream))
                 .or_insert_with(|| tokio::spawn(follow_host(task_state, upstream)));
         }
+        state.refresh_share();
         tokio::time::sleep(state.change_budget().check_period()).await;
     }
 }
@@ -134,15 +133,24 @@
         member,
         is_read_wanted,
     } = upstream;
+    let mut is_standby = false;
     loop {
         let is_dispatcher = state.is_dispatcher();
-        let wait = match (is_dispatcher, is_read_wanted) {
+        let wait = match (is_dispatcher || is_standby, is_read_wanted) {
             (_, true) => state.change_budget().ask_wait(),
             (true, false) => DISPATCHER_WAIT,
             (false, false) => state.change_budget().follow_wait(),
         };
         let index = state.store_cache.index();
         let (directory, revisions) = state.store_cache.directory_with_revisions();
+        let is_own_zone = member.zone == state.settings.zone;
+        let is_lending = is_own_zone && !is_dispatcher && !is_read_wanted;
+        let lease = (is_lending && state.rates.try_lend(&member, state.now()))
+            .then(|| whole_millis(LEASE_TERM));
+        let short_teams = match is_dispatcher && !is_own_zone {
+            true => state.dispatcher.teams().shortages(state.now()),
+            false => Vec::new(),
+        };
         let request = FollowRequest {
             member: state.gossip.own(),
             config: index.map(|index| index.config().version()),
@@ -151,11 +159,14 @@
             wait_millis: whole_millis(wait),
             is_read_wanted,
             is_dispatcher,
+            lease_millis: lease,
+            short_teams,
         };
         let sent_at = state.now();
         let message = GatewayMessage::Follow(request);
         match call_member(&state, &member, message, wait + ANSWER_LIMIT).await {
             Ok(GatewayMessage::FollowAnswer(answer)) => {
+                is_standby = answer.levels.is_some();
                 if !apply_answer(&state, *answer, (directory.content, sent_at)) {
                     tokio::time::sleep(STALE_ANSWER_PAUSE).await;
                 }
@@ -180,7 +191,7 @@
     let now = state.now();
     let host = answer.member.host.clone();
     state.gossip.on_answer(&host, now);
-    state.gossip.merge(answer.member.clone(), now);
+    state.on_record(answer.member.clone(), now);
     if let Some(config) = answer.config {
         state.store_cache.adopt_config(config, host.as_str());
     }
@@ -219,23 +230,17 @@
     if answer.is_served {
         state.reader_search().on_served(&host, now);
     }
-    let incarnation = answer.member.incarnation;
     let is_own_zone = answer.member.zone == state.settings.zone;
-    let is_follower = !state.is_dispatcher();
-    if is_follower || !is_own_zone {
-        state
-            .dispatcher
-            .on_usage(&host, incarnation, &answer.usage, now);
+    state.dispatcher.teams().receive(&answer.given_tokens);
+    state
+        .metrics
+        .on_tokens_moved("received", &answer.given_tokens);
+    if is_own_zone && !state.is_dispatcher() {
+        state.rates.on_size(answer.fleet_size, now);
     }
-    if !is_own_zone {
-        let host_count = answer.follower_count + 1;
-        state.on_report(
-            &host,
-            DispatcherReport {
-                at: now,
-                host_count,
-            },
-        );
+    if let Some(levels) = answer.levels.filter(|_| !state.is_dispatcher()) {
+        state.dispatcher.teams().copy_levels(&levels, now);
+        state.rates.on_copy(&answer.member, levels.share, now);
     }
     is_current
 }
--- a/crates/gateway/src/gossip_loop.rs
+++ b/crates/gateway/src/gossip_loop.rs
@@ -69,6 +69,7 @@
 pub async fn gossip(state: Arc<GatewayState>) {
     loop {
         state.gossip.advance(state.now());
+        state.update_roster();
         if let Some(address) = choose_peer(&state) {
             exchange_records(&state, address).await;
         }
@@ -89,7 +90,7 @@
         Ok(GatewayMessage::Gossip(records)) => {
             let now = state.now();
             for record in records {
-                state.gossip.merge(record, now);
+                state.on_record(record, now);
             }
         }
         Ok(_) => log::warn!("event=peer_answer_unexpected address={address}"),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod permit_client;
 pub mod permit_relay;
 pub mod permit_service;
+pub mod rate_shares;
 pub mod ready_service;
 pub mod refused_documents;
 pub mod request_attempts;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,8 +2,14 @@
 
 use std::time::Duration;
 
+use chicorycroft_core::{
+    amounts::MICROS_PER_TOKEN,
+    prelude::*, //
+};
 use chicorycroft_directory::prelude::*;
+use chicorycroft_dispatch::prelude::*;
 use prometheus::{
+    CounterVec,
     Encoder,
     HistogramOpts,
     HistogramVec,
@@ -35,6 +41,10 @@
     copy_age: HistogramVec,
     config_version: IntGauge,
     refused_documents: IntCounter,
+    rate_share: IntGauge,
+    rate_units: IntGauge,
+    tokens_moved: CounterVec,
+    over_rate: IntCounter,
 }
 
 impl GatewayMetrics {
@@ -85,6 +95,25 @@
                 "gateway_documents_refused_total",
                 "Documents of the store that could not be decoded, counted at each read.",
             )?,
+            rate_share: IntGauge::new(
+                "gateway_rate_share_mille",
+                "Share of the team rates that this host may spend, in thousandths.",
+            )?,
+            rate_units: IntGauge::new(
+                "gateway_rate_units",
+                "Units of the team rates that this host holds, its own included.",
+            )?,
+            tokens_moved: CounterVec::new(
+                Opts::new(
+                    "gateway_tokens_moved_total",
+                    "Tokens of teams that moved between dispatchers, by direction.",
+                ),
+                &["direction"],
+            )?,
+            over_rate: IntCounter::new(
+                "gateway_over_rate_total",
+                "Permit requests that the dispatcher of this host refused for a team's rate.",
+            )?,
         };
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.requests.clone()))?;
@@ -94,6 +123,10 @@
         registry.register(Box::new(metrics.copy_age.clone()))?;
         registry.register(Box::new(metrics.config_version.clone()))?;
         registry.register(Box::new(metrics.refused_documents.clone()))?;
+        registry.register(Box::new(metrics.rate_share.clone()))?;
+        registry.register(Box::new(metrics.rate_units.clone()))?;
+        registry.register(Box::new(metrics.tokens_moved.clone()))?;
+        registry.register(Box::new(metrics.over_rate.clone()))?;
         Ok(metrics)
     }
 
@@ -143,6 +176,24 @@
         self.refused_documents.inc_by(total.saturating_sub(counted));
     }
 
+    /// Sets the gauges of the share of the team rates.
+    pub fn on_rate_share(&self, units: u32, share: CapacityRatio) {
+        self.rate_units.set(units.into());
+        self.rate_share.set(share.as_mille().into());
+    }
+
+    /// Counts tokens that were given to or received from another dispatcher.
+    pub fn on_tokens_moved(&self, direction: &str, moved: &[TeamTokens]) {
+        let micros: u64 = moved.iter().map(|moved| moved.tokens.as_micros()).sum();
+        let counter = self.tokens_moved.with_label_values(&[direction]);
+        counter.inc_by(micros as f64 / MICROS_PER_TOKEN as f64);
+    }
+
+    /// Counts a permit request that was refused because its team is over its rate.
+    pub fn on_over_rate(&self) {
+        self.over_rate.inc();
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/gateway/src/peer_calls.rs
+++ b/crates/gateway/src/peer_calls.rs
@@ -79,6 +79,12 @@
     limit: Duration,
 ) -> Result<GatewayMessage, PeerError> {
     let answer = call(state, member.address, message, limit).await;
+    if let Err(PeerError::Connect {
+        is_refused: true, ..
+    }) = &answer
+    {
+        state.rates.on_ended(member);
+    }
     if let Err(error) = &answer
         && state.gossip.suspect(&member.host, state.now())
     {
--- a/crates/gateway/src/peer_service.rs
+++ b/crates/gateway/src/peer_service.rs
@@ -19,9 +19,9 @@
 /// Longest time for which the answer to a follower is delayed while nothing changes.
 const LONG_POLL_MAX: Duration = Duration::from_secs(1);
 
-/// Number of hosts in a zone that hold the full team usage: the dispatcher and those next in rank, which would
-/// take over from it.
-const USAGE_HOLDERS: usize = 3;
+/// Number of hosts in a zone that have the bucket levels: the dispatcher and those next in rank, which would take over
+/// from it.
+const LEVEL_HOLDERS: usize = 3;
 
 /// Handles a message and returns the reply.
 pub async fn on_message(state: Arc<GatewayState>, message: PeerMessage) -> PeerMessage {
@@ -32,7 +32,7 @@
         GatewayMessage::Gossip(records) => {
             let now = state.now();
             for record in records {
-                state.gossip.merge(record, now);
+                state.on_record(record, now);
             }
             PeerMessage::Gateway(GatewayMessage::Gossip(state.gossip.records()))
         }
@@ -63,7 +63,10 @@
 /// otherwise after the wait that the follower requested.
 async fn on_follow(state: &GatewayState, request: FollowRequest) -> PeerMessage {
     let arrival = state.now();
-    state.gossip.merge(request.member.clone(), arrival);
+    state.on_record(request.member.clone(), arrival);
+    if let Some(millis) = request.lease_millis {
+        state.on_lease(&request.member.host, Duration::from_millis(millis.into()));
+    }
     if request.is_read_wanted {
         state.on_read_wanted(&request.member.host);
     }
@@ -100,6 +103,13 @@
         None => DirectoryUpdate::Replaced((*directory).clone()),
     };
     let config = index.map(|index| index.config().clone());
+    let (given_tokens, levels) = match &config {
+        Some(config) => (
+            give_tokens(state, &request, config),
+            levels_for(state, &request, config),
+        ),
+        None => (Vec::new(), None),
+    };
     let config = config.filter(|config| Some(config.version()) > request.config);
     PeerMessage::Gateway(GatewayMessage::FollowAnswer(Box::new(FollowAnswer {
         member: state.gossip.own(),
@@ -114,6 +124,9 @@
         revisions,
         usage: usage_for(state, &request),
         follower_count: state.follower_count(),
+        fleet_size: state.fleet_size(),
+        given_tokens,
+        levels,
     })))
 }
 
@@ -131,16 +144,45 @@
     content != request.content && is_later
 }
 
-/// Returns the team usage for hosts that need it. Hosts of other zones get the usage charged at this dispatcher,
-/// and the hosts that would take over from it get the total. Other followers get nothing.
+/// Returns the team usage for dispatchers of other zones: those of format version 3 charge it to their own buckets.
 fn usage_for(state: &GatewayState, request: &FollowRequest) -> Vec<TeamUsage> {
-    if request.member.zone != state.settings.zone {
-        return state.dispatcher.usage();
-    }
-    let ranked = state.gossip.ranked(&state.settings.zone, state.now());
-    let mut holders = ranked.iter().take(USAGE_HOLDERS);
-    match holders.any(|holder| holder.host == request.member.host) {
-        true => state.dispatcher.total_usage(),
+    match request.member.zone != state.settings.zone {
+        true => state.dispatcher.teams().usage(),
         false => Vec::new(),
     }
 }
+
+/// Deducts and returns tokens for the short teams of another dispatcher.
+fn give_tokens(
+    state: &GatewayState,
+    request: &FollowRequest,
+    config: &GatewayConfig,
+) -> Vec<TeamTokens> {
+    let wanted = &request.short_teams;
+    if wanted.is_empty() || !request.is_dispatcher || state.has_left() {
+        return Vec::new();
+    }
+    let given = state.dispatcher.teams().give(wanted, config, state.now());
+    state.metrics.on_tokens_moved("given", &given);
+    given
+}
+
+/// Returns the bucket levels for a host that would take over from this dispatcher.
+fn levels_for(
+    state: &GatewayState,
+    request: &FollowRequest,
+    config: &GatewayConfig,
+) -> Option<BucketLevels> {
+    let is_follower = !request.is_dispatcher && request.member.zone == state.settings.zone;
+    if !is_follower || !state.is_dispatcher() {
+        return None;
+    }
+    let now = state.now();
+    let ranked = state.gossip.ranked(&state.settings.zone, now);
+    let mut holders = ranked.iter().take(LEVEL_HOLDERS);
+    let is_holder = holders.any(|holder| holder.host == request.member.host);
+    is_holder.then(|| {
+        state.refresh_share();
+        state.dispatcher.teams().levels(config, now)
+    })
+}
--- a/crates/gateway/src/permit_client.rs
+++ b/crates/gateway/src/permit_client.rs
@@ -220,7 +220,7 @@
     zone: &ZoneId,
     request: &AdmitRequest,
 ) -> PermitAnswer {
-    let ranked = state.gossip.ranked(zone, state.now());
+    let ranked = state.ranked(zone);
     for (rank, member) in ranked.into_iter().take(DISPATCHERS_TRIED_MAX).enumerate() {
         if member.host == state.settings.host {
             return request_local_permit(state, request).await;
--- a/crates/gateway/src/permit_service.rs
+++ b/crates/gateway/src/permit_service.rs
@@ -66,6 +66,7 @@
             has_less_trusted,
         },
         PoolAnswer::OverRate { retry_after } => {
+            state.metrics.on_over_rate();
             log_refusal(request, config, share, "over-rate");
             AdmitAnswer::OverRate {
                 retry_millis: whole_millis(retry_after),
--- /dev/null
+++ b/crates/gateway/src/rate_shares.rs
@@ -0,0 +1,176 @@
+//! The units and shares of the team rates at one host.
+//!
+//! The rules are those of `chicorycroft_dispatch`; this module keeps their state, each part under its own lock, and logs
+//! what changes.
+
+use std::sync::{
+    Mutex,
+    MutexGuard,
+    PoisonError, //
+};
+
+use chicorycroft_core::prelude::*;
+use chicorycroft_dispatch::prelude::*;
+use chicorycroft_membership::prelude::*;
+
+/// What a host knows about itself when it works out its share.
+#[derive(Clone, Copy, Debug)]
+pub struct ShareView {
+    /// Whether the settings list no other host.
+    pub is_only_host: bool,
+    /// Number of zones in the settings.
+    pub zone_count: usize,
+    /// Whether gossip may not have delivered the records of most hosts yet.
+    pub is_starting: bool,
+}
+
+/// A share of the team rates and what it follows from.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RateShare {
+    /// Units held, the host's own included.
+    pub units: u32,
+    /// Hosts of the fleet.
+    pub count: FleetCount,
+    /// Share by the units.
+    pub fraction: CapacityRatio,
+}
+
+/// The units and shares of the team rates at one host.
+#[derive(Debug, Default)]
+pub struct RateShares {
+    roster: Mutex<FleetRoster>,
+    book: Mutex<LeaseBook>,
+    holder: Mutex<LeaseHolder>,
+    copy: Mutex<Option<StandbyCopy>>,
+    logged: Mutex<(RateShare, CapacityRatio)>,
+}
+
+fn lock<T>(part: &Mutex<T>) -> MutexGuard<'_, T> {
+    part.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn borrower_of(member: &MemberRecord) -> LeaseBorrower {
+    LeaseBorrower {
+        host: member.host.clone(),
+        incarnation: member.incarnation,
+    }
+}
+
+impl RateShares {
+    /// Creates the shares of a host that knows of no other and has lent nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records what the record of another host tells: that it lives, that its process is a later one, or that it leaves.
+    pub fn on_record(&self, member: &MemberRecord, now: MonoTime) {
+        let process = borrower_of(member);
+        lock(&self.roster).on_beat(&member.host, member.incarnation, member.beat, now);
+        lock(&self.holder).on_started(&process);
+        if let Some(copy) = lock(&self.copy).as_mut() {
+            copy.is_ended |= copy.source.is_replaced_by(&process);
+        }
+        if member.is_leaving {
+            self.on_ended(member);
+        }
+    }
+
+    /// Records that a process spends nothing any more: it leaves, or it has ended.
+    pub fn on_ended(&self, member: &MemberRecord) {
+        let process = borrower_of(member);
+        lock(&self.holder).on_returned(&process);
+        if let Some(copy) = lock(&self.copy).as_mut()
+            && copy.source == process
+        {
+            copy.is_ended = true;
+        }
+    }
+
+    /// Records a lease that arrived with a poll.
+    pub fn on_lease(&self, host: &HostId, term: std::time::Duration, now: MonoTime) {
+        lock(&self.book).on_lease(host, term, now);
+    }
+
+    /// Returns all leases, as this host leaves and another one takes over.
+    pub fn return_leases(&self) {
+        lock(&self.book).return_all();
+    }
+
+    /// Lends the unit of this host to a dispatcher with a poll that is sent now, or renews its lease. Returns `false` if
+    /// another one still holds the unit.
+    pub fn try_lend(&self, to: &MemberRecord, now: MonoTime) -> bool {
+        let lent = lock(&self.holder).try_lend(&borrower_of(to), now);
+        if let Ok(previous) = &lent
+            && previous.as_ref().map(|borrower| &borrower.host) != Some(&to.host)
+        {
+            let from = previous.as_ref();
+            let from = from.map_or("-", |borrower| borrower.host.as_str());
+            log::info!("event=rate_lease_moved from={from} to={}", to.host);
+        }
+        lent.is_ok()
+    }
+
+    /// Records the size of the fleet as the dispatcher of the zone counts it.
+    pub fn on_size(&self, size: u32, now: MonoTime) {
+        lock(&self.roster).on_size(size, now);
+    }
+
+    /// Stores the share of the dispatcher whose bucket levels this host has copied.
+    pub fn on_copy(&self, from: &MemberRecord, share: CapacityRatio, now: MonoTime) {
+        *lock(&self.copy) = Some(StandbyCopy {
+            source: borrower_of(from),
+            share,
+            at: now,
+            is_ended: from.is_leaving,
+        });
+    }
+
+    /// Returns the share that this host may use if it takes over from the dispatcher that it copies.
+    pub fn inherited(&self, now: MonoTime) -> CapacityRatio {
+        let copy = lock(&self.copy);
+        let inherited = copy.as_ref().map(|copy| copy.inherited(now));
+        inherited.unwrap_or_default()
+    }
+
+    /// Returns the share by the units that this host holds.
+    pub fn own_share(&self, view: ShareView, now: MonoTime) -> RateShare {
+        let own_units = u32::from(!lock(&self.holder).is_lent(now));
+        let units = lock(&self.book).units(now) + own_units;
+        let count = {
+            let mut roster = lock(&self.roster);
+            let is_assumed = !view.is_only_host && (view.is_starting || roster.is_empty());
+            let floor = match is_assumed {
+                true => size_assumed(units, view.zone_count),
+                false => 1,
+            };
+            roster.count(floor, now)
+        };
+        RateShare {
+            units,
+            count,
+            fraction: share_of_units(units, count),
+        }
+    }
+
+    /// Logs the share if it has changed since the last line.
+    pub fn log_change(&self, share: RateShare, used: CapacityRatio) {
+        let previous = std::mem::replace(&mut *lock(&self.logged), (share, used));
+        let (before, used_before) = previous;
+        if used_before == used {
+            return;
+        }
+        let cause = match () {
+            () if used > share.fraction => "takeover",
+            () if before.units != share.units => "leases",
+            () if before.count.known != share.count.known => "hosts",
+            () => "silence",
+        };
+        log::info!(
+            "event=rate_share_changed units={} hosts={} heard={} silent={} fraction={used} previous={used_before} cause={cause}",
+            share.units,
+            share.count.known,
+            share.count.heard,
+            share.count.silent
+        );
+    }
+}
--- a/crates/gateway/src/request_attempts.rs
+++ b/crates/gateway/src/request_attempts.rs
@@ -186,14 +186,14 @@
         for zone in search.zones.clone() {
             let request = self.admit_request(Some(&zone), Duration::ZERO, least_trust);
             match self.request_permit(&zone, request, &mut search).await {
-                Err(refusal) if search.continues_after(&zone, &refusal) => {}
+                Err(refusal) if ZoneSearch::continues_after(&refusal) => {}
                 result => return result,
             }
         }
         for zone in search.less_trusted_zones.clone() {
             let request = self.admit_request(Some(&zone), Duration::ZERO, TargetTrust::Blocked);
             match self.request_permit(&zone, request, &mut search).await {
-                Err(refusal) if search.continues_after(&zone, &refusal) => {}
+                Err(refusal) if ZoneSearch::continues_after(&refusal) => {}
                 result => return result,
             }
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -34,6 +34,11 @@
     clock::GatewayClock,
     connection_pool::ConnectionPool,
     metrics::GatewayMetrics,
+    rate_shares::{
+        RateShare,
+        RateShares,
+        ShareView, //
+    },
     refused_documents::RefusedDocument,
     store_cache::StoreCache, //
 };
@@ -45,9 +50,6 @@
 /// Time for which a host reads the store for another one after that asked for it.
 const READ_WANTED_FOR: Duration = Duration::from_millis(500);
 
-/// Fleet size that a host assumes while it starts. Deployments have 32 hosts or more.
-const FLEET_SIZE_ASSUMED: u32 = 32;
-
 /// Time after the start in which gossip reaches a process from all hosts, even if the whole fleet starts
 /// at once.
 const STARTUP_PERIOD: Duration = Duration::from_secs(3);
@@ -58,15 +60,6 @@
 /// Sends a dispatcher's answer to a queued permit request.
 pub type TicketSender = oneshot::Sender<AdmitAnswer>;
 
-/// The latest report of another dispatcher.
-#[derive(Clone, Copy, Debug)]
-pub struct DispatcherReport {
-    /// Time at which the report arrived.
-    pub at: MonoTime,
-    /// Number of hosts whose spending of team rates the dispatcher accounts for, itself included.
-    pub host_count: u32,
-}
-
 /// Whether a host can serve callers.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum HostReadiness {
@@ -118,13 +111,14 @@
     pub excluded: ExcludedTargets,
     /// Rate limits that targets stated to this host.
     pub stated_limits: StatedLimits,
+    /// Units and shares of the team rates.
+    pub rates: RateShares,
     /// Counters and histograms.
     pub metrics: GatewayMetrics,
     /// Memory for bodies of requests and answers.
     pub body_memory: BodyMemory,
     seeds: RwLock<Vec<SocketAddr>>,
     followers: ShardMap<HostId, MonoTime>,
-    reports: ShardMap<HostId, DispatcherReport>,
     reader_search: Mutex<ReaderSearch>,
     /// Time until which another host wants this one to read the store.
     read_wanted_until: Mutex<MonoTime>,
@@ -163,11 +157,11 @@
             connections: ConnectionPool::new(),
             excluded: ExcludedTargets::new(),
             stated_limits: StatedLimits::new(),
+            rates: RateShares::new(),
             metrics,
             body_memory: BodyMemory::new(body_kib),
             seeds: RwLock::new(settings.seeds.clone()),
             followers: ShardMap::new(),
-            reports: ShardMap::new(),
             reader_search: Mutex::new(ReaderSearch::new()),
             read_wanted_until: Mutex::new(MonoTime::START),
             read_wanted: Notify::new(),
@@ -177,6 +171,14 @@
         }
     }
 
+    /// Records all known hosts in the roster of the team rates.
+    pub fn update_roster(&self) {
+        let now = self.now();
+        for record in self.gossip.records().iter().skip(1) {
+            self.rates.on_record(record, now);
+        }
+    }
+
     /// Returns the current time of the process clock.
     pub fn now(&self) -> MonoTime {
         self.clock.mono()
@@ -224,11 +226,6 @@
         self.is_dispatcher() || self.now() < *self.read_wanted_until()
     }
 
-    /// Stores the latest report of another dispatcher.
-    pub fn on_report(&self, host: &HostId, report: DispatcherReport) {
-        self.reports.insert(host.clone(), report);
-    }
-
     /// Returns the number of hosts that currently follow this one.
     pub fn follower_count(&self) -> u32 {
         let now = self.now();
@@ -237,34 +234,70 @@
         u32::try_from(self.followers.len()).unwrap_or(u32::MAX)
     }
 
-    /// Returns the share of the fleet that this host's dispatcher represents. A share of at least half of the
-    /// hosts may use the full rates, because only one such share can exist during a network partition.
+    /// Merges the record of another host into the membership and the units of the team rates.
+    pub fn on_record(&self, record: MemberRecord, now: MonoTime) {
+        if record.host != self.settings.host {
+            self.rates.on_record(&record, now);
+        }
+        self.gossip.merge(record, now);
+    }
+
+    /// Records a lease of a host's unit of the team rates, unless another host has taken over from this one.
+    pub fn on_lease(&self, host: &HostId, term: Duration) {
+        if !self.has_left() {
+            self.rates.on_lease(host, term, self.now());
+        }
+    }
+
+    /// Returns the share of the fleet that this host's dispatcher represents: that of its units, or at first that of the
+    /// dispatcher from which it has taken over.
     pub fn share(&self) -> FleetShare {
-        let now = self.now();
         let followers = self.follower_count();
-        let mut counted = followers + 1;
-        self.reports.for_each(|_, report| {
-            if now.since(report.at) < REPORT_VALID_FOR {
-                counted += report.host_count;
-            }
-        });
-        let known = u32::try_from(self.gossip.known_count()).unwrap_or(u32::MAX);
-        // During startup, gossip has not delivered the records of most hosts yet.
-        let known = match self.is_starting(now) && !self.is_only_host() {
-            true => known.max(FLEET_SIZE_ASSUMED),
-            false => known,
-        };
-        let mille = match counted.saturating_mul(2) >= known {
-            true => CapacityRatio::MAX_MILLE,
-            false => u16::try_from(counted * 1000 / known.max(1)).unwrap_or(u16::MAX),
-        };
         FleetShare {
-            fraction: CapacityRatio::from_mille(mille),
+            fraction: self.rate_share().1,
             zone_fraction: self.zone_fraction(followers),
             is_followed: followers > 0 || self.is_only_host(),
         }
     }
 
+    /// Returns the share by units, and the one that is used.
+    fn rate_share(&self) -> (RateShare, CapacityRatio) {
+        let now = self.now();
+        let view = ShareView {
+            is_only_host: self.is_only_host(),
+            zone_count: self.settings.zone_count,
+            is_starting: self.is_starting(now),
+        };
+        let own = self.rates.own_share(view, now);
+        let inherited = self.rates.inherited(now);
+        let may_inherit = inherited > own.fraction && self.is_dispatcher();
+        let used = match may_inherit {
+            true => inherited,
+            false => own.fraction,
+        };
+        (own, used)
+    }
+
+    /// Returns the number of hosts among which this host divides the rates of the teams; 0 if it has just started.
+    pub fn fleet_size(&self) -> u32 {
+        match self.is_starting(self.now()) {
+            true => 0,
+            false => self.rate_share().0.count.known,
+        }
+    }
+
+    /// Records the share for the refill of the buckets, the metrics and the log. A standby keeps the share of its
+    /// dispatcher.
+    pub fn refresh_share(&self) {
+        let (own, used) = self.rate_share();
+        if self.is_dispatcher() {
+            let teams = self.dispatcher.teams();
+            teams.record_share(used, true, self.now());
+        }
+        self.rates.log_change(own, used);
+        self.metrics.on_rate_share(own.units, used);
+    }
+
     /// Returns the fraction of the rates that targets state which this host's dispatcher may use: the whole if it has
     /// more than half of the hosts of its zone, which only one dispatcher can have.
     fn zone_fraction(&self, followers: u32) -> CapacityRatio {
@@ -301,10 +334,23 @@
         is_changed
     }
 
+    /// Returns the live hosts of a zone, the oldest first, without this host if it leaves and another one can take over.
+    pub fn ranked(&self, zone: &ZoneId) -> Vec<MemberRecord> {
+        let mut ranked = self.gossip.ranked(zone, self.now());
+        if self.is_stopping() && ranked.len() > 1 {
+            ranked.retain(|record| record.host != self.settings.host);
+        }
+        ranked
+    }
+
+    /// Returns `true` if this host leaves and another one of its zone takes over.
+    pub fn has_left(&self) -> bool {
+        self.is_stopping() && self.remote_dispatcher().is_some()
+    }
+
     /// Returns the dispatcher of this host's zone, or `None` if it is this host.
     pub fn remote_dispatcher(&self) -> Option<MemberRecord> {
-        let ranked = self.gossip.ranked(&self.settings.zone, self.now());
-        let first = ranked.into_iter().next()?;
+        let first = self.ranked(&self.settings.zone).into_iter().next()?;
         (first.host != self.settings.host).then_some(first)
     }
 
@@ -315,7 +361,7 @@
 
     /// Returns the number of live hosts in this zone that started before this one.
     pub fn rank(&self) -> usize {
-        let ranked = self.gossip.ranked(&self.settings.zone, self.now());
+        let ranked = self.ranked(&self.settings.zone);
         let own = ranked
             .iter()
             .position(|record| record.host == self.settings.host);
@@ -328,6 +374,9 @@
         self.is_stopping.store(true, Ordering::Relaxed);
         self.answers_due.send_replace(Some(Instant::now() + limit));
         self.gossip.leave();
+        if self.has_left() {
+            self.rates.return_leases();
+        }
     }
 
     /// Waits until all callers must have their answers because of a planned stop.
--- a/crates/gateway/src/zone_search.rs
+++ b/crates/gateway/src/zone_search.rs
@@ -32,13 +32,11 @@
         }
     }
 
-    /// Returns `true` if another zone may grant a request that a zone has refused. The dispatchers of all zones hold
-    /// nearly the same tokens of a team, so that only the first zone decides that it is over its rate; those of others
-    /// may be parted from it.
-    pub(crate) fn continues_after(&self, zone: &ZoneId, refusal: &AdmitAnswer) -> bool {
+    /// Returns `true` if another zone may grant a request that a zone has refused. The dispatchers of the zones hold
+    /// different tokens of a team.
+    pub(crate) fn continues_after(refusal: &AdmitAnswer) -> bool {
         match refusal {
-            AdmitAnswer::Busy { .. } | AdmitAnswer::NoTarget => true,
-            AdmitAnswer::OverRate { .. } => self.zones.first() != Some(zone),
+            AdmitAnswer::Busy { .. } | AdmitAnswer::NoTarget | AdmitAnswer::OverRate { .. } => true,
             AdmitAnswer::Granted(_) | AdmitAnswer::NoBudget => false,
         }
     }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod metrics;
 mod peers;
 mod pipelining;
+mod rates;
 mod refused_reads;
 mod requests;
 mod stops;
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -155,11 +155,11 @@
         "{answer:?}"
     );
     assert_eq!(
-        follower.dispatcher.usage().len(),
+        follower.dispatcher.teams().usage().len(),
         0,
         "the follower charged the team itself"
     );
-    assert_eq!(state.dispatcher.usage().len(), 1);
+    assert_eq!(state.dispatcher.teams().usage().len(), 1);
 }
 
 /// Guards against a dispatcher whose link is filled for most of a second by each change, because it sends the whole
@@ -185,6 +185,8 @@
         wait_millis: 100,
         is_read_wanted: false,
         is_dispatcher: false,
+        lease_millis: None,
+        short_teams: Vec::new(),
     };
     let message = PeerMessage::Gateway(GatewayMessage::Follow(request));
     let answer = peer_service::on_message(state.clone(), message).await;
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -132,6 +132,7 @@
 async fn connect(address: SocketAddr) -> Result<SendRequest<ClientBody>, PeerError> {
     let connect_error = |reason: String| PeerError::Connect {
         reason: reason.into(),
+        is_refused: false,
     };
     let attempt = async {
         let stream = TcpStream::connect(address).await?;
@@ -141,7 +142,10 @@
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, attempt)
         .await
         .map_err(|_| connect_error("timed out".to_owned()))?
-        .map_err(|error| connect_error(error.to_string()))?;
+        .map_err(|error| PeerError::Connect {
+            reason: error.to_string().into(),
+            is_refused: error.kind() == std::io::ErrorKind::ConnectionRefused,
+        })?;
     let (sender, connection) = Builder::new(TokioExecutor::new())
         .timer(TokioTimer::new())
         .initial_stream_window_size(STREAM_WINDOW)
--- a/crates/peer/src/failure.rs
+++ b/crates/peer/src/failure.rs
@@ -24,6 +24,8 @@
     Connect {
         /// Cause of the failure.
         reason: SmolStr,
+        /// Whether the machine of the peer refused the connection, so that its process has ended.
+        is_refused: bool,
     },
     /// The connection broke before the answer was complete.
     #[error("the connection to the peer broke: {reason}")]
--- a/crates/peer/src/format_v2.rs
+++ b/crates/peer/src/format_v2.rs
@@ -53,6 +53,8 @@
             wait_millis: request.wait_millis,
             is_read_wanted: false,
             is_dispatcher: request.is_dispatcher,
+            lease_millis: (!request.is_dispatcher).then(|| whole_millis(LEASE_TERM)),
+            short_teams: Vec::new(),
         }
     }
 }
@@ -106,6 +108,9 @@
             revisions: PartRevisions::new(answer.as_of),
             usage: answer.usage,
             follower_count: answer.follower_count,
+            fleet_size: 0,
+            given_tokens: Vec::new(),
+            levels: None,
         }
     }
 }
--- a/crates/peer/src/format_v3.rs
+++ b/crates/peer/src/format_v3.rs
@@ -54,6 +54,8 @@
             wait_millis: request.wait_millis,
             is_read_wanted: request.is_read_wanted,
             is_dispatcher: request.is_dispatcher,
+            lease_millis: (!request.is_dispatcher).then(|| whole_millis(LEASE_TERM)),
+            short_teams: Vec::new(),
         }
     }
 }
@@ -103,6 +105,9 @@
             revisions: answer.revisions,
             usage: answer.usage,
             follower_count: answer.follower_count,
+            fleet_size: 0,
+            given_tokens: Vec::new(),
+            levels: None,
         }
     }
 }
--- a/crates/peer/src/gateway.rs
+++ b/crates/peer/src/gateway.rs
@@ -26,6 +26,10 @@
     pub is_read_wanted: bool,
     /// Whether the host grants permits to others. The answer then includes the rate usage of teams.
     pub is_dispatcher: bool,
+    /// Time for which the host lends its unit of the team rates from when the request was sent, in milliseconds.
+    pub lease_millis: Option<u32>,
+    /// Teams that lack tokens at the host, with the tokens wanted.
+    pub short_teams: Vec<TeamTokens>,
 }
 
 /// The directory of a host, compared with that of the host that follows it.
@@ -64,6 +68,12 @@
     pub usage: Vec<TeamUsage>,
     /// Number of hosts that poll this host for changes.
     pub follower_count: u32,
+    /// Number of hosts among which this host divides the rates of the teams; 0 if it has just started.
+    pub fleet_size: u32,
+    /// Tokens that this host has deducted for the requesting host.
+    pub given_tokens: Vec<TeamTokens>,
+    /// Bucket levels of the teams, for hosts that would take over.
+    pub levels: Option<BucketLevels>,
 }
 
 /// A message between gateway hosts.
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -109,6 +109,9 @@
         revisions: PartRevisions::new(StoreRevision::new(9)),
         usage: Vec::new(),
         follower_count: 3,
+        fleet_size: 0,
+        given_tokens: Vec::new(),
+        levels: None,
     }
 }
 
