--- a/crates/dispatch/src/fleet_roster.rs
+++ b/crates/dispatch/src/fleet_roster.rs
@@ -46,9 +46,19 @@
     pub silent: u32,
     /// Whether a host was silent for so long that the larger side of a cut is about to forget the smaller one.
     pub must_yield: bool,
+    /// Whether another host was heard of since the start.
+    pub has_others: bool,
 }
 
 impl FleetCount {
+    /// Counts at least `floor` hosts.
+    pub fn with_floor(self, floor: u32) -> Self {
+        Self {
+            known: self.known.max(floor),
+            ..self
+        }
+    }
+
     /// Returns `true` if most hosts were heard of lately, which holds on one side of a cut only.
     pub fn is_larger_side(self) -> bool {
         u64::from(self.heard) * 2 > u64::from(self.known)
@@ -59,6 +69,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct FleetRoster {
     hosts: IndexMap<HostId, HeardHost>,
+    has_others: bool,
     /// Size of the fleet as the dispatcher of the zone counts it.
     told: Option<(u32, MonoTime)>,
 }
@@ -84,6 +95,7 @@
         beat: u64,
         now: MonoTime,
     ) {
+        self.has_others = true;
         let version = (incarnation, beat);
         let heard = HeardHost { version, at: now };
         let known = self.hosts.entry(host.clone()).or_insert(heard);
@@ -100,9 +112,9 @@
         }
     }
 
-    /// Counts the hosts, at least `floor` of them.
-    pub fn count(&mut self, floor: u32, now: MonoTime) -> FleetCount {
-        let count = self.count_all(floor, now);
+    /// Counts the hosts.
+    pub fn count(&mut self, now: MonoTime) -> FleetCount {
+        let count = self.count_all(now);
         let counted_for = match count.is_larger_side() {
             true => COUNTED_FOR,
             false => COUNTED_FOR_SMALLER,
@@ -114,11 +126,11 @@
         self.told.take_if(|(_, at)| now.since(*at) >= counted_for);
         match self.hosts.len() == before && self.told.is_some() == is_told {
             true => count,
-            false => self.count_all(floor, now),
+            false => self.count_all(now),
         }
     }
 
-    fn count_all(&self, floor: u32, now: MonoTime) -> FleetCount {
+    fn count_all(&self, now: MonoTime) -> FleetCount {
         let silent_for = |time: Duration| {
             let silent = self.hosts.values();
             let silent = silent.filter(|heard| now.since(heard.at) >= time);
@@ -127,15 +139,11 @@
         let told = self.told.map_or(0, |(size, _)| size);
         let others = u32::try_from(self.hosts.len()).unwrap_or(u32::MAX - 1);
         FleetCount {
-            known: (others + 1).max(floor).max(told),
+            known: (others + 1).max(told),
             heard: others + 1 - silent_for(PARTED_AFTER),
             silent: silent_for(LEASE_RECLAIM),
             must_yield: silent_for(YIELD_AFTER) > 0,
+            has_others: self.has_others,
         }
     }
-
-    /// Returns `true` if no other host counts.
-    pub fn is_empty(&self) -> bool {
-        self.hosts.is_empty()
-    }
 }
--- a/crates/dispatch/src/rate_share.rs
+++ b/crates/dispatch/src/rate_share.rs
@@ -130,10 +130,15 @@
 }
 
 impl StandbyCopy {
+    /// Returns `true` if the copy is recent enough to go on from.
+    pub fn is_recent(&self, now: MonoTime) -> bool {
+        now.since(self.at) < INHERITED_FOR
+    }
+
     /// Returns the share that the standby may use if it takes over at `now`. It is zero while the dispatcher may still
     /// live, as on the other side of a cut, and for a copy that is too old.
     pub fn inherited(&self, now: MonoTime) -> CapacityRatio {
-        match self.is_ended && now.since(self.at) < INHERITED_FOR {
+        match self.is_ended && self.is_recent(now) {
             true => self.share,
             false => CapacityRatio::default(),
         }
--- a/crates/dispatch/src/team_bucket.rs
+++ b/crates/dispatch/src/team_bucket.rs
@@ -245,6 +245,11 @@
         is_below.then(|| amount_of(self.tokens + MICROS))
     }
 
+    /// Returns `true` if the team sent a request in the current period or the one before.
+    pub fn is_in_use(&mut self, now: MonoTime) -> bool {
+        self.demand.tokens(now) > 0
+    }
+
     /// Takes over the [`level`](Self::level) of a dispatcher's bucket, whose share is `share`.
     pub fn copy_level(&mut self, tokens: TokenAmount, share: CapacityRatio, now: MonoTime) {
         self.tokens = i128::from(tokens.as_micros()) - MICROS;
--- a/crates/dispatch/src/team_tokens.rs
+++ b/crates/dispatch/src/team_tokens.rs
@@ -155,15 +155,18 @@
         }
     }
 
-    /// Returns the buckets that are not full, for the hosts that would take over.
+    /// Returns the buckets that are not full, for the hosts that would take over, and drops those that are full and unused:
+    /// new ones are as full.
     pub fn levels(&self, config: &GatewayConfig, now: MonoTime) -> BucketLevels {
         let (shares, mut teams) = (self.shares(), Vec::new());
-        self.buckets.for_each(|team, bucket| {
+        self.buckets.retain(|team, bucket| {
             let limit = limit_of(team, config);
-            if let Some(tokens) = limit.and_then(|limit| bucket.level(limit, &shares, now)) {
-                let team = team.clone();
-                teams.push(TeamTokens { team, tokens });
-            }
+            let Some(tokens) = limit.and_then(|limit| bucket.level(limit, &shares, now)) else {
+                return bucket.is_in_use(now);
+            };
+            let team = team.clone();
+            teams.push(TeamTokens { team, tokens });
+            true
         });
         BucketLevels {
             share: shares.latest(),
--- a/crates/dispatch/tests/dispatcher/rate_lease.rs
+++ b/crates/dispatch/tests/dispatcher/rate_lease.rs
@@ -54,7 +54,8 @@
 #[test]
 fn host_that_knows_nobody_has_one_unit_of_32() {
     let share = |units, roster: &mut FleetRoster| {
-        share_of_units(units, roster.count(size_assumed(units, 3), at(1000))).as_mille()
+        let count = roster.count(at(1000)).with_floor(size_assumed(units, 3));
+        share_of_units(units, count).as_mille()
     };
     assert_eq!(share(1, &mut FleetRoster::new()), 31);
     assert_eq!(share(16, &mut roster_of(15, at(1000))), 333);
@@ -74,12 +75,12 @@
                     roster.on_beat(&host(number), HostIncarnation::new(1), beat, at(millis));
                 }
                 let units = u32::try_from(*size).unwrap();
-                sum += share_of_units(units, roster.count(1, at(millis))).as_mille();
+                sum += share_of_units(units, roster.count(at(millis))).as_mille();
             }
             assert!(sum <= 1250, "{smaller} hosts, {millis} ms: {sum}");
         }
         let (_, larger) = &mut sides[1];
-        let count = larger.count(1, at(300_000));
+        let count = larger.count(at(300_000));
         assert_eq!(count.known, u32::try_from(48 - smaller).unwrap());
     }
 }
@@ -89,9 +90,9 @@
 fn size_told_by_the_dispatcher_counts() {
     let mut roster = roster_of(8, at(4000));
     roster.on_size(48, at(4000));
-    assert_eq!(roster.count(1, at(5000)).known, 48);
+    assert_eq!(roster.count(at(5000)).known, 48);
     roster.on_size(0, at(5000));
-    assert_eq!(roster.count(1, at(5000)).known, 48);
+    assert_eq!(roster.count(at(5000)).known, 48);
 }
 
 /// Guards against a standby that uses the share of a dispatcher which is only cut off from it.
--- a/crates/dispatch/tests/team_rates/fleet_model.rs
+++ b/crates/dispatch/tests/team_rates/fleet_model.rs
@@ -266,13 +266,14 @@
         let now = self.now;
         let process = &mut self.processes[slot];
         let at = process.at(now);
-        let is_assumed = process.roster.is_empty() || now - process.started_at < 3000;
+        let count = process.roster.count(at);
+        let is_assumed = !count.has_others || now - process.started_at < 3000;
         let units = process.book.units(at) + u32::from(!process.holder.is_lent(at));
         let floor = match is_assumed {
             true => size_assumed(units, ZONES),
             false => 1,
         };
-        let count = process.roster.count(floor, at);
+        let count = count.with_floor(floor);
         process.size = if is_assumed { 0 } else { count.known };
         let own = share_of_units(units, count);
         let inherited = process.copy.as_ref().map(|copy| copy.inherited(at));
--- a/crates/gateway/src/follow_loop.rs
+++ b/crates/gateway/src/follow_loop.rs
@@ -167,9 +167,14 @@
         match call_member(&state, &member, message, wait + ANSWER_LIMIT).await {
             Ok(GatewayMessage::FollowAnswer(answer)) => {
                 is_standby = answer.levels.is_some();
+                let is_leaving = answer.member.is_leaving;
                 if !apply_answer(&state, *answer, (directory.content, sent_at)) {
                     tokio::time::sleep(STALE_ANSWER_PAUSE).await;
                 }
+                // A host that leaves answers at once until this one follows another.
+                if is_leaving {
+                    tokio::time::sleep(FAILURE_PAUSE).await;
+                }
             }
             Ok(_) => {
                 log::warn!("event=peer_answer_unexpected host={}", member.host);
@@ -231,6 +236,7 @@
         state.reader_search().on_served(&host, now);
     }
     let is_own_zone = answer.member.zone == state.settings.zone;
+    state.rates.on_tokens(&[], &answer.given_tokens);
     state.dispatcher.teams().receive(&answer.given_tokens);
     state
         .metrics
--- a/crates/gateway/src/peer_service.rs
+++ b/crates/gateway/src/peer_service.rs
@@ -83,8 +83,11 @@
         let is_later = is_directory_later(directory.content, revisions, &request);
         version > request.config || is_later || state.is_stopping()
     };
-    // A timeout means that nothing has changed.
-    let _ = tokio::time::timeout(wait, changes.wait_for(has_changed)).await;
+    // A timeout means that nothing has changed. The followers of a host that stops lend their units to another one at once.
+    tokio::select! {
+        _ = tokio::time::timeout(wait, changes.wait_for(has_changed)) => {}
+        () = state.until_stopping() => {}
+    }
     let now = state.now();
     // The ages come first: a contact after the directory was read would make it look younger than it is.
     let [age_millis, target_age_millis] = StorePart::ALL.map(|part| {
@@ -164,6 +167,7 @@
     }
     let given = state.dispatcher.teams().give(wanted, config, state.now());
     state.metrics.on_tokens_moved("given", &given);
+    state.rates.on_tokens(&given, &[]);
     given
 }
 
--- a/crates/gateway/src/rate_shares.rs
+++ b/crates/gateway/src/rate_shares.rs
@@ -3,16 +3,22 @@
 //! The rules are those of `chicorycroft_dispatch`; this module keeps their state, each part under its own lock, and logs
 //! what changes.
 
-use std::sync::{
-    Mutex,
-    MutexGuard,
-    PoisonError, //
+use std::{
+    sync::{
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration,
 };
 
 use chicorycroft_core::prelude::*;
 use chicorycroft_dispatch::prelude::*;
 use chicorycroft_membership::prelude::*;
 
+/// Shortest time between two lines of the log about tokens that moved.
+const MOVED_LOG_PERIOD: Duration = Duration::from_secs(1);
+
 /// What a host knows about itself when it works out its share.
 #[derive(Clone, Copy, Debug)]
 pub struct ShareView {
@@ -42,7 +48,19 @@
     book: Mutex<LeaseBook>,
     holder: Mutex<LeaseHolder>,
     copy: Mutex<Option<StandbyCopy>>,
+    /// The hosts as counted last. Counting them at each request would hold up others.
+    count: Mutex<FleetCount>,
     logged: Mutex<(RateShare, CapacityRatio)>,
+    moved: Mutex<MovedTokens>,
+}
+
+/// Tokens that moved since the last line of the log.
+#[derive(Debug, Default)]
+struct MovedTokens {
+    logged_at: MonoTime,
+    teams: usize,
+    given: TokenAmount,
+    received: TokenAmount,
 }
 
 fn lock<T>(part: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -87,7 +105,7 @@
     }
 
     /// Records a lease that arrived with a poll.
-    pub fn on_lease(&self, host: &HostId, term: std::time::Duration, now: MonoTime) {
+    pub fn on_lease(&self, host: &HostId, term: Duration, now: MonoTime) {
         lock(&self.book).on_lease(host, term, now);
     }
 
@@ -132,19 +150,65 @@
         inherited.unwrap_or_default()
     }
 
+    /// Counts the hosts of the fleet, for the shares from now on.
+    pub fn update_count(&self, now: MonoTime) {
+        let count = lock(&self.roster).count(now);
+        *lock(&self.count) = count;
+    }
+
+    /// Returns `true` if this host copies the buckets of a dispatcher.
+    pub fn has_copy(&self, now: MonoTime) -> bool {
+        let copy = lock(&self.copy);
+        copy.as_ref().is_some_and(|copy| copy.is_recent(now))
+    }
+
+    /// Counts tokens that moved between dispatchers, for the next line of the log.
+    pub fn on_tokens(&self, given: &[TeamTokens], received: &[TeamTokens]) {
+        let sum = |moved: &[TeamTokens]| -> u64 {
+            let tokens = moved.iter().map(|moved| moved.tokens.as_micros());
+            tokens.sum()
+        };
+        let mut moved = lock(&self.moved);
+        moved.teams += given.len() + received.len();
+        moved.given = moved
+            .given
+            .saturating_add(TokenAmount::from_micros(sum(given)));
+        moved.received = moved
+            .received
+            .saturating_add(TokenAmount::from_micros(sum(received)));
+    }
+
+    /// Logs the tokens that moved since the last line, at most once in [`MOVED_LOG_PERIOD`].
+    pub fn log_moved(&self, now: MonoTime) {
+        let mut moved = lock(&self.moved);
+        if moved.teams == 0 || now.since(moved.logged_at) < MOVED_LOG_PERIOD {
+            return;
+        }
+        let moved = std::mem::replace(
+            &mut *moved,
+            MovedTokens {
+                logged_at: now,
+                ..MovedTokens::default()
+            },
+        );
+        log::info!(
+            "event=rate_tokens_moved moves={} given={} received={}",
+            moved.teams,
+            moved.given,
+            moved.received
+        );
+    }
+
     /// Returns the share by the units that this host holds.
     pub fn own_share(&self, view: ShareView, now: MonoTime) -> RateShare {
         let own_units = u32::from(!lock(&self.holder).is_lent(now));
         let units = lock(&self.book).units(now) + own_units;
-        let count = {
-            let mut roster = lock(&self.roster);
-            let is_assumed = !view.is_only_host && (view.is_starting || roster.is_empty());
-            let floor = match is_assumed {
-                true => size_assumed(units, view.zone_count),
-                false => 1,
-            };
-            roster.count(floor, now)
-        };
+        let counted = *lock(&self.count);
+        let is_assumed = !view.is_only_host && (view.is_starting || !counted.has_others);
+        let count = counted.with_floor(match is_assumed {
+            true => size_assumed(units, view.zone_count),
+            false => 1,
+        });
         RateShare {
             units,
             count,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -289,12 +289,16 @@
     /// Records the share for the refill of the buckets, the metrics and the log. A standby keeps the share of its
     /// dispatcher.
     pub fn refresh_share(&self) {
+        let now = self.now();
+        self.rates.update_count(now);
         let (own, used) = self.rate_share();
-        if self.is_dispatcher() {
+        let is_dispatcher = self.is_dispatcher();
+        if is_dispatcher || !self.rates.has_copy(now) {
             let teams = self.dispatcher.teams();
-            teams.record_share(used, true, self.now());
+            teams.record_share(used, is_dispatcher, now);
         }
         self.rates.log_change(own, used);
+        self.rates.log_moved(now);
         self.metrics.on_rate_share(own.units, used);
     }
 
@@ -391,6 +395,13 @@
         }
     }
 
+    /// Waits until a planned stop begins.
+    pub async fn until_stopping(&self) {
+        let mut changes = self.answers_due.subscribe();
+        // The sender lives as long as this state, so that the wait does not fail.
+        let _ = changes.wait_for(Option::is_some).await;
+    }
+
     /// Returns the time until all callers must have their answers, or `None` without a planned stop.
     pub fn stop_time_left(&self) -> Option<Duration> {
         let due = *self.answers_due.borrow();
