--- a/crates/dispatch/src/fleet_share.rs
+++ b/crates/dispatch/src/fleet_share.rs
@@ -5,8 +5,8 @@
 /// The part of the fleet that a dispatcher decides for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct FleetShare {
-    /// Fraction of each team's rate and burst that the dispatcher may use. It follows from the fraction of the
-    /// hosts whose spending the dispatcher receives.
+    /// Fraction of each team's rate and burst that the dispatcher may use, by the units that hosts have lent to it. Zero if
+    /// it has none, as its own is lent to another dispatcher.
     pub fraction: CapacityRatio,
     /// Fraction of the rate that a target states which the dispatcher may use. It is whole only if most hosts of the zone
     /// follow the dispatcher, so that two dispatchers which have not discovered each other use one and a half times the
--- a/crates/dispatch/src/team_tokens.rs
+++ b/crates/dispatch/src/team_tokens.rs
@@ -32,6 +32,9 @@
 /// at another team each time.
 const SHORT_TEAMS_MAX: usize = 256;
 
+/// Buckets in one copy for a standby: about 0.5 MB. The emptiest are copied, as others count as full.
+const LEVELS_MAX: usize = 20_000;
+
 /// Delay before a retry at a host whose unit is lent to a dispatcher, within which the lease ends or the dispatcher answers.
 const LENT_RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -168,6 +171,10 @@
             teams.push(TeamTokens { team, tokens });
             true
         });
+        if teams.len() > LEVELS_MAX {
+            teams.select_nth_unstable_by_key(LEVELS_MAX, |level| level.tokens);
+            teams.truncate(LEVELS_MAX);
+        }
         BucketLevels {
             share: shares.latest(),
             teams,
--- a/crates/gateway/src/follow_loop.rs
+++ b/crates/gateway/src/follow_loop.rs
@@ -1,8 +1,9 @@
-//! Receives updates of the store's contents and of team usage from other hosts, by long polling.
+//! Receives updates of the store's contents and tokens of teams from other hosts, by long polling.
 //!
-//! A host follows the dispatcher of its zone. A dispatcher follows the dispatchers of the other zones, for
-//! the team usage there, and the next host in rank of its own zone, which would take over from it. A dispatcher that
-//! the store does not serve also follows hosts that it asks to read the store.
+//! A host follows the dispatcher of its zone and lends it its unit of the team rates. A dispatcher follows the
+//! dispatchers of the other zones, which give tokens for the teams that it is short of, and the next host in rank of its
+//! own zone, which would take over from it. A dispatcher that the store does not serve also follows hosts that it asks
+//! to read the store.
 
 use std::{
     sync::Arc,
--- a/crates/gateway/src/peer_service.rs
+++ b/crates/gateway/src/peer_service.rs
@@ -70,7 +70,7 @@
     if request.is_read_wanted {
         state.on_read_wanted(&request.member.host);
     }
-    // The usage of a dispatcher's followers is part of the dispatcher's own reports.
+    // A dispatcher polls for the directory and for tokens, and decides for itself.
     if !request.is_dispatcher {
         state.on_follower(&request.member.host);
     }
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -310,6 +310,33 @@
     assert_eq!(new.decode(&from_old).unwrap(), expected);
 }
 
+/// Guards against a rolling upgrade in which the units of hosts of earlier versions are lost, or their dispatchers are taken
+/// for followers.
+#[test]
+fn poll_of_an_earlier_version_lends_its_unit() {
+    let request = |is_dispatcher, lease_millis| FollowRequest {
+        member: follow_answer().member,
+        config: None,
+        content: TargetDirectory::new().content,
+        revisions: PartRevisions::default(),
+        wait_millis: 500,
+        is_read_wanted: false,
+        is_dispatcher,
+        lease_millis,
+        short_teams: Vec::new(),
+    };
+    let codec = PeerCodec::new();
+    for version in [FormatVersion::V2, FormatVersion::V3] {
+        for (is_dispatcher, lease_millis) in [(false, Some(1000)), (true, None)] {
+            let sent = GatewayMessage::Follow(request(is_dispatcher, None));
+            let bytes = codec.encode(&PeerMessage::Gateway(sent), version).unwrap();
+            let expected = GatewayMessage::Follow(request(is_dispatcher, lease_millis));
+            let (_, decoded) = codec.decode(&bytes).unwrap();
+            assert_eq!(decoded, PeerMessage::Gateway(expected));
+        }
+    }
+}
+
 /// Guards against accepting messages of an unknown release, truncated messages and messages with extra bytes.
 #[test]
 fn unknown_truncated_and_overlong_messages_are_refused() {
