--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -19,7 +19,11 @@
 //! - [`pool_load`]: the load of a pool.
 //! - [`service_pool`]: the targets of a service in a zone, and target selection.
 //! - [`retry_terms`]: the retry budget of one dispatcher.
-//! - [`team_bucket`]: the rate and burst of a team over all dispatchers.
+//! - [`rate_lease`]: which host lends its unit of the team rates to which dispatcher.
+//! - [`fleet_roster`]: the number of hosts among which the team rates are divided.
+//! - [`rate_share`]: the share of the team rates that a dispatcher may spend, and its history.
+//! - [`team_bucket`]: the tokens of a team at one dispatcher.
+//! - [`team_tokens`]: the buckets of all teams at one dispatcher.
 //! - [`dispatcher`]: combines pools, buckets and budgets for all services and teams.
 //! - [`time_budget`]: deadlines, queue waits and hedging delays.
 //! - [`zone_loads`]: the loads of all pools as one host knows them.
@@ -34,6 +38,7 @@
 pub mod evidence;
 pub mod excluded_targets;
 pub mod failure_window;
+pub mod fleet_roster;
 pub mod fleet_share;
 pub mod messages;
 pub mod pacer;
@@ -41,12 +46,15 @@
 pub mod pool_load;
 pub mod pool_queue;
 pub mod priority_line;
+pub mod rate_lease;
+pub mod rate_share;
 pub mod retry_terms;
 pub mod return_schedule;
 pub mod service_pool;
 pub mod target_limit;
 pub mod target_slots;
 pub mod team_bucket;
+pub mod team_tokens;
 pub mod team_turns;
 pub mod time_budget;
 pub mod wait_choice;
@@ -62,15 +70,22 @@
         dispatcher::ZoneDispatcher,
         evidence::TargetTrust,
         excluded_targets::ExcludedTargets,
+        fleet_roster::{
+            FleetCount,
+            FleetRoster,
+            size_assumed, //
+        },
         fleet_share::FleetShare,
         messages::{
             AdmitAnswer,
             AdmitRequest,
             AttemptResult,
+            BucketLevels,
             DispatchGrant,
             PermitNumber,
             PermitReply,
             ReleaseNotice,
+            TeamTokens,
             TeamUsage,
             TicketNumber,
             whole_millis, //
@@ -87,13 +102,24 @@
             SlotTotal,
             WaitingCount, //
         },
+        rate_lease::{
+            LEASE_TERM,
+            LeaseBook,
+            LeaseBorrower,
+            LeaseHolder, //
+        },
+        rate_share::{
+            StandbyCopy,
+            share_of_units, //
+        },
         retry_terms::retry_terms,
         target_limit::{
             LimitState,
             StatedLimits,
             TargetLimiter, //
         },
-        team_bucket::REPORT_VALID_FOR,
+        team_bucket::TeamLimit,
+        team_tokens::TeamBuckets,
         time_budget::{
             TimeBudget,
             hedge_delay,
--- a/crates/dispatch/tests/dispatcher/main.rs
+++ b/crates/dispatch/tests/dispatcher/main.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod overload;
 mod queue_order;
+mod rate_lease;
 mod retry_terms;
 mod returns;
 mod selection;
--- a/crates/gateway/src/gossip_loop.rs
+++ b/crates/gateway/src/gossip_loop.rs
@@ -88,7 +88,7 @@
 fn merge_records(state: &GatewayState, records: Vec<MemberRecord>) {
     let now = state.now();
     for record in records {
-        state.gossip.merge(record, now);
+        state.on_record(record, now);
     }
 }
 
@@ -128,6 +128,7 @@
         state.gossip.advance(state.now());
         let is_alone = state.gossip.known_count() == 1;
         let is_starting = is_alone || state.is_starting(state.now());
+        state.update_roster();
         if let Some(address) = choose_peer(&state) {
             match is_starting {
                 true => exchange_records(&state, address).await,
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -49,7 +49,8 @@
     exchange::OutgoingRequest,
     load_view::{
         ZONES_FULL,
-        ask_door, //
+        ask_door,
+        door_return, //
     },
     request_attempts::{
         RequestAttempts,
@@ -296,6 +297,7 @@
     team: Option<&'a TeamId>,
     priority: u8,
     wait: Duration,
+    left: Duration,
 }
 
 impl BodyDoor<'_> {
@@ -317,7 +319,7 @@
             DoorAnswer::Sample => Ok(true),
             DoorAnswer::Refused(refusal) => Err(RequestRefusal {
                 answer: RefusalAnswer::Unavailable,
-                retry_after: Some(refusal.expected_wait),
+                retry_after: Some(door_return(&refusal, self.left)),
                 is_kept: false,
                 reason: ZONES_FULL,
             }),
@@ -361,6 +363,7 @@
         team: team.as_ref(),
         priority,
         wait: budget.wait_max(route.objective),
+        left: budget.left,
     };
     let is_sample = door.ask(state, &body, id.map_or("-", SmolStr::as_str))?;
     let limits = index.config().limits();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -59,6 +59,7 @@
 pub mod permit_relay;
 pub mod permit_service;
 pub mod queue_report;
+pub mod rate_shares;
 pub mod ready_service;
 pub mod refused_documents;
 pub mod request_attempts;
--- a/crates/gateway/src/load_view.rs
+++ b/crates/gateway/src/load_view.rs
@@ -13,6 +13,15 @@
 /// Reason for a request that the loads of all zones refuse.
 pub(crate) const ZONES_FULL: &str = "zones-full";
 
+/// Part of the time left within which a caller that is refused at the door returns. With the jitter on the stated time it is
+/// a third, up to which callers follow it.
+const RETURN_PART: u32 = 5;
+
+/// Returns the time after which a caller that is refused at the door returns.
+pub(crate) fn door_return(refusal: &DoorRefusal, left: Duration) -> Duration {
+    refusal.expected_wait.min(left / RETURN_PART)
+}
+
 /// Returns the zones with targets of a service, the local one first.
 pub(crate) fn zones_of(state: &GatewayState, service: &ServiceId) -> Vec<ZoneId> {
     let own = &state.settings.zone;
--- a/crates/gateway/src/permit_service.rs
+++ b/crates/gateway/src/permit_service.rs
@@ -85,6 +85,7 @@
             busy_answer(terms, has_less_trusted)
         }
         PoolAnswer::OverRate { retry_after } => {
+            state.metrics.on_over_rate();
             log_refusal(request, config, share, "over-rate");
             AdmitAnswer::OverRate {
                 retry_millis: whole_millis(retry_after),
--- a/crates/gateway/src/target_search.rs
+++ b/crates/gateway/src/target_search.rs
@@ -10,6 +10,7 @@
     load_view::{
         ZONES_FULL,
         ask_door,
+        door_return,
         record_search,
         zones_of, //
     },
@@ -29,10 +30,6 @@
 /// Maximum number of permits of one zone in a row that a request does not use because this host knows better.
 const UNUSABLE_GRANTS_MAX: usize = 3;
 
-/// Part of the time left within which a caller that is refused at the door returns. With the jitter on the stated time it is
-/// a third, up to which callers follow it.
-const RETURN_PART: u32 = 5;
-
 impl RequestAttempts {
     /// Returns what a refusal by the loads of the zones depends on.
     fn door_request(&self) -> DoorRequest<'_> {
@@ -75,20 +72,20 @@
         for zone in search.zones.clone() {
             let request = self.admit_request(Some(&zone), Duration::ZERO, least_trust);
             match self.request_permit(&zone, request, &mut search).await {
-                Err(refusal) if search.continues_after(&zone, &refusal) => {}
+                Err(refusal) if ZoneSearch::continues_after(&refusal) => {}
                 result => return result,
             }
         }
         for zone in search.less_trusted_zones.clone() {
             let request = self.admit_request(Some(&zone), Duration::ZERO, TargetTrust::Blocked);
             match self.request_permit(&zone, request, &mut search).await {
-                Err(refusal) if search.continues_after(&zone, &refusal) => {}
+                Err(refusal) if ZoneSearch::continues_after(&refusal) => {}
                 result => return result,
             }
         }
         if may_wait {
             match self.wait_for_slot(&mut search).await {
-                Err(AdmitAnswer::Busy { .. } | AdmitAnswer::NoTarget) => {}
+                Err(refusal) if ZoneSearch::continues_after(&refusal) => {}
                 result => return result,
             }
         }
@@ -120,7 +117,7 @@
                     let wait = Duration::from_millis(retry_millis.into());
                     stated_wait = Some(stated_wait.map_or(wait, |known| known.min(wait)));
                 }
-                Err(AdmitAnswer::NoTarget) => {}
+                Err(refusal) if ZoneSearch::continues_after(&refusal) => {}
                 result => return result,
             }
         }
@@ -169,7 +166,7 @@
         match ask_door(&self.state, &self.door_request(), &self.plan.id) {
             DoorAnswer::Open | DoorAnswer::Sample => None,
             DoorAnswer::Refused(refusal) => {
-                let wait = refusal.expected_wait.min(self.budget().left / RETURN_PART);
+                let wait = door_return(&refusal, self.budget().left);
                 let answer = RefusalAnswer::Unavailable;
                 Some(RequestOutcome::Refused(answer, Some(wait), ZONES_FULL))
             }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod metrics;
 mod peers;
 mod pipelining;
+mod rates;
 mod refused_reads;
 mod requests;
 mod stops;
