Keep entries of a cut host from its followers

Cause: a dispatcher that was cut off from everything took its cut for an outage of the store, kept removed entries when it was back, and its followers adopted them with its directory: a target got requests 4 to 7 s after it had left. Change: no host shares the entries that it only keeps; followers keep entries by their own evidence, and take none back that is not later than its removal.

--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -51,6 +51,7 @@
             DirectoryDelta,
             DirectoryHistory, //
         },
+        outage::ServedSpan,
         reader_search::{
             OwnCopy,
             ReaderSearch, //
--- a/crates/directory/src/outage.rs
+++ b/crates/directory/src/outage.rs
@@ -3,10 +3,18 @@
 //! The store may refuse some hosts and serve the others. Its targets then renew their entries as usual, so a removed
 //! entry means that the target has left. Only if no host known to this one got an answer for a while may entries have
 //! lapsed. The contacts of other hosts are therefore counted beside the calls of this host.
+//!
+//! A host that was cut off from the store and from all other hosts cannot tell its cut from an outage. Hosts therefore
+//! state in their messages for how long they have known of contacts with the store without a gap. A gap that lies within
+//! such a span of another host was no outage.
 
 use std::time::Duration;
 
 use chicorycroft_core::prelude::*;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 use crate::contact::{
     ContactAge,
@@ -25,6 +33,34 @@
 /// paced read.
 const REGISTRATION_TIME: Duration = Duration::from_millis(2300);
 
+/// Time in which hosts known to the sender of a message had contacts with the store without a gap.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ServedSpan {
+    /// Age of the first contact, in milliseconds.
+    pub first_millis: u32,
+    /// Age of the latest contact, in milliseconds.
+    pub last_millis: u32,
+}
+
+impl ServedSpan {
+    /// Returns the age of the first contact.
+    fn first(self) -> Duration {
+        Duration::from_millis(self.first_millis.into())
+    }
+
+    /// Returns the age of the latest contact.
+    fn last(self) -> Duration {
+        Duration::from_millis(self.last_millis.into())
+    }
+}
+
+/// Time without a contact of any known host, after which the store was reached again.
+#[derive(Clone, Copy, Debug)]
+struct ContactGap {
+    length: Duration,
+    recovered_at: MonoTime,
+}
+
 /// Contacts with the store and the latest outage that they show.
 #[derive(Debug, Default)]
 pub struct OutageDetector {
@@ -32,8 +68,10 @@
     /// not the contact by which keys are trusted.
     contact: StoreContact,
     failing_since: Option<MonoTime>,
-    /// When the first host reached the store again after an outage.
-    recovered_at: Option<MonoTime>,
+    /// The latest outage.
+    gap: Option<ContactGap>,
+    /// The first contact since the latest outage.
+    served_since: StoreContact,
     /// Time until which removed entries may belong to live targets.
     registration_end: Option<MonoTime>,
 }
@@ -48,9 +86,52 @@
     pub fn on_contact(&mut self, age: ContactAge, now: MonoTime) {
         let previous = self.contact.age(now);
         self.contact.confirm_aged(age, now);
-        if previous.is_some_and(|previous| previous.get() > age.get() + CONTACT_GAP_MIN) {
-            self.recovered_at = Some(now);
+        let Some(previous) = previous else {
+            self.served_since.confirm_aged(age, now);
+            return;
+        };
+        if previous.get() > age.get() + CONTACT_GAP_MIN {
+            self.gap = Some(ContactGap {
+                length: previous.get() - age.get(),
+                recovered_at: now,
+            });
+            self.served_since = StoreContact::new();
+            self.served_since.confirm_aged(age, now);
+        }
+    }
+
+    /// Returns the time in which hosts known to this one had contacts with the store without a gap; `None` before the
+    /// first contact.
+    pub fn served_span(&self, now: MonoTime) -> Option<ServedSpan> {
+        let millis = |age: ContactAge| u32::try_from(age.get().as_millis()).unwrap_or(u32::MAX);
+        Some(ServedSpan {
+            first_millis: millis(self.served_since.age(now)?),
+            last_millis: millis(self.contact.age(now)?),
+        })
+    }
+
+    /// Records the span that another host stated, in a message that was sent not before `sent_at`. Returns `true` if it
+    /// shows that what this host took for an outage was none.
+    pub fn on_served(&mut self, span: ServedSpan, sent_at: MonoTime, now: MonoTime) -> bool {
+        let (first, last) = (span.first(), span.last() + now.since(sent_at));
+        let is_covered = |gap_age: Duration| first + CONTACT_GAP_MIN >= gap_age;
+        if let Some(age) = self.contact.age(now)
+            && age.get() > last + CONTACT_GAP_MIN
+            && is_covered(age.get())
+        {
+            self.contact.confirm_aged(ContactAge::new(last), now);
+        }
+        let is_refuted = self.gap.is_some_and(|gap| {
+            let recovery_age = now.since(gap.recovered_at);
+            is_covered(recovery_age + gap.length) && last <= recovery_age + CONTACT_GAP_MIN
+        });
+        if is_refuted {
+            self.gap = None;
+            self.registration_end = None;
+            self.served_since = StoreContact::new();
+            self.served_since.confirm_aged(ContactAge::new(first), now);
         }
+        is_refuted
     }
 
     /// Records a failed call of this host.
@@ -75,7 +156,8 @@
 
     /// Returns the end of the time in which targets register again after the latest recovery of the store.
     fn recovery_end(&self) -> Option<MonoTime> {
-        self.recovered_at.map(|at| at.after(REGISTRATION_TIME))
+        self.gap
+            .map(|gap| gap.recovered_at.after(REGISTRATION_TIME))
     }
 
     /// Returns the time until which removed entries may belong to live targets that have not registered again, or
--- a/crates/directory/src/removals.rs
+++ b/crates/directory/src/removals.rs
@@ -167,6 +167,16 @@
         removed.is_some_and(|removed| removed.born == entry.born)
     }
 
+    /// Returns `true` if an entry in the directory of the host that this one follows is older than the removal of its
+    /// incarnation. A target that registers again has a higher sequence number, unless it states no start.
+    pub fn is_outdated(&self, entry: &TargetEntry) -> bool {
+        let removed = self.removed.get(&entry.id);
+        let is_removed = removed.is_some_and(|removed| {
+            removed.born == entry.born && entry.sequence <= removed.sequence
+        });
+        is_removed && entry.born != 0
+    }
+
     /// Forgets the removals of targets that are registered again, and those that are no longer relevant.
     pub fn forget(&mut self, is_registered: impl Fn(&TargetId) -> bool, now: MonoTime) {
         self.removed
--- a/crates/directory/src/tracker.rs
+++ b/crates/directory/src/tracker.rs
@@ -20,7 +20,10 @@
         ContactAge,
         StorePart, //
     },
-    outage::OutageDetector,
+    outage::{
+        OutageDetector,
+        ServedSpan, //
+    },
     removals::RemovalMemory,
     targets::{
         ContentDigest,
@@ -48,6 +51,8 @@
 #[derive(Debug, Default)]
 pub struct DirectoryTracker {
     directory: Arc<TargetDirectory>,
+    /// The directory without the entries in `lapsed`.
+    registered: Arc<TargetDirectory>,
     revisions: PartRevisions,
     /// Targets whose entries lapsed in an outage, with the time until which they stay in use.
     lapsed: IndexMap<TargetId, MonoTime>,
@@ -85,9 +90,9 @@
     }
 
     /// Takes over the parts of another host's directory that were read from the store later. For the host that this
-    /// one follows, the same revision suffices, and the entries that it keeps after an outage count; otherwise this host
-    /// decides itself which entries it keeps, and does not take back those that it has removed. Returns `false` if a part
-    /// of the other directory is older.
+    /// one follows, the same revision suffices. This host decides by its own evidence of an outage which entries it keeps
+    /// that the other directory lacks, and does not take back those that it has removed, unless the host that it follows
+    /// may have read a later write. Returns `false` if a part of the other directory is older, or holds such entries.
     ///
     /// The parts are read independently, so that each of two hosts may have the later state of one part. A part that
     /// was read later on this host stays: its changes would be lost, as the watches continue after them.
@@ -103,7 +108,7 @@
             theirs > ours || is_from_upstream && theirs == ours
         };
         let is_older = |part| revisions.part(part) < self.revisions.part(part);
-        let is_current = !StorePart::ALL.into_iter().any(is_older);
+        let mut is_current = !StorePart::ALL.into_iter().any(is_older);
         let taken = StorePart::ALL.map(is_taken);
         if taken == [false; 2] {
             return is_current;
@@ -117,12 +122,23 @@
         if takes_targets {
             self.revisions.targets = revisions.targets;
             next.targets = directory.targets;
-            if !is_from_upstream {
-                let kept = self.keep_missing(&next.targets, now);
-                let removals = &self.removals;
+            // The entries that the other host holds although this one has seen their removal may be kept by it only.
+            let has_outage = self.outage.adoption_end(now).is_some();
+            let kept = self.keep_missing(&next.targets, now);
+            let removals = &self.removals;
+            if is_from_upstream {
+                self.lapsed.retain(|id, _| !next.targets.contains_key(id));
+                let count = next.targets.len();
+                next.targets
+                    .retain(|_, entry| has_outage || !removals.is_outdated(entry));
+                is_current &= next.targets.len() == count;
+            } else {
                 next.targets.retain(|_, entry| !removals.is_removed(entry));
-                next.targets.extend(kept);
             }
+            self.lapsed
+                .extend(kept.iter().map(|(id, (_, until))| (id.clone(), *until)));
+            let kept = kept.into_iter().map(|(id, (entry, _))| (id, entry));
+            next.targets.extend(kept);
             // The other host may keep a lapsed entry too, and the removal is not delivered again.
             self.lapsed.retain(|id, _| next.targets.contains_key(id));
         }
@@ -130,50 +146,63 @@
         is_current
     }
 
-    /// Returns the entries that another host's directory lacks and that stay in use on this host, as it knows of an outage
-    /// of the store in which they may have lapsed.
+    /// Returns the entries that another host's directory lacks and that stay in use on this host until a time, as it knows
+    /// of an outage of the store in which they may have lapsed.
     fn keep_missing(
-        &mut self,
+        &self,
         registered: &IndexMap<TargetId, TargetEntry>,
         now: MonoTime,
-    ) -> IndexMap<TargetId, TargetEntry> {
+    ) -> IndexMap<TargetId, (TargetEntry, MonoTime)> {
         let end = self.outage.adoption_end(now);
-        let mut kept = IndexMap::new();
-        for (id, entry) in &self.directory.targets {
-            if registered.contains_key(id) {
-                continue;
-            }
-            match (self.lapsed.get(id), end) {
-                (Some(until), _) if now < *until => {}
-                (None, Some(end)) => {
-                    self.lapsed.insert(id.clone(), end);
-                }
-                _ => continue,
-            }
-            kept.insert(id.clone(), entry.clone());
-        }
-        kept
+        let missing = self.directory.targets.iter();
+        let missing = missing.filter(|(id, _)| !registered.contains_key(*id));
+        let kept = missing.filter_map(|(id, entry)| {
+            let until = self.lapsed.get(id).copied().or(end)?;
+            (now < until).then(|| (id.clone(), (entry.clone(), until)))
+        });
+        kept.collect()
     }
 
-    /// Returns the directory without the entries that only this host keeps in use after an outage. Another dispatcher
-    /// decides by what it knows itself whether there was an outage: this host may have been cut off from the store and
-    /// from all others, while targets left.
+    /// Returns the directory without the entries that only this host keeps in use after an outage. Another host decides by
+    /// what it knows itself whether there was an outage: this host may have been cut off from the store and from all
+    /// others, while targets left.
     pub fn registered(&self) -> Arc<TargetDirectory> {
-        if self.lapsed.is_empty() {
-            return self.directory.clone();
+        self.registered.clone()
+    }
+
+    /// Returns the time in which hosts known to this one had contacts with the store without a gap.
+    pub fn served_span(&self, now: MonoTime) -> Option<ServedSpan> {
+        self.outage.served_span(now)
+    }
+
+    /// Records the time in which another host knew of contacts with the store without a gap. If this host was cut off in
+    /// that time, the entries that it kept are dropped. Returns `true` in that case.
+    pub fn on_served(&mut self, span: ServedSpan, sent_at: MonoTime, now: MonoTime) -> bool {
+        if !self.outage.on_served(span, sent_at, now) {
+            return false;
+        }
+        let mut next = (*self.directory).clone();
+        for (id, _) in std::mem::take(&mut self.lapsed) {
+            next.targets.shift_remove(&id);
         }
-        let mut registered = (*self.directory).clone();
-        registered
-            .targets
-            .retain(|id, _| !self.lapsed.contains_key(id));
-        registered.update_digest();
-        Arc::new(registered)
+        self.set_directory(next, now);
+        true
+    }
+
+    /// Drops the lapsed entries whose targets did not register again in time.
+    pub fn drop_lapsed(&mut self, now: MonoTime) {
+        if self.lapsed.values().all(|until| now < *until) {
+            return;
+        }
+        let mut next = (*self.directory).clone();
+        remove_lapsed(&mut self.lapsed, &mut next, now);
+        self.set_directory(next, now);
     }
 
     /// Records that another host has a content up to its revisions. They count for this host only while it has the same
     /// content: it would ignore the changes between its own revisions and those.
     pub fn confirm_revisions(&mut self, content: ContentDigest, revisions: PartRevisions) {
-        if content != self.directory.content {
+        if content != self.registered.content {
             return;
         }
         for part in StorePart::ALL {
@@ -182,7 +211,23 @@
         }
         let mut next = (*self.directory).clone();
         next.as_of = self.revisions.both();
+        self.store(next);
+    }
+
+    /// Replaces the directory by one whose digest is up to date.
+    fn store(&mut self, next: TargetDirectory) {
         self.directory = Arc::new(next);
+        self.registered = match self.lapsed.is_empty() {
+            true => self.directory.clone(),
+            false => {
+                let mut registered = (*self.directory).clone();
+                registered
+                    .targets
+                    .retain(|id, _| !self.lapsed.contains_key(id));
+                registered.update_digest();
+                Arc::new(registered)
+            }
+        };
     }
 
     fn set_directory(&mut self, mut next: TargetDirectory, now: MonoTime) {
@@ -195,7 +240,7 @@
         self.removals.forget(is_registered, now);
         next.as_of = self.revisions.both();
         next.update_digest();
-        self.directory = Arc::new(next);
+        self.store(next);
     }
 
     /// Records an answer of the store to this host. Returns the time for which its calls had failed, if the last one
--- a/crates/gateway/src/follow_loop.rs
+++ b/crates/gateway/src/follow_loop.rs
@@ -109,6 +109,7 @@
 pub async fn follow(state: Arc<GatewayState>) {
     let mut tasks: IndexMap<(HostId, bool), JoinHandle<()>> = IndexMap::new();
     loop {
+        state.store_cache.drop_lapsed(state.now());
         let upstreams = upstreams(&state);
         let key = |upstream: &Upstream| (upstream.member.host.clone(), upstream.is_read_wanted);
         let wanted: Vec<(HostId, bool)> = upstreams.iter().map(key).collect();
@@ -142,7 +143,7 @@
             (false, false) => state.change_budget().follow_wait(),
         };
         let index = state.store_cache.index();
-        let (directory, revisions) = state.store_cache.directory_with_revisions();
+        let (directory, revisions) = state.store_cache.shared_directory();
         let request = FollowRequest {
             member: state.gossip.own(),
             config: index.map(|index| index.config().version()),
@@ -151,6 +152,7 @@
             wait_millis: whole_millis(wait),
             is_read_wanted,
             is_dispatcher,
+            served: state.store_cache.served_span(state.now()),
         };
         let sent_at = state.now();
         let message = GatewayMessage::Follow(request);
@@ -184,13 +186,19 @@
     if let Some(config) = answer.config {
         state.store_cache.adopt_config(config, host.as_str());
     }
+    // The answer was created after `held_millis` on the other host, so not earlier than this time here.
+    let created_at = sent_at.after(Duration::from_millis(answer.held_millis.into()));
+    // An outage that was none must not decide which entries of the directory count.
+    if let Some(span) = answer.served {
+        state.store_cache.on_served(span, created_at, &host, now);
+    }
     let is_from_upstream = !state.is_dispatcher();
     let cache = &state.store_cache;
     let adopt =
         |directory| cache.adopt_directory(directory, answer.revisions, is_from_upstream, now);
     let is_current = match answer.directory {
         DirectoryUpdate::Replaced(directory) => adopt(directory),
-        DirectoryUpdate::Changed(delta) => match delta.apply(&cache.directory()) {
+        DirectoryUpdate::Changed(delta) => match delta.apply(&cache.shared_directory().0) {
             Some(directory) => adopt(directory),
             // The directory of this host has changed since the request. The next request states the new content.
             None => return true,
@@ -202,9 +210,7 @@
         // The other host has waited for a later state before it answered.
         DirectoryUpdate::Older => true,
     };
-    // The answer was created after `held_millis` on the other host, so not earlier than this time here.
-    let created_at = sent_at.after(Duration::from_millis(answer.held_millis.into()));
-    let (_, own_revisions) = cache.directory_with_revisions();
+    let (_, own_revisions) = cache.shared_directory();
     let ages = [
         (StorePart::Operator, answer.age_millis),
         (StorePart::Targets, answer.target_age_millis),
--- a/crates/gateway/src/peer_service.rs
+++ b/crates/gateway/src/peer_service.rs
@@ -64,6 +64,10 @@
 async fn on_follow(state: &GatewayState, request: FollowRequest) -> PeerMessage {
     let arrival = state.now();
     state.gossip.merge(request.member.clone(), arrival);
+    if let Some(span) = request.served {
+        let host = &request.member.host;
+        state.store_cache.on_served(span, arrival, host, arrival);
+    }
     if request.is_read_wanted {
         state.on_read_wanted(&request.member.host);
     }
@@ -76,7 +80,7 @@
     let has_changed = |_: &u64| {
         let index = state.store_cache.index();
         let version = index.map(|index| index.config().version());
-        let (directory, revisions) = state.store_cache.shared_directory(request.is_dispatcher);
+        let (directory, revisions) = state.store_cache.shared_directory();
         let is_later = is_directory_later(directory.content, revisions, &request);
         version > request.config || is_later || state.is_stopping()
     };
@@ -89,7 +93,7 @@
         age.map(|age| whole_millis(age.get()))
     });
     let index = state.store_cache.index();
-    let (directory, revisions) = state.store_cache.shared_directory(request.is_dispatcher);
+    let (directory, revisions) = state.store_cache.shared_directory();
     // A host without revisions has just started, or is of a release that takes whole directories only.
     let has_base = request.revisions != PartRevisions::default();
     let changes = || state.store_cache.changes_since(request.content, &directory);
@@ -106,6 +110,7 @@
         held_millis: whole_millis(now.since(arrival)),
         age_millis,
         target_age_millis,
+        served: state.store_cache.served_span(now),
         is_served: state
             .store_cache
             .is_served(state.change_budget().late_age(), now),
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -207,15 +207,21 @@
         update: impl FnOnce(&mut DirectoryTracker) -> T,
     ) -> T {
         let mut tracker = lock(&self.tracker);
-        let before = tracker.directory().clone();
+        let shared_before = tracker.registered();
+        let previous = tracker.directory().content;
         let result = update(&mut tracker);
         let directory = tracker.directory().clone();
+        let shared = tracker.registered().content;
         drop(tracker);
-        let previous = before.content;
+        if shared != shared_before.content {
+            lock(&self.history).push(shared_before);
+        }
         if previous == directory.content {
+            if shared != previous {
+                self.notify();
+            }
             return result;
         }
-        lock(&self.history).push(before);
         log::info!(
             "event=directory_changed content={} previous={previous} as_of={} source={source} targets={} \
              evacuated={}",
@@ -264,20 +270,33 @@
         }
     }
 
-    /// Returns the target directory and the revisions up to which its parts were read.
-    pub fn directory_with_revisions(&self) -> (Arc<TargetDirectory>, PartRevisions) {
-        self.shared_directory(false)
+    /// Returns the directory as other hosts get it, without the entries that this host keeps after an outage, and the
+    /// revisions up to which its parts were read.
+    pub fn shared_directory(&self) -> (Arc<TargetDirectory>, PartRevisions) {
+        let tracker = lock(&self.tracker);
+        (tracker.registered(), tracker.revisions())
     }
 
-    /// Returns the directory for another host and the revisions up to which its parts were read. Other dispatchers get it
-    /// without the entries that this host keeps after an outage.
-    pub fn shared_directory(&self, is_dispatcher: bool) -> (Arc<TargetDirectory>, PartRevisions) {
-        let tracker = lock(&self.tracker);
-        let directory = match is_dispatcher {
-            true => tracker.registered(),
-            false => tracker.directory().clone(),
-        };
-        (directory, tracker.revisions())
+    /// Returns the time in which hosts known to this one had contacts with the store without a gap.
+    pub fn served_span(&self, now: MonoTime) -> Option<ServedSpan> {
+        lock(&self.tracker).served_span(now)
+    }
+
+    /// Records the time in which another host knew of contacts with the store, from a message that was sent not before
+    /// `sent_at`. Entries that this host kept because of its own cut are dropped.
+    pub fn on_served(&self, span: ServedSpan, sent_at: MonoTime, by: &HostId, now: MonoTime) {
+        let kept = self.update_directory("peer", |tracker| {
+            let kept = tracker.lapsed().len();
+            tracker.on_served(span, sent_at, now).then_some(kept)
+        });
+        if let Some(kept) = kept {
+            log::info!("event=outage_refuted by={by} dropped={kept}");
+        }
+    }
+
+    /// Drops the entries that this host kept after an outage and whose targets did not register again in time.
+    pub fn drop_lapsed(&self, now: MonoTime) {
+        self.update_directory("timeout", |tracker| tracker.drop_lapsed(now));
     }
 
     /// Returns the changes of a directory since it had a content, or `None` if that is not known any more.
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -174,7 +174,7 @@
     }
     gateway.wait_until(|host| open_count(host) == 301).await;
     let state = gateway.host.state();
-    let (known, revisions) = state.store_cache.directory_with_revisions();
+    let (known, revisions) = state.store_cache.shared_directory();
     store.remove("servers/s-7");
     gateway.wait_until(|host| open_count(host) == 300).await;
     let request = FollowRequest {
@@ -185,6 +185,7 @@
         wait_millis: 100,
         is_read_wanted: false,
         is_dispatcher: false,
+        served: None,
     };
     let message = PeerMessage::Gateway(GatewayMessage::Follow(request));
     let answer = peer_service::on_message(state.clone(), message).await;
--- a/crates/peer/src/format_v2.rs
+++ b/crates/peer/src/format_v2.rs
@@ -53,6 +53,7 @@
             wait_millis: request.wait_millis,
             is_read_wanted: false,
             is_dispatcher: request.is_dispatcher,
+            served: None,
         }
     }
 }
@@ -98,6 +99,7 @@
             held_millis: answer.held_millis,
             age_millis: answer.age_millis,
             target_age_millis: answer.age_millis,
+            served: None,
             is_served: false,
             config: answer.config,
             directory: answer
--- a/crates/peer/src/format_v3.rs
+++ b/crates/peer/src/format_v3.rs
@@ -54,6 +54,7 @@
             wait_millis: request.wait_millis,
             is_read_wanted: request.is_read_wanted,
             is_dispatcher: request.is_dispatcher,
+            served: None,
         }
     }
 }
@@ -97,6 +98,7 @@
             held_millis: answer.held_millis,
             age_millis: answer.age_millis,
             target_age_millis: answer.target_age_millis,
+            served: None,
             is_served: answer.is_served,
             config: answer.config,
             directory: answer.directory,
--- a/crates/peer/src/gateway.rs
+++ b/crates/peer/src/gateway.rs
@@ -26,6 +26,8 @@
     pub is_read_wanted: bool,
     /// Whether the host grants permits to others. The answer then includes the rate usage of teams.
     pub is_dispatcher: bool,
+    /// Time in which hosts known to this one had contacts with the store without a gap.
+    pub served: Option<ServedSpan>,
 }
 
 /// The directory of a host, compared with that of the host that follows it.
@@ -52,6 +54,8 @@
     pub age_millis: Option<u32>,
     /// Age of the host's copy of the targets' entries, in milliseconds.
     pub target_age_millis: Option<u32>,
+    /// Time in which hosts known to this one had contacts with the store without a gap.
+    pub served: Option<ServedSpan>,
     /// Whether the store itself, and not another host, confirmed the copy of this host a short time ago.
     pub is_served: bool,
     /// The configuration, if the requesting host has a lower version.
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -103,6 +103,7 @@
         held_millis: 250,
         age_millis: Some(120),
         target_age_millis: Some(300),
+        served: None,
         is_served: false,
         config: None,
         directory: DirectoryUpdate::Replaced(TargetDirectory::new()),
