--- a/crates/directory/src/contact.rs
+++ b/crates/directory/src/contact.rs
@@ -11,7 +11,7 @@
 
 use chicorycroft_core::prelude::*;
 
-use crate::targets::StoreRevision;
+use crate::position::StorePosition;
 
 /// Margin by which a host stops trusting keys before the platform's revocation bound. It covers the transit
 /// time of a request from its caller and the granularity of contact times.
@@ -158,11 +158,27 @@
     }
 }
 
+/// What became of a configuration that a host read from the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ConfigOutcome {
+    /// It could be decoded, and has a version.
+    Accepted(ConfigVersion),
+    /// It could not be decoded, while a version was in force.
+    Refused(Option<ConfigVersion>),
+}
+
+/// A refused configuration that is not superseded.
+#[derive(Clone, Copy, Debug)]
+struct RefusedReading {
+    read_at: StorePosition,
+    in_force: Option<ConfigVersion>,
+}
+
 /// The latest configuration that this host read from the store.
 #[derive(Clone, Copy, Debug)]
 struct ConfigReading {
-    revision: StoreRevision,
-    is_refused: bool,
+    position: StorePosition,
+    refused: Option<RefusedReading>,
 }
 
 /// Contacts with the store that confirm each part of a host's copy. The parts are read independently, so that one may
@@ -203,15 +219,24 @@
         &self.keys
     }
 
-    /// Records that this host read a configuration of a revision from the store, and whether it refused it. The answer to
-    /// an earlier call, which arrives late, is ignored.
-    pub fn on_config_read(&mut self, revision: StoreRevision, is_refused: bool) {
-        if self.config.is_none_or(|known| known.revision <= revision) {
-            self.config = Some(ConfigReading {
-                revision,
-                is_refused,
-            });
+    /// Records that this host read a configuration at a position of the store. The answer to an earlier call, which
+    /// arrives late, is ignored. A refused configuration that the store lacks after it came back from an older copy may
+    /// still have withdrawn keys: only a higher version than the one in force supersedes it.
+    pub fn on_config_read(&mut self, position: StorePosition, outcome: ConfigOutcome) {
+        if self.config.is_some_and(|known| known.position > position) {
+            return;
         }
+        let known = self.config.and_then(|known| known.refused);
+        let refused = match outcome {
+            ConfigOutcome::Refused(in_force) => Some(RefusedReading {
+                read_at: position,
+                in_force,
+            }),
+            ConfigOutcome::Accepted(version) => known.filter(|refused| {
+                refused.read_at.era < position.era && Some(version) <= refused.in_force
+            }),
+        };
+        self.config = Some(ConfigReading { position, refused });
     }
 
     /// Records that the store confirmed a part of the copy at `at`.
@@ -219,7 +244,7 @@
         match part {
             StorePart::Operator => {
                 self.operator.confirm(at);
-                if !self.config.is_some_and(|config| config.is_refused) {
+                if self.config.is_none_or(|config| config.refused.is_none()) {
                     self.keys.confirm(at);
                 }
             }
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -3,6 +3,8 @@
 //! - [`config`]: routes, services, teams and limits of one version, validated together.
 //! - [`routing`]: lookup of the route, the team and the service of a request.
 //! - [`targets`]: the registered targets and the evacuated zones.
+//! - [`position`]: the era and revision up to which the store was read.
+//! - [`eras`]: what stays in use when the store comes back from an older copy.
 //! - [`delta`]: the difference between two directories.
 //! - [`signals`]: what a target says about itself in an answer.
 //! - [`tracker`]: applies changes of the store to the directory, and keeps entries that lapse in a store outage.
@@ -18,7 +20,9 @@
 pub mod config;
 pub mod contact;
 pub mod delta;
+pub mod eras;
 pub mod outage;
+pub mod position;
 pub mod reader_search;
 pub mod removals;
 pub mod routing;
@@ -41,6 +45,7 @@
             TeamTerms, //
         },
         contact::{
+            ConfigOutcome,
             ContactAge,
             ContactSource,
             CopyContacts,
@@ -51,7 +56,14 @@
             DirectoryDelta,
             DirectoryHistory, //
         },
+        eras::EraSighting,
         outage::ServedSpan,
+        position::{
+            PartPositions,
+            StoreEra,
+            StorePosition,
+            StoreRevision, //
+        },
         reader_search::{
             OwnCopy,
             ReaderSearch, //
@@ -63,8 +75,6 @@
         signals::TargetSignals,
         targets::{
             ContentDigest,
-            PartRevisions,
-            StoreRevision,
             TargetDirectory,
             TargetEntry,
             TargetPhase, //
--- a/crates/directory/src/outage.rs
+++ b/crates/directory/src/outage.rs
@@ -31,7 +31,7 @@
 
 /// Time from the recovery of the store in which targets register again: the platform's two seconds and one
 /// paced read.
-const REGISTRATION_TIME: Duration = Duration::from_millis(2300);
+pub(crate) const REGISTRATION_TIME: Duration = Duration::from_millis(2300);
 
 /// Time in which hosts known to the sender of a message had contacts with the store without a gap.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/directory/src/removals.rs
+++ b/crates/directory/src/removals.rs
@@ -39,6 +39,8 @@
     Left,
     /// The store may have removed the entry, because the target did not renew it.
     Lapsed,
+    /// This host did not read the writes of the target itself and cannot tell.
+    Unknown,
 }
 
 /// An incarnation whose entry was removed.
@@ -51,13 +53,17 @@
     cause: RemovalCause,
     /// Whether a write was read after the removal.
     was_written: bool,
+    /// Start and sequence number of the entry in the older copy from which the store has come back.
+    copied: Option<(u64, u64)>,
+    /// Time from which the removal is remembered: that of the removal, or of the latest return of the store.
+    remembered_from: MonoTime,
 }
 
 impl RemovedIncarnation {
     fn memory(&self) -> Duration {
         match self.cause {
             RemovalCause::Left => LEFT_MEMORY,
-            RemovalCause::Lapsed => LAPSED_MEMORY,
+            RemovalCause::Lapsed | RemovalCause::Unknown => LAPSED_MEMORY,
         }
     }
 }
@@ -118,26 +124,66 @@
     pub fn on_removal(&mut self, entry: &TargetEntry, now: MonoTime) {
         let lapse_silence = self.heartbeat * LAPSE_SILENCE_MILLE / 1000;
         let written_at = self.written_at.shift_remove(&entry.id);
-        // A host that did not read the writes itself cannot tell.
-        let has_left = written_at.is_some_and(|written_at| {
-            let is_served = self
-                .failed_at
-                .is_none_or(|failed_at| failed_at < written_at);
-            is_served && now.since(written_at) < lapse_silence
-        });
+        let cause = match written_at {
+            None => RemovalCause::Unknown,
+            Some(written_at) => {
+                let failed_at = self.failed_at;
+                let is_served = failed_at.is_none_or(|failed_at| failed_at < written_at);
+                match is_served && now.since(written_at) < lapse_silence {
+                    true => RemovalCause::Left,
+                    false => RemovalCause::Lapsed,
+                }
+            }
+        };
+        self.insert(entry, cause, now);
+    }
+
+    /// Records that an entry is no longer kept, as its target did not register again in time.
+    pub fn on_lapse(&mut self, entry: &TargetEntry, now: MonoTime) {
+        self.written_at.shift_remove(&entry.id);
+        self.insert(entry, RemovalCause::Lapsed, now);
+    }
+
+    fn insert(&mut self, entry: &TargetEntry, cause: RemovalCause, now: MonoTime) {
         let removed = RemovedIncarnation {
             born: entry.born,
             sequence: entry.sequence,
             at: now,
-            cause: match has_left {
-                true => RemovalCause::Left,
-                false => RemovalCause::Lapsed,
-            },
+            cause,
             was_written: false,
+            copied: None,
+            remembered_from: now,
         };
         self.removed.insert(entry.id.clone(), removed);
     }
 
+    /// Records that the store has come back from an older copy, which may hold the entries of removed incarnations. Late
+    /// writes count from now.
+    pub fn on_era(&mut self, now: MonoTime) {
+        for removed in self.removed.values_mut() {
+            if removed.cause != RemovalCause::Lapsed {
+                (removed.cause, removed.at) = (RemovalCause::Left, now);
+            }
+            removed.remembered_from = now;
+        }
+    }
+
+    /// Records an entry of the older copy from which the store has come back. Returns `true` if its incarnation was removed.
+    pub fn on_copy(&mut self, entry: &TargetEntry) -> bool {
+        let Some(removed) = self.removed.get_mut(&entry.id) else {
+            return false;
+        };
+        let is_earlier = entry.born != 0 && entry.born < removed.born;
+        if removed.born != entry.born && !is_earlier {
+            return false;
+        }
+        if !is_earlier {
+            removed.sequence = removed.sequence.max(entry.sequence);
+        }
+        removed.copied = Some((entry.born, entry.sequence));
+        true
+    }
+
     /// Records a write of a target that is not registered. Returns `true` if the target is live, and `false` if the entry
     /// was left by a late write of a removed incarnation. An entry without the start of its incarnation cannot be told from that of a
     /// later one.
@@ -145,6 +191,9 @@
         let Some(removed) = self.removed.get_mut(&entry.id) else {
             return true;
         };
+        if removed.copied == Some((entry.born, entry.sequence)) {
+            return false;
+        }
         if removed.born != entry.born || entry.born == 0 {
             return true;
         }
@@ -168,19 +217,25 @@
     }
 
     /// Returns `true` if an entry in the directory of the host that this one follows is older than the removal of its
-    /// incarnation. A target that registers again has a higher sequence number, unless it states no start.
-    pub fn is_outdated(&self, entry: &TargetEntry) -> bool {
-        let removed = self.removed.get(&entry.id);
-        let is_removed = removed.is_some_and(|removed| {
-            removed.born == entry.born && entry.sequence <= removed.sequence
-        });
-        is_removed && entry.born != 0
+    /// incarnation, or comes from a late write. A target that registers again has a higher sequence number, unless it states
+    /// no start.
+    pub fn is_outdated(&self, entry: &TargetEntry, now: MonoTime) -> bool {
+        let Some(removed) = self.removed.get(&entry.id) else {
+            return false;
+        };
+        if removed.copied == Some((entry.born, entry.sequence)) {
+            return true;
+        }
+        let is_late = removed.cause == RemovalCause::Left && now.since(removed.at) < LATE_WRITE_MAX;
+        let is_removed = removed.born == entry.born && entry.born != 0;
+        is_removed && (is_late || entry.sequence <= removed.sequence)
     }
 
     /// Forgets the removals of targets that are registered again, and those that are no longer relevant.
     pub fn forget(&mut self, is_registered: impl Fn(&TargetId) -> bool, now: MonoTime) {
-        self.removed
-            .retain(|id, removed| now.since(removed.at) < removed.memory() && !is_registered(id));
+        self.removed.retain(|id, removed| {
+            now.since(removed.remembered_from) < removed.memory() && !is_registered(id)
+        });
         self.written_at.retain(|id, _| is_registered(id));
     }
 }
--- a/crates/directory/src/targets.rs
+++ b/crates/directory/src/targets.rs
@@ -12,10 +12,7 @@
     time::Duration, //
 };
 
-use chicorycroft_core::{
-    define_counter,
-    prelude::*, //
-};
+use chicorycroft_core::prelude::*;
 use indexmap::{
     IndexMap,
     IndexSet, //
@@ -26,70 +23,7 @@
 };
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::contact::StorePart;
-
-define_counter!(
-    /// Revision of the store; it increases with each write.
-    StoreRevision
-);
-
-/// Revisions up to which the parts of the store were read.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct PartRevisions {
-    /// Revision of the records of operators.
-    pub operator: StoreRevision,
-    /// Revision of the entries of targets.
-    pub targets: StoreRevision,
-}
-
-impl PartRevisions {
-    /// Creates the revisions of a copy that was read up to one revision.
-    pub const fn new(revision: StoreRevision) -> Self {
-        Self {
-            operator: revision,
-            targets: revision,
-        }
-    }
-
-    /// Returns the revision of a part.
-    pub const fn part(&self, part: StorePart) -> StoreRevision {
-        match part {
-            StorePart::Operator => self.operator,
-            StorePart::Targets => self.targets,
-        }
-    }
-
-    /// Returns the revision of a part, to change it.
-    pub const fn part_mut(&mut self, part: StorePart) -> &mut StoreRevision {
-        match part {
-            StorePart::Operator => &mut self.operator,
-            StorePart::Targets => &mut self.targets,
-        }
-    }
-
-    /// Returns the revision up to which both parts were read.
-    pub fn both(&self) -> StoreRevision {
-        self.operator.min(self.targets)
-    }
-}
-
-impl fmt::Display for PartRevisions {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/{}", self.operator, self.targets)
-    }
-}
-
-impl FromStr for PartRevisions {
-    type Err = ParseIntError;
-
-    fn from_str(text: &str) -> Result<Self, ParseIntError> {
-        let (operator, targets) = text.split_once('/').unwrap_or((text, text));
-        Ok(Self {
-            operator: operator.parse()?,
-            targets: targets.parse()?,
-        })
-    }
-}
+use crate::position::StorePosition;
 
 /// Digest of a directory's content, by which hosts detect equal directories without exchanging them.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
@@ -152,6 +86,16 @@
         hasher.finish()
     }
 
+    /// Returns `true` if the target wrote this entry after another one of the same incarnation.
+    pub fn is_written_after(&self, other: &Self) -> bool {
+        self.born == other.born && self.sequence > other.sequence
+    }
+
+    /// Returns `true` if this entry is that of a later incarnation. One that does not state its start cannot be compared.
+    pub fn is_born_after(&self, other: &Self) -> bool {
+        other.born != 0 && self.born > other.born
+    }
+
     /// Returns `true` if the entries are equal for dispatching: they differ at most in the sequence number and in the
     /// countdown of the cold time.
     pub fn is_equivalent(&self, other: &Self) -> bool {
@@ -159,11 +103,11 @@
     }
 }
 
-/// The targets and evacuated zones at one revision of the store.
+/// The targets and evacuated zones at one position of the store.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TargetDirectory {
-    /// Revision up to which the store was read.
-    pub as_of: StoreRevision,
+    /// Position up to which the store was read.
+    pub as_of: StorePosition,
     /// Digest of the content, see [`TargetDirectory::update_digest`].
     pub content: ContentDigest,
     /// All registered targets, including draining ones and those of evacuated zones.
--- a/crates/directory/src/tracker.rs
+++ b/crates/directory/src/tracker.rs
@@ -3,6 +3,9 @@
 //! The store removes entries whose targets could not renew them during an outage, and such targets register again
 //! within about two seconds of its recovery. An entry that is removed in that time stays in use until the
 //! time is over. At any other time a removed entry means that the target has left.
+//!
+//! If the store comes back from an older copy, a full read or another host's directory of the new era replaces the
+//! directory, except for what this host knows to be later (see `copies.rs`).
 
 use std::{
     sync::Arc,
@@ -20,20 +23,31 @@
         ContactAge,
         StorePart, //
     },
+    eras::{
+        EraClock,
+        EraSighting,
+        KeptEntries, //
+    },
     outage::{
         OutageDetector,
         ServedSpan, //
     },
+    position::{
+        PartPositions,
+        StoreEra,
+        StorePosition, //
+    },
     removals::RemovalMemory,
     targets::{
         ContentDigest,
-        PartRevisions,
-        StoreRevision,
         TargetDirectory,
         TargetEntry, //
     },
 };
 
+mod adoption;
+mod copies;
+
 /// A change of the directory that was read from the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum DirectoryChange {
@@ -47,15 +61,15 @@
     ZoneRestored(ZoneId),
 }
 
-/// The directory of one host, with the revisions up to which each part of the store was read.
+/// The directory of one host, with the positions up to which each part of the store was read.
 #[derive(Debug, Default)]
 pub struct DirectoryTracker {
     directory: Arc<TargetDirectory>,
-    /// The directory without the entries in `lapsed`.
+    /// The directory without what is only kept.
     registered: Arc<TargetDirectory>,
-    revisions: PartRevisions,
-    /// Targets whose entries lapsed in an outage, with the time until which they stay in use.
-    lapsed: IndexMap<TargetId, MonoTime>,
+    positions: PartPositions,
+    kept: KeptEntries,
+    eras: EraClock,
     removals: RemovalMemory,
     /// Time of the latest answer of the store about targets.
     targets_read_at: Option<MonoTime>,
@@ -79,88 +93,46 @@
         &self.directory
     }
 
-    /// Returns the targets whose entries lapsed in an outage, with the time until which they stay in use.
+    /// Returns the targets whose entries lapsed in an outage, or are missing in the copy from which the store came back,
+    /// with the time until which they stay in use.
     pub fn lapsed(&self) -> &IndexMap<TargetId, MonoTime> {
-        &self.lapsed
+        &self.kept.targets
     }
 
-    /// Returns the revisions up to which the parts were read.
-    pub fn revisions(&self) -> PartRevisions {
-        self.revisions
+    /// Returns the latest era of the store that this host knows of.
+    pub fn era(&self) -> StoreEra {
+        self.eras.era()
     }
 
-    /// Takes over the parts of another host's directory that were read from the store later. For the host that this
-    /// one follows, the same revision suffices. This host decides by its own evidence of an outage which entries it keeps
-    /// that the other directory lacks, and does not take back those that it has removed, unless the host that it follows
-    /// may have read a later write. Returns `false` if a part of the other directory is older, or holds such entries.
-    ///
-    /// The parts are read independently, so that each of two hosts may have the later state of one part. A part that
-    /// was read later on this host stays: its changes would be lost, as the watches continue after them.
-    pub fn adopt(
-        &mut self,
-        directory: TargetDirectory,
-        revisions: PartRevisions,
-        is_from_upstream: bool,
-        now: MonoTime,
-    ) -> bool {
-        let is_taken = |part| {
-            let (theirs, ours) = (revisions.part(part), self.revisions.part(part));
-            theirs > ours || is_from_upstream && theirs == ours
-        };
-        let is_older = |part| revisions.part(part) < self.revisions.part(part);
-        let mut is_current = !StorePart::ALL.into_iter().any(is_older);
-        let taken = StorePart::ALL.map(is_taken);
-        if taken == [false; 2] {
-            return is_current;
+    /// Returns what this host tells others about the era of the store.
+    pub fn era_sighting(&self, now: MonoTime) -> EraSighting {
+        self.eras.sighting(now)
+    }
+
+    /// Records the era that an answer of the store or another host states. What is kept in use gets the time to register in
+    /// the new era, too.
+    pub fn on_era(&mut self, era: StoreEra, now: MonoTime) {
+        if !self.eras.on_era(era) {
+            return;
         }
-        let mut next = (*self.directory).clone();
-        let [takes_zones, takes_targets] = taken;
-        if takes_zones {
-            self.revisions.operator = revisions.operator;
-            next.evacuated = directory.evacuated;
+        self.removals.on_era(now);
+        if let Some(end) = self.eras.registration_end(now) {
+            self.kept.extend(end);
         }
-        if takes_targets {
-            self.revisions.targets = revisions.targets;
-            next.targets = directory.targets;
-            // The entries that the other host holds although this one has seen their removal may be kept by it only.
-            let has_outage = self.outage.adoption_end(now).is_some();
-            let kept = self.keep_missing(&next.targets, now);
-            let removals = &self.removals;
-            if is_from_upstream {
-                self.lapsed.retain(|id, _| !next.targets.contains_key(id));
-                let count = next.targets.len();
-                next.targets
-                    .retain(|_, entry| has_outage || !removals.is_outdated(entry));
-                is_current &= next.targets.len() == count;
-            } else {
-                next.targets.retain(|_, entry| !removals.is_removed(entry));
-            }
-            self.lapsed
-                .extend(kept.iter().map(|(id, (_, until))| (id.clone(), *until)));
-            let kept = kept.into_iter().map(|(id, (entry, _))| (id, entry));
-            next.targets.extend(kept);
-            // The other host may keep a lapsed entry too, and the removal is not delivered again.
-            self.lapsed.retain(|id, _| next.targets.contains_key(id));
+    }
+
+    /// Records what another host knows about the era of the store.
+    pub fn on_era_sighting(&mut self, sighting: EraSighting, now: MonoTime) {
+        self.on_era(sighting.era, now);
+        if let Some(millis) = sighting.age_millis {
+            let age = Duration::from_millis(millis.into());
+            self.eras.on_contact(sighting.era, age, now);
         }
-        self.set_directory(next, now);
-        is_current
     }
 
-    /// Returns the entries that another host's directory lacks and that stay in use on this host until a time, as it knows
-    /// of an outage of the store in which they may have lapsed.
-    fn keep_missing(
-        &self,
-        registered: &IndexMap<TargetId, TargetEntry>,
-        now: MonoTime,
-    ) -> IndexMap<TargetId, (TargetEntry, MonoTime)> {
-        let end = self.outage.adoption_end(now);
-        let missing = self.directory.targets.iter();
-        let missing = missing.filter(|(id, _)| !registered.contains_key(*id));
-        let kept = missing.filter_map(|(id, entry)| {
-            let until = self.lapsed.get(id).copied().or(end)?;
-            (now < until).then(|| (id.clone(), (entry.clone(), until)))
-        });
-        kept.collect()
+    /// Returns the positions up to which the parts were read.
+    pub fn positions(&self) -> PartPositions {
+        self.positions
     }
 
     /// Returns the directory without the entries that only this host keeps in use after an outage. Another host decides by
@@ -181,49 +153,60 @@
         if !self.outage.on_served(span, sent_at, now) {
             return false;
         }
-        let mut next = (*self.directory).clone();
-        for (id, _) in std::mem::take(&mut self.lapsed) {
-            next.targets.shift_remove(&id);
+        let now_or_era_end = self.eras.registration_end(now).unwrap_or(now);
+        for until in self.kept.targets.values_mut() {
+            *until = now_or_era_end.min(*until);
         }
-        self.set_directory(next, now);
+        self.drop_lapsed(now);
         true
     }
 
-    /// Drops the lapsed entries whose targets did not register again in time.
+    /// Drops what was kept and was not written again in time.
     pub fn drop_lapsed(&mut self, now: MonoTime) {
-        if self.lapsed.values().all(|until| now < *until) {
-            return;
+        if self.kept.is_due(now) {
+            let mut next = (*self.directory).clone();
+            self.expire_kept(&mut next, now);
+            self.set_directory(next, now);
+        }
+    }
+
+    fn expire_kept(&mut self, next: &mut TargetDirectory, now: MonoTime) {
+        for id in self.kept.expire(next, now) {
+            if let Some(entry) = next.targets.shift_remove(&id) {
+                self.removals.on_lapse(&entry, now);
+            }
         }
-        let mut next = (*self.directory).clone();
-        remove_lapsed(&mut self.lapsed, &mut next, now);
-        self.set_directory(next, now);
     }
 
-    /// Records that another host has a content up to its revisions. They count for this host only while it has the same
-    /// content: it would ignore the changes between its own revisions and those.
-    pub fn confirm_revisions(&mut self, content: ContentDigest, revisions: PartRevisions) {
+    /// Records that another host has a content up to its positions. They count for this host only while it has the same
+    /// content: it would ignore the changes between its own positions and those.
+    pub fn confirm_positions(
+        &mut self,
+        content: ContentDigest,
+        positions: PartPositions,
+        now: MonoTime,
+    ) {
         if content != self.registered.content {
             return;
         }
+        self.on_era(positions.latest().era, now);
         for part in StorePart::ALL {
-            let known = self.revisions.part_mut(part);
-            *known = revisions.part(part).max(*known);
+            let known = self.positions.part_mut(part);
+            *known = positions.part(part).max(*known);
         }
         let mut next = (*self.directory).clone();
-        next.as_of = self.revisions.both();
+        next.as_of = self.positions.both();
         self.store(next);
     }
 
     /// Replaces the directory by one whose digest is up to date.
     fn store(&mut self, next: TargetDirectory) {
         self.directory = Arc::new(next);
-        self.registered = match self.lapsed.is_empty() {
+        self.registered = match self.kept.is_empty() {
             true => self.directory.clone(),
             false => {
                 let mut registered = (*self.directory).clone();
-                registered
-                    .targets
-                    .retain(|id, _| !self.lapsed.contains_key(id));
+                self.kept.strip(&mut registered);
                 registered.update_digest();
                 Arc::new(registered)
             }
@@ -238,7 +221,7 @@
         }
         let is_registered = |id: &TargetId| next.targets.contains_key(id);
         self.removals.forget(is_registered, now);
-        next.as_of = self.revisions.both();
+        next.as_of = self.positions.both();
         next.update_digest();
         self.store(next);
     }
@@ -271,47 +254,81 @@
         self.outage.has_registration_ended(read_at, now)
     }
 
-    /// Applies a full read of the evacuated zones. Zones that are missing count as restored.
+    /// Records an answer of the store, and returns `true` if it counts: it is not of an earlier era than the latest one,
+    /// and not older than what was read of the part.
+    fn on_answer(&mut self, part: StorePart, as_of: StorePosition, now: MonoTime) -> bool {
+        self.on_era(as_of.era, now);
+        self.eras.on_contact(as_of.era, Duration::ZERO, now);
+        as_of.era == self.eras.era() && as_of >= self.positions.part(part)
+    }
+
+    /// Applies a full read of the evacuated zones. Zones that are missing count as restored, unless they are missing in
+    /// the copy from which the store has come back.
     pub fn replace_zones(
         &mut self,
         evacuated: IndexSet<ZoneId>,
-        as_of: StoreRevision,
+        as_of: StorePosition,
         now: MonoTime,
     ) {
-        let restored = self.directory.evacuated.difference(&evacuated);
-        let restored = restored.cloned().map(DirectoryChange::ZoneRestored);
-        let mut changes: Vec<DirectoryChange> = restored.collect();
-        changes.extend(evacuated.into_iter().map(DirectoryChange::ZoneEvacuated));
-        self.apply(StorePart::Operator, changes, as_of, now);
+        if !self.on_answer(StorePart::Operator, as_of, now) {
+            return;
+        }
+        let has_new_era = as_of.era > self.positions.operator.era;
+        self.positions.operator = as_of;
+        let mut next = (*self.directory).clone();
+        match has_new_era {
+            true => self.take_zone_copy(&mut next, evacuated, now),
+            false => self.take_zones(&mut next, evacuated),
+        }
+        self.expire_kept(&mut next, now);
+        self.set_directory(next, now);
     }
 
-    /// Applies a full read of the entries of all targets. Targets that are missing count as removed.
+    /// Applies a full read of the entries of all targets. Targets that are missing count as removed, unless they are missing
+    /// in the copy from which the store has come back.
     pub fn replace_targets(
         &mut self,
         entries: Vec<TargetEntry>,
-        as_of: StoreRevision,
+        as_of: StorePosition,
         now: MonoTime,
     ) {
-        let listed: IndexSet<&TargetId> = entries.iter().map(|entry| &entry.id).collect();
-        let known = self.directory.targets.keys();
-        let missing = known.filter(|id| !listed.contains(id)).cloned();
-        let mut changes: Vec<DirectoryChange> =
-            missing.map(DirectoryChange::TargetRemoved).collect();
-        changes.extend(entries.into_iter().map(DirectoryChange::TargetUpdated));
-        self.apply(StorePart::Targets, changes, as_of, now);
+        if !self.on_answer(StorePart::Targets, as_of, now) {
+            return;
+        }
+        if as_of.era == self.positions.targets.era {
+            let listed: IndexSet<&TargetId> = entries.iter().map(|entry| &entry.id).collect();
+            let known = self.directory.targets.keys();
+            let is_missing =
+                |id: &&TargetId| !listed.contains(id) && !self.kept.targets.contains_key(*id);
+            let missing = known.filter(is_missing).cloned();
+            let mut changes: Vec<DirectoryChange> =
+                missing.map(DirectoryChange::TargetRemoved).collect();
+            changes.extend(entries.into_iter().map(DirectoryChange::TargetUpdated));
+            self.apply(StorePart::Targets, changes, as_of, now);
+            return;
+        }
+        self.positions.targets = as_of;
+        let mut next = (*self.directory).clone();
+        let outage_end = self.outage.registration_end(now);
+        self.take_copy(&mut next, entries.into_iter(), outage_end, now);
+        self.targets_read_at = Some(now);
+        self.expire_kept(&mut next, now);
+        self.set_directory(next, now);
     }
 
-    /// Applies the changes of one part up to a revision. An answer at an older revision of the part is ignored. The
+    /// Applies the changes of one part that a watch returned, up to a position. An answer at an older position of the part
+    /// is ignored, and so is one of an earlier era. One of a later era only shows the era: it must be read in full. The
     /// parts are read independently, so an answer about one may follow a later answer about the other.
     pub fn apply(
         &mut self,
         part: StorePart,
         changes: Vec<DirectoryChange>,
-        as_of: StoreRevision,
+        as_of: StorePosition,
         now: MonoTime,
     ) {
-        let known = self.revisions.part_mut(part);
-        if as_of < *known {
+        let counts = self.on_answer(part, as_of, now);
+        let known = self.positions.part_mut(part);
+        if !counts || as_of.era != known.era {
             return;
         }
         *known = as_of;
@@ -322,7 +339,7 @@
         if part == StorePart::Targets {
             self.targets_read_at = Some(now);
         }
-        remove_lapsed(&mut self.lapsed, &mut next, now);
+        self.expire_kept(&mut next, now);
         self.set_directory(next, now);
     }
 
@@ -330,9 +347,10 @@
         match change {
             DirectoryChange::TargetRemoved(id) => match self.outage.registration_end(now) {
                 Some(end) => {
-                    self.lapsed.entry(id).or_insert(end);
+                    self.kept.targets.entry(id).or_insert(end);
                 }
                 None => {
+                    self.kept.targets.shift_remove(&id);
                     if let Some(entry) = next.targets.shift_remove(&id) {
                         self.removals.on_removal(&entry, now);
                     }
@@ -340,9 +358,11 @@
             },
             DirectoryChange::TargetUpdated(entry) => self.apply_entry(next, entry, now),
             DirectoryChange::ZoneEvacuated(zone) => {
+                self.kept.zones.shift_remove(&zone);
                 next.evacuated.insert(zone);
             }
             DirectoryChange::ZoneRestored(zone) => {
+                self.kept.zones.shift_remove(&zone);
                 next.evacuated.shift_remove(&zone);
             }
         }
@@ -359,10 +379,14 @@
             }
             return;
         };
-        let is_earlier = known.born == entry.born && entry.sequence < known.sequence;
+        // The copy may hold the entry of an earlier incarnation.
+        if known.is_born_after(&entry) && self.eras.registration_end(now).is_some() {
+            return;
+        }
+        let is_earlier = known.is_written_after(&entry);
         // A target that does not state its start may have begun to count anew after its entry lapsed.
         if !is_earlier || entry.born == 0 {
-            self.lapsed.shift_remove(&entry.id);
+            self.kept.targets.shift_remove(&entry.id);
         }
         if is_earlier {
             return;
@@ -376,18 +400,3 @@
         }
     }
 }
-
-/// Removes the lapsed targets that did not register again in time.
-fn remove_lapsed(
-    lapsed: &mut IndexMap<TargetId, MonoTime>,
-    directory: &mut TargetDirectory,
-    now: MonoTime,
-) {
-    lapsed.retain(|id, until| {
-        let is_over = now >= *until;
-        if is_over {
-            directory.targets.shift_remove(id);
-        }
-        !is_over
-    });
-}
--- a/crates/directory/tests/cut_hosts.rs
+++ b/crates/directory/tests/cut_hosts.rs
@@ -44,7 +44,7 @@
 
 fn tracker_with_two_targets() -> DirectoryTracker {
     let mut tracker = DirectoryTracker::new();
-    let as_of = StoreRevision::new(10);
+    let as_of = StorePosition::without_era(StoreRevision::new(10));
     tracker.on_contact(at(0));
     tracker.replace_zones(IndexSet::new(), as_of, at(0));
     tracker.replace_targets(vec![entry(1, 5), entry(2, 5)], as_of, at(0));
@@ -54,7 +54,7 @@
 /// Removes the entry of `t-1` at a revision.
 fn remove_first(tracker: &mut DirectoryTracker, revision: u64, now: MonoTime) {
     let removed = vec![DirectoryChange::TargetRemoved(id(1))];
-    let as_of = StoreRevision::new(revision);
+    let as_of = StorePosition::without_era(StoreRevision::new(revision));
     tracker.apply(StorePart::Targets, removed, as_of, now);
 }
 
@@ -84,7 +84,7 @@
     revision: u64,
     millis: u64,
 ) {
-    let revisions = PartRevisions::new(StoreRevision::new(revision));
+    let revisions = PartPositions::new(StorePosition::without_era(StoreRevision::new(revision)));
     follower.adopt(directory.clone(), revisions, true, at(millis));
 }
 
@@ -133,7 +133,7 @@
 
 fn remove_second(tracker: &mut DirectoryTracker) {
     let removed = vec![DirectoryChange::TargetRemoved(id(2))];
-    let as_of = StoreRevision::new(40);
+    let as_of = StorePosition::without_era(StoreRevision::new(40));
     tracker.apply(StorePart::Targets, removed, as_of, at(6200));
 }
 
@@ -195,7 +195,7 @@
     let mut follower = tracker_with_two_targets();
     follow(&mut follower, &dispatcher.registered(), 30, 6100);
     let registered = vec![DirectoryChange::TargetUpdated(entry(1, 6))];
-    let as_of = StoreRevision::new(31);
+    let as_of = StorePosition::without_era(StoreRevision::new(31));
     dispatcher.apply(StorePart::Targets, registered, as_of, at(7000));
     follow(&mut follower, &dispatcher.registered(), 31, 7100);
     follower.drop_lapsed(at(9000));
--- a/crates/directory/tests/routing.rs
+++ b/crates/directory/tests/routing.rs
@@ -181,14 +181,16 @@
 fn refused_configuration_ends_the_trust_in_keys() {
     let bound = Duration::from_secs(5);
     let at = MonoTime::from_millis;
-    let revision = StoreRevision::new;
+    let position = |revision| StorePosition::without_era(StoreRevision::new(revision));
+    let accepted = |version| ConfigOutcome::Accepted(ConfigVersion::new(version));
+    let refused = ConfigOutcome::Refused(Some(ConfigVersion::new(1)));
     let mut contacts = CopyContacts::new();
-    contacts.on_config_read(revision(10), false);
+    contacts.on_config_read(position(10), accepted(1));
     contacts.confirm(StorePart::Operator, at(1000));
-    contacts.on_config_read(revision(20), true);
+    contacts.on_config_read(position(20), refused);
     contacts.confirm(StorePart::Operator, at(1500));
     // The answer to an earlier call arrives late.
-    contacts.on_config_read(revision(10), false);
+    contacts.on_config_read(position(10), accepted(1));
     contacts.confirm(StorePart::Operator, at(5000));
     assert!(contacts.keys().may_trust_keys(bound, at(5500)));
     assert!(!contacts.keys().may_trust_keys(bound, at(5700)));
@@ -200,7 +202,7 @@
         age(4700)
     );
     // The operator publishes a version that this host accepts.
-    contacts.on_config_read(revision(30), false);
+    contacts.on_config_read(position(30), accepted(3));
     contacts.confirm(StorePart::Operator, at(6000));
     assert!(contacts.keys().may_trust_keys(bound, at(6100)));
 }
--- a/crates/directory/tests/tracker.rs
+++ b/crates/directory/tests/tracker.rs
@@ -44,7 +44,7 @@
 
 /// Applies changes that a watch returns at a time, with the time as the revision.
 fn watch(tracker: &mut DirectoryTracker, millis: u64, changes: Vec<DirectoryChange>) {
-    let as_of = StoreRevision::new(millis);
+    let as_of = StorePosition::without_era(StoreRevision::new(millis));
     tracker.on_contact(at(millis));
     tracker.apply(StorePart::Targets, changes, as_of, at(millis));
 }
@@ -65,7 +65,7 @@
         entry("t-1", TargetPhase::Ready),
         entry("t-2", TargetPhase::Ready),
     ];
-    let as_of = StoreRevision::new(10);
+    let as_of = StorePosition::without_era(StoreRevision::new(10));
     tracker.on_contact(at(0));
     tracker.replace_zones(IndexSet::new(), as_of, at(0));
     tracker.replace_targets(entries, as_of, at(0));
@@ -77,13 +77,13 @@
 #[test]
 fn answer_about_targets_counts_after_a_later_one_about_operators() {
     let mut tracker = tracker_with_two_targets();
-    let later = StoreRevision::new(12);
+    let later = StorePosition::without_era(StoreRevision::new(12));
     tracker.apply(StorePart::Operator, Vec::new(), later, at(100));
     let draining = vec![updated("t-1", TargetPhase::Draining)];
     tracker.apply(
         StorePart::Targets,
         draining,
-        StoreRevision::new(11),
+        StorePosition::without_era(StoreRevision::new(11)),
         at(110),
     );
     assert_eq!(open_ids(&tracker), ["t-2"]);
@@ -93,7 +93,7 @@
 #[test]
 fn each_change_alters_the_digest() {
     let mut tracker = tracker_with_two_targets();
-    let revision = StoreRevision::new(11);
+    let revision = StorePosition::without_era(StoreRevision::new(11));
     let before = tracker.directory().content;
     let draining = vec![updated("t-1", TargetPhase::Draining)];
     tracker.apply(StorePart::Targets, draining, revision, at(10));
@@ -109,9 +109,19 @@
 fn older_answer_about_the_same_part_is_ignored() {
     let mut tracker = tracker_with_two_targets();
     let draining = vec![updated("t-1", TargetPhase::Draining)];
-    tracker.apply(StorePart::Targets, draining, StoreRevision::new(15), at(10));
+    tracker.apply(
+        StorePart::Targets,
+        draining,
+        StorePosition::without_era(StoreRevision::new(15)),
+        at(10),
+    );
     let stale = vec![updated("t-1", TargetPhase::Ready)];
-    tracker.apply(StorePart::Targets, stale, StoreRevision::new(14), at(20));
+    tracker.apply(
+        StorePart::Targets,
+        stale,
+        StorePosition::without_era(StoreRevision::new(14)),
+        at(20),
+    );
     assert_eq!(open_ids(&tracker), ["t-2"]);
 }
 
@@ -125,21 +135,21 @@
     tracker.apply(
         StorePart::Targets,
         vec![removed],
-        StoreRevision::new(20),
+        StorePosition::without_era(StoreRevision::new(20)),
         at(6000),
     );
     assert_eq!(open_ids(&tracker), ["t-1", "t-2"]);
     tracker.apply(
         StorePart::Targets,
         Vec::new(),
-        StoreRevision::new(21),
+        StorePosition::without_era(StoreRevision::new(21)),
         at(8000),
     );
     assert_eq!(open_ids(&tracker), ["t-1", "t-2"]);
     tracker.apply(
         StorePart::Targets,
         Vec::new(),
-        StoreRevision::new(22),
+        StorePosition::without_era(StoreRevision::new(22)),
         at(8400),
     );
     assert_eq!(open_ids(&tracker), ["t-2"]);
@@ -154,7 +164,7 @@
     tracker.apply(
         StorePart::Targets,
         vec![removed],
-        StoreRevision::new(20),
+        StorePosition::without_era(StoreRevision::new(20)),
         at(900),
     );
     assert_eq!(open_ids(&tracker), ["t-2"]);
@@ -166,10 +176,10 @@
     let mut tracker = tracker_with_two_targets();
     let older = (*tracker.directory()).as_ref().clone();
     let draining = vec![updated("t-1", TargetPhase::Draining)];
-    let revision = StoreRevision::new(15);
+    let revision = StorePosition::without_era(StoreRevision::new(15));
     tracker.apply(StorePart::Targets, draining, revision, at(10));
     tracker.apply(StorePart::Operator, Vec::new(), revision, at(10));
-    let revisions = PartRevisions::new(older.as_of);
+    let revisions = PartPositions::new(older.as_of);
     assert!(!tracker.adopt(older, revisions, true, at(0)));
     assert_eq!(open_ids(&tracker), ["t-2"]);
 }
@@ -179,13 +189,23 @@
 fn entry_with_a_lower_sequence_of_the_same_incarnation_is_ignored() {
     let mut tracker = tracker_with_two_targets();
     let draining = vec![updated("t-1", TargetPhase::Draining)];
-    tracker.apply(StorePart::Targets, draining, StoreRevision::new(15), at(10));
+    tracker.apply(
+        StorePart::Targets,
+        draining,
+        StorePosition::without_era(StoreRevision::new(15)),
+        at(10),
+    );
     let late = TargetEntry {
         sequence: 4,
         ..entry("t-1", TargetPhase::Ready)
     };
     let late = vec![DirectoryChange::TargetUpdated(late)];
-    tracker.apply(StorePart::Targets, late, StoreRevision::new(16), at(20));
+    tracker.apply(
+        StorePart::Targets,
+        late,
+        StorePosition::without_era(StoreRevision::new(16)),
+        at(20),
+    );
     assert_eq!(open_ids(&tracker), ["t-2"]);
     let restarted = TargetEntry {
         sequence: 1,
@@ -196,7 +216,7 @@
     tracker.apply(
         StorePart::Targets,
         restarted,
-        StoreRevision::new(17),
+        StorePosition::without_era(StoreRevision::new(17)),
         at(30),
     );
     assert_eq!(open_ids(&tracker), ["t-1", "t-2"]);
@@ -212,7 +232,7 @@
     tracker.apply(
         StorePart::Targets,
         vec![removed],
-        StoreRevision::new(20),
+        StorePosition::without_era(StoreRevision::new(20)),
         at(9000),
     );
     assert_eq!(open_ids(&tracker), ["t-2"]);
@@ -228,7 +248,7 @@
     tracker.apply(
         StorePart::Targets,
         vec![removed],
-        StoreRevision::new(20),
+        StorePosition::without_era(StoreRevision::new(20)),
         at(3400),
     );
     assert_eq!(open_ids(&tracker), ["t-2"]);
@@ -240,16 +260,16 @@
 fn directory_of_a_peer_does_not_undo_a_later_change() {
     let mut tracker = tracker_with_two_targets();
     let peer = (**tracker.directory()).clone();
-    let read_at = StoreRevision::new(20);
+    let read_at = StorePosition::without_era(StoreRevision::new(20));
     let draining = vec![updated("t-1", TargetPhase::Draining)];
     tracker.apply(StorePart::Targets, draining, read_at, at(100));
     assert_eq!(open_ids(&tracker), ["t-2"]);
-    assert!(tracker.directory().as_of < StoreRevision::new(15));
-    let before = PartRevisions::new(StoreRevision::new(15));
+    assert!(tracker.directory().as_of < StorePosition::without_era(StoreRevision::new(15)));
+    let before = PartPositions::new(StorePosition::without_era(StoreRevision::new(15)));
     assert!(!tracker.adopt(peer.clone(), before, true, at(0)));
     assert_eq!(open_ids(&tracker), ["t-2"]);
     // A directory that is as recent in both parts is adopted.
-    assert!(tracker.adopt(peer, PartRevisions::new(read_at), false, at(0)));
+    assert!(tracker.adopt(peer, PartPositions::new(read_at), false, at(0)));
 }
 
 /// Guards against two hosts that refuse each other's directory, because each has read another part of the store later:
@@ -262,21 +282,21 @@
     first.apply(
         StorePart::Operator,
         evacuated,
-        StoreRevision::new(20),
+        StorePosition::without_era(StoreRevision::new(20)),
         at(100),
     );
     let draining = vec![updated("t-1", TargetPhase::Draining)];
     second.apply(
         StorePart::Targets,
         draining,
-        StoreRevision::new(30),
+        StorePosition::without_era(StoreRevision::new(30)),
         at(100),
     );
     let (of_first, of_second) = (
         (**first.directory()).clone(),
         (**second.directory()).clone(),
     );
-    let (first_read, second_read) = (first.revisions(), second.revisions());
+    let (first_read, second_read) = (first.positions(), second.positions());
     first.adopt(of_second, second_read, false, at(0));
     second.adopt(of_first, first_read, false, at(0));
     for tracker in [&first, &second] {
@@ -296,22 +316,22 @@
     tracker.apply(
         StorePart::Targets,
         draining,
-        StoreRevision::new(20),
+        StorePosition::without_era(StoreRevision::new(20)),
         at(100),
     );
-    let later = PartRevisions::new(StoreRevision::new(30));
-    tracker.confirm_revisions(asked_with, later);
+    let later = PartPositions::new(StorePosition::without_era(StoreRevision::new(30)));
+    tracker.confirm_positions(asked_with, later, at(100));
     let removed = DirectoryChange::TargetRemoved(TargetId::new("t-2").unwrap());
     tracker.apply(
         StorePart::Targets,
         vec![removed],
-        StoreRevision::new(25),
+        StorePosition::without_era(StoreRevision::new(25)),
         at(200),
     );
     assert!(open_ids(&tracker).is_empty());
     let content = tracker.directory().content;
-    tracker.confirm_revisions(content, later);
-    assert_eq!(tracker.revisions(), later);
+    tracker.confirm_positions(content, later, at(200));
+    assert_eq!(tracker.positions(), later);
 }
 
 /// Returns a tracker in which the entry of `t-1` lapsed at 6 s, and that adopted the directory of a peer which keeps
@@ -322,9 +342,9 @@
     tracker.on_failure(at(1000));
     tracker.on_contact(at(6000));
     let removed = DirectoryChange::TargetRemoved(TargetId::new("t-1").unwrap());
-    let read_at = StoreRevision::new(20);
+    let read_at = StorePosition::without_era(StoreRevision::new(20));
     tracker.apply(StorePart::Targets, vec![removed], read_at, at(6000));
-    let revisions = PartRevisions::new(StoreRevision::new(30));
+    let revisions = PartPositions::new(StorePosition::without_era(StoreRevision::new(30)));
     assert!(tracker.adopt(peer, revisions, false, at(6000)));
     assert_eq!(open_ids(&tracker), ["t-1", "t-2"]);
     tracker
@@ -335,7 +355,7 @@
 #[test]
 fn lapsed_entry_is_dropped_in_time_although_a_peer_keeps_it() {
     let mut tracker = tracker_with_adopted_lapsed_entry();
-    let later = StoreRevision::new(31);
+    let later = StorePosition::without_era(StoreRevision::new(31));
     tracker.apply(StorePart::Targets, Vec::new(), later, at(8400));
     assert_eq!(open_ids(&tracker), ["t-2"]);
 }
@@ -346,9 +366,9 @@
 fn lapsed_entry_stays_if_it_registers_again_after_an_adoption() {
     let mut tracker = tracker_with_adopted_lapsed_entry();
     let registered = vec![updated("t-1", TargetPhase::Ready)];
-    let later = StoreRevision::new(31);
+    let later = StorePosition::without_era(StoreRevision::new(31));
     tracker.apply(StorePart::Targets, registered, later, at(7500));
-    let latest = StoreRevision::new(32);
+    let latest = StorePosition::without_era(StoreRevision::new(32));
     tracker.apply(StorePart::Targets, Vec::new(), latest, at(8400));
     assert_eq!(open_ids(&tracker), ["t-1", "t-2"]);
 }
@@ -369,7 +389,7 @@
     parted.apply(
         StorePart::Targets,
         removed(),
-        StoreRevision::new(30),
+        StorePosition::without_era(StoreRevision::new(30)),
         at(6000),
     );
     assert_eq!(open_ids(&parted), ["t-1", "t-2"]);
@@ -381,14 +401,14 @@
     served.apply(
         StorePart::Targets,
         removed(),
-        StoreRevision::new(20),
+        StorePosition::without_era(StoreRevision::new(20)),
         at(4000),
     );
-    let (shared, revisions) = (parted.registered(), parted.revisions());
+    let (shared, revisions) = (parted.registered(), parted.positions());
     served.adopt((*shared).clone(), revisions, false, at(6100));
     assert_eq!(open_ids(&served), ["t-2"]);
     // Followers of the parted host hold the entry without knowing that it is only kept.
-    let later = PartRevisions::new(StoreRevision::new(31));
+    let later = PartPositions::new(StorePosition::without_era(StoreRevision::new(31)));
     served.adopt((**parted.directory()).clone(), later, false, at(6200));
     assert_eq!(open_ids(&served), ["t-2"]);
     // The target registers again.
@@ -396,7 +416,7 @@
     served.apply(
         StorePart::Targets,
         registered,
-        StoreRevision::new(32),
+        StorePosition::without_era(StoreRevision::new(32)),
         at(6300),
     );
     assert_eq!(open_ids(&served), ["t-2", "t-1"]);
@@ -419,14 +439,14 @@
     first.apply(
         StorePart::Targets,
         vec![removed],
-        StoreRevision::new(30),
+        StorePosition::without_era(StoreRevision::new(30)),
         at(6000),
     );
-    let (shared, revisions) = (first.registered(), first.revisions());
+    let (shared, revisions) = (first.registered(), first.positions());
     tracker.adopt((*shared).clone(), revisions, false, at(6000));
     // Kept entries follow those that are registered.
     assert_eq!(open_ids(&tracker), ["t-2", "t-1"]);
-    let later = StoreRevision::new(31);
+    let later = StorePosition::without_era(StoreRevision::new(31));
     tracker.apply(StorePart::Targets, Vec::new(), later, at(8400));
     assert_eq!(open_ids(&tracker), ["t-2"]);
 }
@@ -457,7 +477,11 @@
             ..entry("t-1", TargetPhase::Ready)
         };
         let entries = vec![left, entry("t-2", TargetPhase::Ready)];
-        tracker.replace_targets(entries, StoreRevision::new(10_500), at(10_500));
+        tracker.replace_targets(
+            entries,
+            StorePosition::without_era(StoreRevision::new(10_500)),
+            at(10_500),
+        );
         assert_eq!(open_ids(&tracker), ["t-2"], "sequence {sequence}");
     }
 }
@@ -522,7 +546,11 @@
         sequence: 8,
         ..entry(id, TargetPhase::Ready)
     });
-    tracker.replace_targets(entries.into(), StoreRevision::new(7000), at(7000));
+    tracker.replace_targets(
+        entries.into(),
+        StorePosition::without_era(StoreRevision::new(7000)),
+        at(7000),
+    );
     watch(&mut tracker, 7600, vec![removed("t-1")]);
     watch(&mut tracker, 8000, vec![written("t-1", 9)]);
     assert_eq!(open_ids(&tracker), ["t-2", "t-1"]);
--- a/crates/gateway/src/follow_loop.rs
+++ b/crates/gateway/src/follow_loop.rs
@@ -143,16 +143,17 @@
             (false, false) => state.change_budget().follow_wait(),
         };
         let index = state.store_cache.index();
-        let (directory, revisions) = state.store_cache.shared_directory();
+        let (directory, positions) = state.store_cache.shared_directory();
         let request = FollowRequest {
             member: state.gossip.own(),
             config: index.map(|index| index.config().version()),
             content: directory.content,
-            revisions,
+            positions,
             wait_millis: whole_millis(wait),
             is_read_wanted,
             is_dispatcher,
             served: state.store_cache.served_span(state.now()),
+            era: state.store_cache.era_sighting(state.now()),
         };
         let sent_at = state.now();
         let message = GatewayMessage::Follow(request);
@@ -188,6 +189,7 @@
     }
     // The answer was created after `held_millis` on the other host, so not earlier than this time here.
     let created_at = sent_at.after(Duration::from_millis(answer.held_millis.into()));
+    state.store_cache.on_era_sighting(answer.era, now);
     // An outage that was none must not decide which entries of the directory count.
     if let Some(span) = answer.served {
         state.store_cache.on_served(span, created_at, &host, now);
@@ -195,7 +197,7 @@
     let is_from_upstream = !state.is_dispatcher();
     let cache = &state.store_cache;
     let adopt =
-        |directory| cache.adopt_directory(directory, answer.revisions, is_from_upstream, now);
+        |directory| cache.adopt_directory(directory, answer.positions, is_from_upstream, now);
     let is_current = match answer.directory {
         DirectoryUpdate::Replaced(directory) => adopt(directory),
         DirectoryUpdate::Changed(delta) => match delta.apply(&cache.shared_directory().0) {
@@ -204,19 +206,19 @@
             None => return true,
         },
         DirectoryUpdate::Same => {
-            cache.on_same_directory(content, answer.revisions);
+            cache.on_same_directory(content, answer.positions, now);
             true
         }
         // The other host has waited for a later state before it answered.
         DirectoryUpdate::Older => true,
     };
-    let (_, own_revisions) = cache.shared_directory();
+    let (_, own_positions) = cache.shared_directory();
     let ages = [
         (StorePart::Operator, answer.age_millis),
         (StorePart::Targets, answer.target_age_millis),
     ];
     for (part, age) in ages {
-        let is_as_recent = own_revisions.part(part) >= answer.revisions.part(part);
+        let is_as_recent = own_positions.part(part) >= answer.positions.part(part);
         if let Some(age) = age.filter(|_| is_as_recent) {
             let age = ContactAge::new(Duration::from_millis(age.into()));
             cache.confirm_aged(part, age, created_at);
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -236,6 +236,7 @@
         state.connections.sweep(state.now());
         let refused = state.store_cache.refused_documents().count();
         state.metrics.on_refused_documents(refused);
+        state.metrics.on_store_era(state.store_cache.era());
         let index = state.store_cache.index();
         if let Some(index) = index {
             state.metrics.on_config(index.config().version().get());
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -34,6 +34,7 @@
     permits: IntCounterVec,
     copy_age: HistogramVec,
     config_version: IntGauge,
+    store_era: IntGauge,
     refused_documents: IntCounter,
 }
 
@@ -81,6 +82,10 @@
                 "gateway_config_version",
                 "Version of the configuration in force.",
             )?,
+            store_era: IntGauge::new(
+                "gateway_store_era",
+                "Latest era of the store that this host knows of.",
+            )?,
             refused_documents: IntCounter::new(
                 "gateway_documents_refused_total",
                 "Documents of the store that could not be decoded, counted at each read.",
@@ -93,6 +98,7 @@
         registry.register(Box::new(metrics.permits.clone()))?;
         registry.register(Box::new(metrics.copy_age.clone()))?;
         registry.register(Box::new(metrics.config_version.clone()))?;
+        registry.register(Box::new(metrics.store_era.clone()))?;
         registry.register(Box::new(metrics.refused_documents.clone()))?;
         Ok(metrics)
     }
@@ -137,6 +143,12 @@
             .set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
+    /// Sets the gauge of the store's era.
+    pub fn on_store_era(&self, era: StoreEra) {
+        self.store_era
+            .set(i64::try_from(era.get()).unwrap_or(i64::MAX));
+    }
+
     /// Raises the counter of refused documents to a total.
     pub fn on_refused_documents(&self, total: u64) {
         let counted = self.refused_documents.get();
--- a/crates/gateway/src/peer_service.rs
+++ b/crates/gateway/src/peer_service.rs
@@ -64,6 +64,7 @@
 async fn on_follow(state: &GatewayState, request: FollowRequest) -> PeerMessage {
     let arrival = state.now();
     state.gossip.merge(request.member.clone(), arrival);
+    state.store_cache.on_era_sighting(request.era, arrival);
     if let Some(span) = request.served {
         let host = &request.member.host;
         state.store_cache.on_served(span, arrival, host, arrival);
@@ -80,8 +81,8 @@
     let has_changed = |_: &u64| {
         let index = state.store_cache.index();
         let version = index.map(|index| index.config().version());
-        let (directory, revisions) = state.store_cache.shared_directory();
-        let is_later = is_directory_later(directory.content, revisions, &request);
+        let (directory, positions) = state.store_cache.shared_directory();
+        let is_later = is_directory_later(directory.content, positions, &request);
         version > request.config || is_later || state.is_stopping()
     };
     // A timeout means that nothing has changed.
@@ -93,13 +94,13 @@
         age.map(|age| whole_millis(age.get()))
     });
     let index = state.store_cache.index();
-    let (directory, revisions) = state.store_cache.shared_directory();
-    // A host without revisions has just started, or is of a release that takes whole directories only.
-    let has_base = request.revisions != PartRevisions::default();
+    let (directory, positions) = state.store_cache.shared_directory();
+    // A host without positions has just started, or is of a release that takes whole directories only.
+    let has_base = request.positions != PartPositions::default();
     let changes = || state.store_cache.changes_since(request.content, &directory);
     let update = match has_base.then(changes).flatten() {
         _ if directory.content == request.content => DirectoryUpdate::Same,
-        _ if !is_directory_later(directory.content, revisions, &request) => DirectoryUpdate::Older,
+        _ if !is_directory_later(directory.content, positions, &request) => DirectoryUpdate::Older,
         Some(changes) => DirectoryUpdate::Changed(changes),
         None => DirectoryUpdate::Replaced((*directory).clone()),
     };
@@ -111,25 +112,26 @@
         age_millis,
         target_age_millis,
         served: state.store_cache.served_span(now),
+        era: state.store_cache.era_sighting(now),
         is_served: state
             .store_cache
             .is_served(state.change_budget().late_age(), now),
         config: config.map(|config| (*config).clone()),
         directory: update,
-        revisions,
+        positions,
         usage: usage_for(state, &request),
         follower_count: state.follower_count(),
     })))
 }
 
 /// Returns `true` if a follower can take over a part of this host's directory. It takes over a different state of the same
-/// revisions from the host that it follows; another dispatcher does not.
+/// positions from the host that it follows; another dispatcher does not.
 fn is_directory_later(
     content: ContentDigest,
-    revisions: PartRevisions,
+    positions: PartPositions,
     request: &FollowRequest,
 ) -> bool {
-    let compare = |part| revisions.part(part).cmp(&request.revisions.part(part));
+    let compare = |part| positions.part(part).cmp(&request.positions.part(part));
     let orders = StorePart::ALL.map(compare);
     let is_same_read = orders == [Ordering::Equal; 2];
     let is_later = orders.contains(&Ordering::Greater) || is_same_read && !request.is_dispatcher;
--- a/crates/gateway/src/permit_service.rs
+++ b/crates/gateway/src/permit_service.rs
@@ -108,7 +108,7 @@
 fn log_grant(
     request: &AdmitRequest,
     grant: &DispatchGrant,
-    (share, as_of): (FleetShare, StoreRevision),
+    (share, as_of): (FleetShare, StorePosition),
     waited: Duration,
 ) {
     log::info!(
--- a/crates/gateway/src/refused_documents.rs
+++ b/crates/gateway/src/refused_documents.rs
@@ -18,8 +18,8 @@
 pub struct RefusedDocument {
     /// Key of the document in the store.
     pub key: SmolStr,
-    /// Revision of the document.
-    pub revision: StoreRevision,
+    /// Position of the document.
+    pub position: StorePosition,
     /// The error, with its place in the document.
     pub error: SmolStr,
 }
@@ -28,8 +28,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{} at revision {}: {}",
-            self.key, self.revision, self.error
+            "{} at revision {} of era {}: {}",
+            self.key, self.position.revision, self.position.era, self.error
         )
     }
 }
@@ -57,13 +57,16 @@
 
     /// Logs and counts a document that was refused with an error.
     pub fn record(&self, item: &StoreItem, error: &DocumentError) {
-        let (key, revision) = (&item.key, item.revision);
-        log::warn!("event=document_refused key={key} revision={revision} error=\"{error}\"");
+        let (key, position) = (&item.key, item.position);
+        let (revision, era) = (position.revision, position.era);
+        log::warn!(
+            "event=document_refused key={key} revision={revision} era={era} error=\"{error}\""
+        );
         let mut record = self.lock();
         record.count += 1;
         record.latest = Some(RefusedDocument {
             key: key.as_str().into(),
-            revision,
+            position,
             error: error.to_string().into(),
         });
     }
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -209,10 +209,17 @@
         let mut tracker = lock(&self.tracker);
         let shared_before = tracker.registered();
         let previous = tracker.directory().content;
+        let (era_before, before) = (tracker.era(), tracker.positions().latest());
         let result = update(&mut tracker);
+        let (era, latest) = (tracker.era(), tracker.positions().latest());
         let directory = tracker.directory().clone();
         let shared = tracker.registered().content;
         drop(tracker);
+        if era != era_before {
+            // An answer that refuses a call states no revision.
+            let first = StorePosition::new(era, StoreRevision::default()).max(latest);
+            log::info!("event=store_era_changed old={before} new={first} source={source}");
+        }
         if shared != shared_before.content {
             lock(&self.history).push(shared_before);
         }
@@ -271,10 +278,10 @@
     }
 
     /// Returns the directory as other hosts get it, without the entries that this host keeps after an outage, and the
-    /// revisions up to which its parts were read.
-    pub fn shared_directory(&self) -> (Arc<TargetDirectory>, PartRevisions) {
+    /// positions up to which its parts were read.
+    pub fn shared_directory(&self) -> (Arc<TargetDirectory>, PartPositions) {
         let tracker = lock(&self.tracker);
-        (tracker.registered(), tracker.revisions())
+        (tracker.registered(), tracker.positions())
     }
 
     /// Returns the time in which hosts known to this one had contacts with the store without a gap.
@@ -315,27 +322,54 @@
     pub fn adopt_directory(
         &self,
         directory: TargetDirectory,
-        revisions: PartRevisions,
+        positions: PartPositions,
         is_from_upstream: bool,
         now: MonoTime,
     ) -> bool {
         self.update_directory("peer", |tracker| {
-            tracker.adopt(directory, revisions, is_from_upstream, now)
+            tracker.adopt(directory, positions, is_from_upstream, now)
         })
     }
 
-    /// Records that another host has a directory content up to its revisions.
-    pub fn on_same_directory(&self, content: ContentDigest, revisions: PartRevisions) {
-        lock(&self.tracker).confirm_revisions(content, revisions);
+    /// Records that another host has a directory content up to its positions.
+    pub fn on_same_directory(
+        &self,
+        content: ContentDigest,
+        positions: PartPositions,
+        now: MonoTime,
+    ) {
+        self.update_directory("peer", |tracker| {
+            tracker.confirm_positions(content, positions, now);
+        });
+    }
+
+    /// Returns the latest era of the store that this host knows of.
+    pub fn era(&self) -> StoreEra {
+        lock(&self.tracker).era()
+    }
+
+    /// Returns what this host tells others about the era of the store.
+    pub fn era_sighting(&self, now: MonoTime) -> EraSighting {
+        lock(&self.tracker).era_sighting(now)
+    }
+
+    /// Records the era that an answer of the store states, also one that refuses a call.
+    pub fn on_era(&self, era: StoreEra, now: MonoTime) {
+        self.update_directory("store", |tracker| tracker.on_era(era, now));
+    }
+
+    /// Records what another host knows about the era of the store.
+    pub fn on_era_sighting(&self, sighting: EraSighting, now: MonoTime) {
+        self.update_directory("peer", |tracker| tracker.on_era_sighting(sighting, now));
     }
 
     /// Replaces the evacuated zones by those of a full read.
-    pub fn replace_zones(&self, evacuated: IndexSet<ZoneId>, as_of: StoreRevision, now: MonoTime) {
+    pub fn replace_zones(&self, evacuated: IndexSet<ZoneId>, as_of: StorePosition, now: MonoTime) {
         self.update_from_store(now, |tracker| tracker.replace_zones(evacuated, as_of, now));
     }
 
     /// Replaces the entries of targets by those of a full read.
-    pub fn replace_targets(&self, entries: Vec<TargetEntry>, as_of: StoreRevision, now: MonoTime) {
+    pub fn replace_targets(&self, entries: Vec<TargetEntry>, as_of: StorePosition, now: MonoTime) {
         self.update_from_store(now, |tracker| tracker.replace_targets(entries, as_of, now));
     }
 
@@ -347,14 +381,17 @@
             match decode_item(item) {
                 Ok(StoreUpdate::Directory(change)) => changes.push(change),
                 Ok(StoreUpdate::Config(config)) => {
+                    let outcome = ConfigOutcome::Accepted(config.version());
                     self.adopt_config(config, "store");
-                    lock(&self.contacts).on_config_read(item.revision, false);
+                    lock(&self.contacts).on_config_read(item.position, outcome);
                 }
                 Ok(StoreUpdate::Other) => {}
                 Err(error) => {
                     self.refused.record(item, &error);
                     if is_config(item) {
-                        lock(&self.contacts).on_config_read(item.revision, true);
+                        let in_force = self.index().map(|index| index.config().version());
+                        let outcome = ConfigOutcome::Refused(in_force);
+                        lock(&self.contacts).on_config_read(item.position, outcome);
                     }
                 }
             }
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -3,6 +3,9 @@
 //! The parts are read independently: a call of one that fails or gets no answer does not delay the other. A call whose
 //! answer is overdue is made a second time over a new connection, because an open connection may go silent without a
 //! reset.
+//!
+//! A watch is not continued in a later era of the store, although the store may accept the revision: it gave the revision
+//! out again. The part is read in full instead.
 
 use std::time::Duration;
 
@@ -54,6 +57,25 @@
     /// Makes a call whose answer is due after `wait`. If it is overdue, the call is made a second time over a new
     /// connection, and the first answer counts.
     async fn call<F>(&self, wait: Duration, call: impl Fn() -> F) -> Result<StoreEvents, StoreError>
+    where
+        F: Future<Output = Result<StoreEvents, StoreError>>,
+    {
+        let result = self.first_answer(wait, call).await;
+        // An answer that refuses the call shows the era, too.
+        let cache = &self.state.store_cache;
+        cache.on_era(self.store.era(), self.state.now());
+        let events = result?;
+        match events.as_of.era < cache.era() {
+            true => Err(StoreError::EraChanged(cache.era())),
+            false => Ok(events),
+        }
+    }
+
+    async fn first_answer<F>(
+        &self,
+        wait: Duration,
+        call: impl Fn() -> F,
+    ) -> Result<StoreEvents, StoreError>
     where
         F: Future<Output = Result<StoreEvents, StoreError>>,
     {
@@ -83,8 +105,11 @@
         }
     }
 
-    /// Records a failed call, and logs the first one since the store answered.
+    /// Records a failed call, and logs the first one since the store answered. An answer of an earlier era is none.
     pub fn record_failure(&self, error: &StoreError) {
+        if matches!(error, StoreError::EraChanged(_)) {
+            return;
+        }
         let cache = &self.state.store_cache;
         if !cache.is_store_failing() {
             log::warn!("event=store_lost part={} error=\"{error}\"", self.part);
@@ -92,12 +117,12 @@
         cache.on_store_failure(self.state.now());
     }
 
-    /// Reads the part in full and returns its revision.
+    /// Reads the part in full and returns its position.
     ///
     /// # Errors
     ///
-    /// Returns an error if the store does not answer in time.
-    pub async fn read(&self) -> Result<StoreRevision, StoreError> {
+    /// Returns an error if the store does not answer in time, or answers from an earlier era than the latest one.
+    pub async fn read(&self) -> Result<StorePosition, StoreError> {
         let sent_at = self.state.now();
         let limit = self.budget().call_limit();
         let read = || self.store.range(self.prefix(), limit);
@@ -124,17 +149,20 @@
         Ok(events.as_of)
     }
 
-    /// Watches the part from a revision on, until a call fails or the part must be read in full again.
-    async fn watch(&self, mut after: StoreRevision, read_at: MonoTime) -> Result<(), StoreError> {
+    /// Watches the part from a position on, until a call fails or the part must be read in full again.
+    async fn watch(&self, mut after: StorePosition, read_at: MonoTime) -> Result<(), StoreError> {
         let (cache, budget) = (&self.state.store_cache, self.budget());
         let (wait, pause) = (budget.watch_wait(self.part), budget.watch_pause(self.part));
-        while !cache.is_read_due(read_at, self.state.now()) {
+        while after.era == cache.era() && !cache.is_read_due(read_at, self.state.now()) {
             let sent_at = self.state.now();
             let watch = || {
                 self.store
-                    .watch(self.prefix(), after, wait, budget.call_limit())
+                    .watch(self.prefix(), after.revision, wait, budget.call_limit())
             };
             let events = self.call(wait, watch).await?;
+            if events.as_of.era != after.era {
+                return Ok(());
+            }
             after = events.as_of.max(after);
             let now = self.state.now();
             if self.part == StorePart::Targets {
--- a/crates/gateway/tests/gateway/configuration.rs
+++ b/crates/gateway/tests/gateway/configuration.rs
@@ -265,11 +265,13 @@
     };
     gateway.wait_until(is_fresh).await;
     // The other host has read a later revision, which the write of another key makes.
-    let revision = StoreRevision::new(cache.directory().as_of.get() + 1);
+    let revision = StorePosition::without_era(StoreRevision::new(
+        cache.directory().as_of.revision.get() + 1,
+    ));
     kept.as_of = revision;
     gateway.store.put("other/key", &config(1, &[]));
     let now = gateway.host.state().now();
-    assert!(cache.adopt_directory(kept, PartRevisions::new(revision), true, now));
+    assert!(cache.adopt_directory(kept, PartPositions::new(revision), true, now));
     assert_eq!(cache.directory().targets.len(), 2);
     gateway
         .wait_until(|_| cache.directory().targets.len() == 1)
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -13,4 +13,5 @@
 mod refused_reads;
 mod requests;
 mod stops;
+mod store_eras;
 mod test_gateway;
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -174,18 +174,19 @@
     }
     gateway.wait_until(|host| open_count(host) == 301).await;
     let state = gateway.host.state();
-    let (known, revisions) = state.store_cache.shared_directory();
+    let (known, positions) = state.store_cache.shared_directory();
     store.remove("servers/s-7");
     gateway.wait_until(|host| open_count(host) == 300).await;
     let request = FollowRequest {
         member: state.gossip.own(),
         config: Some(ConfigVersion::new(1)),
         content: known.content,
-        revisions,
+        positions,
         wait_millis: 100,
         is_read_wanted: false,
         is_dispatcher: false,
         served: None,
+        era: state.store_cache.era_sighting(state.now()),
     };
     let message = PeerMessage::Gateway(GatewayMessage::Follow(request));
     let answer = peer_service::on_message(state.clone(), message).await;
--- a/crates/gateway/tests/store_cache.rs
+++ b/crates/gateway/tests/store_cache.rs
@@ -40,7 +40,7 @@
 /// Reads the store successfully: its targets are `ids` at a revision.
 fn read(cache: &StoreCache, ids: &[&str], revision: u64, now: MonoTime) {
     let entries = ids.iter().map(|id| entry(id)).collect();
-    let as_of = StoreRevision::new(revision);
+    let as_of = StorePosition::without_era(StoreRevision::new(revision));
     cache.on_store_answer(now);
     cache.replace_zones(IndexSet::new(), as_of, now);
     cache.replace_targets(entries, as_of, now);
--- a/crates/peer/src/format_v2.rs
+++ b/crates/peer/src/format_v2.rs
@@ -10,7 +10,11 @@
 };
 
 use crate::{
-    format_v3::AdmitRequestV3,
+    format_v3::{
+        AdmitRequestV3,
+        NO_ERA,
+        TargetDirectoryV3, //
+    },
     gateway::{
         DirectoryUpdate,
         FollowAnswer,
@@ -49,11 +53,12 @@
             config: request.config,
             content: request.content,
             // Any directory with another content counts as later.
-            revisions: PartRevisions::default(),
+            positions: PartPositions::default(),
             wait_millis: request.wait_millis,
             is_read_wanted: false,
             is_dispatcher: request.is_dispatcher,
             served: None,
+            era: NO_ERA,
         }
     }
 }
@@ -65,7 +70,7 @@
     held_millis: u32,
     age_millis: Option<u32>,
     config: Option<GatewayConfig>,
-    directory: Option<TargetDirectory>,
+    directory: Option<TargetDirectoryV3>,
     as_of: StoreRevision,
     usage: Vec<TeamUsage>,
     follower_count: u32,
@@ -79,13 +84,13 @@
             age_millis: answer.age_millis,
             config: answer.config.clone(),
             directory: match &answer.directory {
-                DirectoryUpdate::Replaced(directory) => Some(directory.clone()),
+                DirectoryUpdate::Replaced(directory) => Some(directory.into()),
                 // Changes are returned only for revisions that a request of this version does not state.
                 DirectoryUpdate::Same | DirectoryUpdate::Older | DirectoryUpdate::Changed(_) => {
                     None
                 }
             },
-            as_of: answer.revisions.both(),
+            as_of: answer.positions.both().revision,
             usage: answer.usage.clone(),
             follower_count: answer.follower_count,
         }
@@ -100,12 +105,13 @@
             age_millis: answer.age_millis,
             target_age_millis: answer.age_millis,
             served: None,
+            era: NO_ERA,
             is_served: false,
             config: answer.config,
-            directory: answer
-                .directory
-                .map_or(DirectoryUpdate::Same, DirectoryUpdate::Replaced),
-            revisions: PartRevisions::new(answer.as_of),
+            directory: answer.directory.map_or(DirectoryUpdate::Same, |directory| {
+                DirectoryUpdate::Replaced(directory.into())
+            }),
+            positions: PartPositions::new(StorePosition::without_era(answer.as_of)),
             usage: answer.usage,
             follower_count: answer.follower_count,
         }
--- a/crates/peer/src/format_v3.rs
+++ b/crates/peer/src/format_v3.rs
@@ -4,6 +4,10 @@
 use chicorycroft_directory::prelude::*;
 use chicorycroft_dispatch::prelude::*;
 use chicorycroft_membership::prelude::*;
+use indexmap::{
+    IndexMap,
+    IndexSet, //
+};
 use serde::{
     Deserialize,
     Serialize, //
@@ -18,13 +22,106 @@
     RelayedCall, //
 };
 
+/// What a host of an earlier version knows about the era of the store.
+pub(crate) const NO_ERA: EraSighting = EraSighting {
+    era: StoreEra::new(0),
+    age_millis: None,
+};
+
+/// Revisions of the parts of the store in format version 3, which has no eras.
+#[derive(Clone, Copy, Deserialize, Serialize)]
+pub(crate) struct PartRevisionsV3 {
+    operator: StoreRevision,
+    targets: StoreRevision,
+}
+
+impl From<PartPositions> for PartRevisionsV3 {
+    fn from(positions: PartPositions) -> Self {
+        Self {
+            operator: positions.operator.revision,
+            targets: positions.targets.revision,
+        }
+    }
+}
+
+impl From<PartRevisionsV3> for PartPositions {
+    fn from(revisions: PartRevisionsV3) -> Self {
+        Self {
+            operator: StorePosition::without_era(revisions.operator),
+            targets: StorePosition::without_era(revisions.targets),
+        }
+    }
+}
+
+/// The directory in format versions 2 and 3.
+#[derive(Deserialize, Serialize)]
+pub(crate) struct TargetDirectoryV3 {
+    as_of: StoreRevision,
+    content: ContentDigest,
+    targets: IndexMap<TargetId, TargetEntry>,
+    evacuated: IndexSet<ZoneId>,
+}
+
+impl From<&TargetDirectory> for TargetDirectoryV3 {
+    fn from(directory: &TargetDirectory) -> Self {
+        Self {
+            as_of: directory.as_of.revision,
+            content: directory.content,
+            targets: directory.targets.clone(),
+            evacuated: directory.evacuated.clone(),
+        }
+    }
+}
+
+impl From<TargetDirectoryV3> for TargetDirectory {
+    fn from(directory: TargetDirectoryV3) -> Self {
+        Self {
+            as_of: StorePosition::without_era(directory.as_of),
+            content: directory.content,
+            targets: directory.targets,
+            evacuated: directory.evacuated,
+        }
+    }
+}
+
+/// The directory of a host, compared with that of the host that follows it, in format version 3.
+#[derive(Deserialize, Serialize)]
+pub(crate) enum DirectoryUpdateV3 {
+    Same,
+    Older,
+    Replaced(TargetDirectoryV3),
+    Changed(DirectoryDelta),
+}
+
+impl From<&DirectoryUpdate> for DirectoryUpdateV3 {
+    fn from(update: &DirectoryUpdate) -> Self {
+        match update {
+            DirectoryUpdate::Same => Self::Same,
+            DirectoryUpdate::Older => Self::Older,
+            DirectoryUpdate::Replaced(directory) => Self::Replaced(directory.into()),
+            DirectoryUpdate::Changed(delta) => Self::Changed(delta.clone()),
+        }
+    }
+}
+
+impl From<DirectoryUpdateV3> for DirectoryUpdate {
+    fn from(update: DirectoryUpdateV3) -> Self {
+        match update {
+            DirectoryUpdateV3::Same => Self::Same,
+            DirectoryUpdateV3::Older => Self::Older,
+            DirectoryUpdateV3::Replaced(directory) => Self::Replaced(directory.into()),
+            DirectoryUpdateV3::Changed(delta) => Self::Changed(delta),
+        }
+    }
+}
+
 /// A long poll in format version 3.
 #[derive(Deserialize, Serialize)]
 pub(crate) struct FollowRequestV3 {
     member: MemberRecord,
     config: Option<ConfigVersion>,
     content: ContentDigest,
-    revisions: PartRevisions,
+    revisions: PartRevisionsV3,
     wait_millis: u32,
     is_read_wanted: bool,
     is_dispatcher: bool,
@@ -36,7 +133,7 @@
             member: request.member.clone(),
             config: request.config,
             content: request.content,
-            revisions: request.revisions,
+            revisions: request.positions.into(),
             wait_millis: request.wait_millis,
             is_read_wanted: request.is_read_wanted,
             is_dispatcher: request.is_dispatcher,
@@ -50,11 +147,12 @@
             member: request.member,
             config: request.config,
             content: request.content,
-            revisions: request.revisions,
+            positions: request.revisions.into(),
             wait_millis: request.wait_millis,
             is_read_wanted: request.is_read_wanted,
             is_dispatcher: request.is_dispatcher,
             served: None,
+            era: NO_ERA,
         }
     }
 }
@@ -68,8 +166,8 @@
     target_age_millis: Option<u32>,
     is_served: bool,
     config: Option<GatewayConfig>,
-    directory: DirectoryUpdate,
-    revisions: PartRevisions,
+    directory: DirectoryUpdateV3,
+    revisions: PartRevisionsV3,
     usage: Vec<TeamUsage>,
     follower_count: u32,
 }
@@ -83,8 +181,8 @@
             target_age_millis: answer.target_age_millis,
             is_served: answer.is_served,
             config: answer.config.clone(),
-            directory: answer.directory.clone(),
-            revisions: answer.revisions,
+            directory: (&answer.directory).into(),
+            revisions: answer.positions.into(),
             usage: answer.usage.clone(),
             follower_count: answer.follower_count,
         }
@@ -99,10 +197,11 @@
             age_millis: answer.age_millis,
             target_age_millis: answer.target_age_millis,
             served: None,
+            era: NO_ERA,
             is_served: answer.is_served,
             config: answer.config,
-            directory: answer.directory,
-            revisions: answer.revisions,
+            directory: answer.directory.into(),
+            positions: answer.revisions.into(),
             usage: answer.usage,
             follower_count: answer.follower_count,
         }
--- a/crates/peer/src/gateway.rs
+++ b/crates/peer/src/gateway.rs
@@ -18,8 +18,8 @@
     pub config: Option<ConfigVersion>,
     /// Digest of the directory that it has.
     pub content: ContentDigest,
-    /// Revisions up to which the parts of that directory were read.
-    pub revisions: PartRevisions,
+    /// Positions up to which the parts of that directory were read.
+    pub positions: PartPositions,
     /// Longest time to delay the answer while nothing changes, in milliseconds.
     pub wait_millis: u32,
     /// Whether the other host should read the store, because the store does not serve this one.
@@ -28,6 +28,8 @@
     pub is_dispatcher: bool,
     /// Time in which hosts known to this one had contacts with the store without a gap.
     pub served: Option<ServedSpan>,
+    /// The latest era of the store that the host knows of.
+    pub era: EraSighting,
 }
 
 /// The directory of a host, compared with that of the host that follows it.
@@ -56,14 +58,16 @@
     pub target_age_millis: Option<u32>,
     /// Time in which hosts known to this one had contacts with the store without a gap.
     pub served: Option<ServedSpan>,
+    /// The latest era of the store that the host knows of.
+    pub era: EraSighting,
     /// Whether the store itself, and not another host, confirmed the copy of this host a short time ago.
     pub is_served: bool,
     /// The configuration, if the requesting host has a lower version.
     pub config: Option<GatewayConfig>,
     /// The directory, compared with that of the requesting host.
     pub directory: DirectoryUpdate,
-    /// Revisions up to which the parts of the directory were read.
-    pub revisions: PartRevisions,
+    /// Positions up to which the parts of the directory were read.
+    pub positions: PartPositions,
     /// Usage of the teams at this host since its start.
     pub usage: Vec<TeamUsage>,
     /// Number of hosts that poll this host for changes.
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -104,10 +104,14 @@
         age_millis: Some(120),
         target_age_millis: Some(300),
         served: None,
+        era: EraSighting {
+            era: StoreEra::new(0),
+            age_millis: None,
+        },
         is_served: false,
         config: None,
         directory: DirectoryUpdate::Replaced(TargetDirectory::new()),
-        revisions: PartRevisions::new(StoreRevision::new(9)),
+        positions: PartPositions::new(StorePosition::without_era(StoreRevision::new(9))),
         usage: Vec::new(),
         follower_count: 3,
     }
