--- a/crates/directory/src/removals.rs
+++ b/crates/directory/src/removals.rs
@@ -53,6 +53,8 @@
     cause: RemovalCause,
     /// Whether a write was read after the removal.
     was_written: bool,
+    /// Whether the store has come back from an older copy since the removal.
+    is_before_return: bool,
     /// Start and sequence number of the entry in the older copy from which the store has come back.
     copied: Option<(u64, u64)>,
     /// Time from which the removal is remembered: that of the removal, or of the latest return of the store.
@@ -60,6 +62,13 @@
 }
 
 impl RemovedIncarnation {
+    /// Returns `true` if the entry was written before the removal, as it is in the older copy or of an earlier incarnation
+    /// which the copy may hold.
+    fn is_from_copy(&self, entry: &TargetEntry) -> bool {
+        let is_earlier = entry.born != 0 && entry.born < self.born;
+        self.copied == Some((entry.born, entry.sequence)) || self.is_before_return && is_earlier
+    }
+
     fn memory(&self) -> Duration {
         match self.cause {
             RemovalCause::Left => LEFT_MEMORY,
@@ -151,6 +160,7 @@
             at: now,
             cause,
             was_written: false,
+            is_before_return: false,
             copied: None,
             remembered_from: now,
         };
@@ -164,6 +174,7 @@
             if removed.cause != RemovalCause::Lapsed {
                 (removed.cause, removed.at) = (RemovalCause::Left, now);
             }
+            removed.is_before_return = true;
             removed.remembered_from = now;
         }
     }
@@ -191,7 +202,7 @@
         let Some(removed) = self.removed.get_mut(&entry.id) else {
             return true;
         };
-        if removed.copied == Some((entry.born, entry.sequence)) {
+        if removed.is_from_copy(entry) {
             return false;
         }
         if removed.born != entry.born || entry.born == 0 {
@@ -213,7 +224,7 @@
     /// registers once more is learned from the store.
     pub fn is_removed(&self, entry: &TargetEntry) -> bool {
         let removed = self.removed.get(&entry.id);
-        removed.is_some_and(|removed| removed.born == entry.born)
+        removed.is_some_and(|removed| removed.born == entry.born || removed.is_from_copy(entry))
     }
 
     /// Returns `true` if an entry in the directory of the host that this one follows is older than the removal of its
@@ -223,7 +234,7 @@
         let Some(removed) = self.removed.get(&entry.id) else {
             return false;
         };
-        if removed.copied == Some((entry.born, entry.sequence)) {
+        if removed.is_from_copy(entry) {
             return true;
         }
         let is_late = removed.cause == RemovalCause::Left && now.since(removed.at) < LATE_WRITE_MAX;
--- a/crates/directory/src/tracker/adoption.rs
+++ b/crates/directory/src/tracker/adoption.rs
@@ -83,8 +83,25 @@
         is_from_upstream: bool,
         now: MonoTime,
     ) -> bool {
-        next.targets = targets;
         let mut is_complete = true;
+        let known = std::mem::replace(&mut next.targets, targets);
+        let era_end = self.eras.registration_end(now);
+        // A host that started during the return of the store may hold older entries of the copy.
+        next.targets.retain(|id, entry| {
+            let Some(own) = known.get(id) else {
+                return true;
+            };
+            if own.is_written_after(entry) && !own.is_equivalent(entry) {
+                *entry = own.clone();
+                is_complete = false;
+            }
+            let kept_until = era_end.filter(|_| own.is_born_after(entry));
+            if let Some(end) = kept_until {
+                self.kept.targets.entry(id.clone()).or_insert(end);
+                is_complete = false;
+            }
+            kept_until.is_none()
+        });
         // The entries that the other host holds although this one has seen their removal may be kept by it only.
         let has_outage = self.outage.adoption_end(now).is_some();
         let kept = self.keep_missing(&next.targets, now);
@@ -96,7 +113,7 @@
             let count = next.targets.len();
             next.targets
                 .retain(|_, entry| has_outage || !removals.is_outdated(entry, now));
-            is_complete = next.targets.len() == count;
+            is_complete &= next.targets.len() == count;
         } else {
             next.targets.retain(|_, entry| !removals.is_removed(entry));
         }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -93,6 +93,8 @@
     zone: &'static str,
     /// Number of incarnations that have registered.
     incarnation: u64,
+    /// Number of writes of the present incarnation.
+    sequence: u64,
 }
 
 impl SoakTarget {
@@ -100,9 +102,17 @@
     /// registers as a later incarnation.
     pub fn publish_entry(&mut self, store: &StoreStandIn) {
         self.incarnation += 1;
+        self.sequence = 0;
+        self.renew_entry(store);
+    }
+
+    /// Writes the entry of the present incarnation again.
+    pub fn renew_entry(&mut self, store: &StoreStandIn) {
+        self.sequence += 1;
         let address = self.link.address();
         let mut entry = self.target.entry_at(address, "rate", self.zone, "ready");
         entry["born"] = self.incarnation.into();
+        entry["seq"] = self.sequence.into();
         store.put(&self.target.key(), &entry);
     }
 }
@@ -192,6 +202,7 @@
                 link,
                 zone,
                 incarnation: 0,
+                sequence: 0,
             };
             target.publish_entry(&store);
             targets.push(target);
--- a/crates/soak/src/injector.rs
+++ b/crates/soak/src/injector.rs
@@ -33,6 +33,7 @@
         HostIndex,
         LinkKind,
         PlannedFault,
+        REWRITE_DELAY,
         SoakPlan,
         TargetIndex, //
     },
@@ -65,6 +66,8 @@
     EndFault(PlannedFault, usize),
     RestoreEntry(TargetIndex),
     PublishKey(usize),
+    /// Operators and targets write again what the store has lost.
+    Rewrite,
 }
 
 /// Injects faults into a fleet and records them.
@@ -148,6 +151,7 @@
                 ScheduledAction::PublishKey(key) => {
                     self.caller_state.send_modify(|state| state.key = key)
                 }
+                ScheduledAction::Rewrite => self.rewrite_store(now),
             }
         }
         Ok(())
@@ -206,7 +210,7 @@
             FaultKind::TargetHangs(target) => {
                 self.set_target_behaviour(target, TargetBehaviour::Hang)
             }
-            FaultKind::StoreSilent => {
+            FaultKind::StoreSilent | FaultKind::StoreRestored(_) => {
                 self.store_outages += 1;
                 self.fleet.store.set_unresponsive(true);
             }
@@ -242,6 +246,15 @@
                 // Another outage may still be in progress.
                 self.fleet.store.set_unresponsive(self.store_outages > 0);
             }
+            FaultKind::StoreRestored(copy_age) => {
+                self.fleet.store.restore_aged(copy_age + fault.duration);
+                self.store_outages -= 1;
+                self.fleet.store.set_unresponsive(self.store_outages > 0);
+                let rewrite_at = self.start.elapsed() + REWRITE_DELAY;
+                self.schedule(rewrite_at, ScheduledAction::Rewrite);
+                self.history.faults[span].to = rewrite_at;
+                return;
+            }
             _ => {}
         }
         self.history.faults[span].to = self.start.elapsed();
@@ -264,15 +277,32 @@
     fn rotate_key(&mut self, now: Duration) {
         self.history.withdrawn_keys.insert(self.key, now);
         self.key += 1;
-        let version = 1 + self.key as u64;
-        let config = config(version, &[&key_text(self.key)]);
-        self.fleet.store.put_config(&config);
+        self.put_config();
         self.schedule(
             now + KEY_PROPAGATION_TIME,
             ScheduledAction::PublishKey(self.key),
         );
     }
 
+    /// Writes the configuration and the entries again, and removes those again that a copy has back.
+    fn rewrite_store(&mut self, now: Duration) {
+        self.put_config();
+        for (number, target) in self.fleet.targets.iter_mut().enumerate() {
+            let id = SmolStr::from(TargetIndex(number).to_string());
+            let mut removed = self.history.removed_entries.iter();
+            match removed.any(|(entry, _, to)| *entry == id && *to > now) {
+                true => self.fleet.store.remove(&target.target.key()),
+                false => target.renew_entry(&self.fleet.store),
+            }
+        }
+    }
+
+    fn put_config(&self) {
+        let version = 1 + self.key as u64;
+        let config = config(version, &[&key_text(self.key)]);
+        self.fleet.store.put_config(&config);
+    }
+
     fn remove_entry(&mut self, target: TargetIndex, now: Duration, duration: Duration) {
         let id = SmolStr::from(target.to_string());
         let is_removed = |(entry, _, to): &(SmolStr, Duration, Duration)| *entry == id && *to > now;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -35,6 +35,23 @@
 /// receive then.
 const KEY_CHANGE_DELAY: Duration = Duration::from_millis(300);
 
+/// Shortest and longest time between two returns of the store from an older copy, in seconds. Some follow each other
+/// within the time in which targets register again.
+const RESTORE_INTERVAL_SECONDS: (f64, f64) = (1.0, 14.0);
+
+/// Shortest and longest time for which the store is away before it comes back from a copy, in seconds.
+const AWAY_SECONDS: (f64, f64) = (0.1, 1.2);
+
+/// Lowest and highest age of the copy, in seconds. A host that starts meanwhile reads the copy: together with the time away
+/// it stays below the time after which withdrawn keys must be refused.
+const COPY_AGE_SECONDS: (f64, f64) = (0.5, 2.5);
+
+/// Time from the return of the store until operators and targets have written again what was lost.
+pub const REWRITE_DELAY: Duration = Duration::from_millis(700);
+
+/// Changes the seed for the returns of the store, which are drawn apart so that the other faults of a seed stay the same.
+const RESTORE_SEED: u64 = 0x5e_ed0f_e2a5;
+
 /// Index of a host, displayed as its name.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct HostIndex(pub usize);
@@ -101,6 +118,8 @@
     EntryGone(TargetIndex),
     /// The store answers no requests.
     StoreSilent,
+    /// The store answers no requests and comes back from a copy of this age.
+    StoreRestored(Duration),
     /// A key is withdrawn and replaced by a new one.
     KeyChange,
 }
@@ -165,6 +184,26 @@
     }
 }
 
+/// Draws the returns of the store that end before a time.
+fn draw_restorations(seed: u64, end: Duration) -> Vec<PlannedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ RESTORE_SEED);
+    let mut draw = |(low, high)| Duration::from_secs_f64(random.random_range(low..high));
+    let mut at = FAULT_FREE_START;
+    let mut restorations = Vec::new();
+    loop {
+        at += draw(RESTORE_INTERVAL_SECONDS);
+        let (duration, copy_age) = (draw(AWAY_SECONDS), draw(COPY_AGE_SECONDS));
+        if at + duration + REWRITE_DELAY >= end {
+            return restorations;
+        }
+        restorations.push(PlannedFault {
+            at,
+            duration,
+            kind: FaultKind::StoreRestored(copy_age),
+        });
+    }
+}
+
 impl SoakPlan {
     /// Draws the faults of a run of `length` for the given numbers of hosts and targets.
     pub fn new(seed: u64, length: Duration, hosts: usize, targets: usize) -> Self {
@@ -199,6 +238,7 @@
                 });
             }
         }
+        faults.extend(draw_restorations(seed, end));
         faults.sort_by_key(|fault| fault.at);
         Self {
             seed,
