--- a/crates/gateway/src/follow_loop.rs
+++ b/crates/gateway/src/follow_loop.rs
@@ -189,7 +189,8 @@
     }
     // The answer was created after `held_millis` on the other host, so not earlier than this time here.
     let created_at = sent_at.after(Duration::from_millis(answer.held_millis.into()));
-    state.store_cache.on_era_sighting(answer.era, now);
+    let latest = answer.positions.latest();
+    state.store_cache.on_era_sighting(answer.era, latest, now);
     // An outage that was none must not decide which entries of the directory count.
     if let Some(span) = answer.served {
         state.store_cache.on_served(span, created_at, &host, now);
--- a/crates/gateway/src/peer_service.rs
+++ b/crates/gateway/src/peer_service.rs
@@ -64,7 +64,9 @@
 async fn on_follow(state: &GatewayState, request: FollowRequest) -> PeerMessage {
     let arrival = state.now();
     state.gossip.merge(request.member.clone(), arrival);
-    state.store_cache.on_era_sighting(request.era, arrival);
+    state
+        .store_cache
+        .on_era_sighting(request.era, request.positions.latest(), arrival);
     if let Some(span) = request.served {
         let host = &request.member.host;
         state.store_cache.on_served(span, arrival, host, arrival);
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -209,17 +209,10 @@
         let mut tracker = lock(&self.tracker);
         let shared_before = tracker.registered();
         let previous = tracker.directory().content;
-        let (era_before, before) = (tracker.era(), tracker.positions().latest());
         let result = update(&mut tracker);
-        let (era, latest) = (tracker.era(), tracker.positions().latest());
         let directory = tracker.directory().clone();
         let shared = tracker.registered().content;
         drop(tracker);
-        if era != era_before {
-            // An answer that refuses a call states no revision.
-            let first = StorePosition::new(era, StoreRevision::default()).max(latest);
-            log::info!("event=store_era_changed old={before} new={first} source={source}");
-        }
         if shared != shared_before.content {
             lock(&self.history).push(shared_before);
         }
@@ -353,14 +346,34 @@
         lock(&self.tracker).era_sighting(now)
     }
 
-    /// Records the era that an answer of the store states, also one that refuses a call.
-    pub fn on_era(&self, era: StoreEra, now: MonoTime) {
-        self.update_directory("store", |tracker| tracker.on_era(era, now));
+    /// Records the position that an answer of the store states. One that refuses a call states the era only.
+    pub fn on_era(&self, seen: StorePosition, now: MonoTime) {
+        self.update_era("store", seen, |tracker| tracker.on_era(seen.era, now));
     }
 
-    /// Records what another host knows about the era of the store.
-    pub fn on_era_sighting(&self, sighting: EraSighting, now: MonoTime) {
-        self.update_directory("peer", |tracker| tracker.on_era_sighting(sighting, now));
+    /// Records what another host knows about the era of the store, and the latest position that it has read.
+    pub fn on_era_sighting(&self, sighting: EraSighting, latest: StorePosition, now: MonoTime) {
+        let seen = latest.max(StorePosition::new(sighting.era, StoreRevision::default()));
+        self.update_era("peer", seen, |tracker| {
+            tracker.on_era_sighting(sighting, now)
+        });
+    }
+
+    /// Updates the era, and logs one that was not known before.
+    fn update_era(
+        &self,
+        source: &str,
+        seen: StorePosition,
+        update: impl FnOnce(&mut DirectoryTracker),
+    ) {
+        let (old, is_new) = self.update_directory(source, |tracker| {
+            let (era, old) = (tracker.era(), tracker.positions().latest());
+            update(tracker);
+            (old, tracker.era() > era)
+        });
+        if is_new {
+            log::info!("event=store_era_changed old={old} new={seen} source={source}");
+        }
     }
 
     /// Replaces the evacuated zones by those of a full read.
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -62,8 +62,10 @@
     {
         let result = self.first_answer(wait, call).await;
         // An answer that refuses the call shows the era, too.
+        let stated = StorePosition::new(self.store.era(), StoreRevision::default());
+        let read = result.as_ref().map_or(stated, |events| events.as_of);
         let cache = &self.state.store_cache;
-        cache.on_era(self.store.era(), self.state.now());
+        cache.on_era(read.max(stated), self.state.now());
         let events = result?;
         match events.as_of.era < cache.era() {
             true => Err(StoreError::EraChanged(cache.era())),
--- a/crates/gateway/tests/gateway/store_eras.rs
+++ b/crates/gateway/tests/gateway/store_eras.rs
@@ -84,6 +84,24 @@
     assert!(hosts.iter().all(is_known));
 }
 
+/// Guards against requests to a target that left: a host that starts after the return reads the copy itself, and its
+/// dispatcher knows what the copy should not hold.
+#[tokio::test]
+async fn host_that_starts_after_the_return_learns_what_left_from_its_dispatcher() {
+    let gateway = TestGateway::new(2).await;
+    let left = &gateway.targets[0];
+    let copy = gateway.store.revision();
+    gateway.store.remove(&left.key());
+    gateway.wait_until(|host| open_count(host) == 1).await;
+    gateway.store.restore(copy);
+    gateway.wait_until(|host| read_era(host) == 1).await;
+    let follower = gateway.start_follower("edge-2").await;
+    for _ in 0..10 {
+        sleep(CHANGE_BOUND / 10).await;
+        assert!(!is_open(&follower, left) && !is_open(&gateway.host, left));
+    }
+}
+
 /// Guards against a target that is never dropped, which the copy lacks and which does not register again.
 #[tokio::test]
 async fn target_that_does_not_register_again_is_dropped() {
--- a/crates/gateway/tests/store_cache.rs
+++ b/crates/gateway/tests/store_cache.rs
@@ -94,3 +94,29 @@
     assert!(cache.is_served(limit, at(710)));
     assert!(!cache.is_served(limit, at(2000)));
 }
+
+/// Guards against requests to a target that left: a dispatcher that was cut off from everything was back, and its followers
+/// took the entry from it that it kept, until it heard from them that the store had served others meanwhile.
+#[test]
+fn dispatcher_back_from_a_cut_brings_no_target_back() {
+    let (cut, follower) = (StoreCache::new(), StoreCache::new());
+    for cache in [&cut, &follower] {
+        read(cache, &["t-1", "t-2"], 10, at(0));
+    }
+    for millis in [1500, 3000, 4500, 5900] {
+        let age = ContactAge::new(Duration::from_millis(20));
+        follower.confirm_aged(StorePart::Operator, age, at(millis));
+    }
+    read(&follower, &["t-2"], 20, at(4000));
+    cut.on_store_failure(at(1000));
+    read(&cut, &["t-2"], 30, at(6000));
+    assert_eq!(open_ids(&cut), ["t-1", "t-2"]);
+    let (shared, positions) = cut.shared_directory();
+    follower.adopt_directory((*shared).clone(), positions, true, at(6100));
+    assert_eq!(open_ids(&follower), ["t-2"]);
+    // The first request of the follower refutes the outage.
+    let span = follower.served_span(at(6100)).unwrap();
+    let host = HostId::new("edge-2").unwrap();
+    cut.on_served(span, at(6100), &host, at(6100));
+    assert_eq!(open_ids(&cut), ["t-2"]);
+}
