End the time to register by the earliest contact that is known

Cause: a host that was cut off during the return of the store and read it before it heard from others kept what the copy lacks for 2.3 s more, although the time was over. A watch that got an answer of an earlier era paused before the full read. Change: what is kept ends by the latest knowledge about the era and about an outage. The full read follows at once; only a full read of an earlier era is followed by a pause. The new test time_to_register_ends_once_another_host_states_an_earlier_contact covers the first part.

--- a/crates/directory/src/eras.rs
+++ b/crates/directory/src/eras.rs
@@ -121,6 +121,12 @@
         ends.for_each(|until| *until = end.max(*until));
     }
 
+    /// Keeps everything until `end` at most.
+    pub fn limit(&mut self, end: MonoTime) {
+        let ends = self.targets.values_mut().chain(self.zones.values_mut());
+        ends.for_each(|until| *until = end.min(*until));
+    }
+
     /// Removes what is kept from a directory.
     pub fn strip(&self, directory: &mut TargetDirectory) {
         directory
--- a/crates/directory/src/tracker.rs
+++ b/crates/directory/src/tracker.rs
@@ -127,9 +127,21 @@
         if let Some(millis) = sighting.age_millis {
             let age = Duration::from_millis(millis.into());
             self.eras.on_contact(sighting.era, age, now);
+            self.limit_kept(now);
         }
     }
 
+    /// Ends what is kept when the time to register ends by the latest knowledge: another host may have had its first contact
+    /// in the era earlier, or may have been served while this one was cut off.
+    fn limit_kept(&mut self, now: MonoTime) {
+        let (era_end, outage_end) = (
+            self.eras.registration_end(now),
+            self.outage.adoption_end(now),
+        );
+        self.kept.limit(era_end.max(outage_end).unwrap_or(now));
+        self.drop_lapsed(now);
+    }
+
     /// Returns the positions up to which the parts were read.
     pub fn positions(&self) -> PartPositions {
         self.positions
@@ -153,11 +165,7 @@
         if !self.outage.on_served(span, sent_at, now) {
             return false;
         }
-        let now_or_era_end = self.eras.registration_end(now).unwrap_or(now);
-        for until in self.kept.targets.values_mut() {
-            *until = now_or_era_end.min(*until);
-        }
-        self.drop_lapsed(now);
+        self.limit_kept(now);
         true
     }
 
--- a/crates/directory/tests/eras.rs
+++ b/crates/directory/tests/eras.rs
@@ -316,6 +316,25 @@
     assert_eq!(open_ids(&tracker), ["t-2"]);
 }
 
+/// Guards against the same on a host that reads the store before it hears of another host.
+#[test]
+fn time_to_register_ends_once_another_host_states_an_earlier_contact() {
+    let mut tracker = tracker_with_two_targets();
+    for millis in [2000, 4000, 6000, 8000] {
+        tracker.on_any_contact(ContactAge::new(Duration::ZERO), at(millis));
+    }
+    read(&mut tracker, position(1, 40), vec![entry(2, 9)], 9000);
+    assert_eq!(open_ids(&tracker), ["t-1", "t-2"]);
+    let sighting = |age_millis| EraSighting {
+        era: StoreEra::new(1),
+        age_millis: Some(age_millis),
+    };
+    tracker.on_era_sighting(sighting(50), at(9100));
+    assert_eq!(open_ids(&tracker), ["t-1", "t-2"]);
+    tracker.on_era_sighting(sighting(5000), at(9200));
+    assert_eq!(open_ids(&tracker), ["t-2"]);
+}
+
 /// Guards against an evacuation that ends because the copy lacks it, one that ends never, and one that operators ended and
 /// that the copy has back.
 #[test]
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -161,7 +161,10 @@
                 self.store
                     .watch(self.prefix(), after.revision, wait, budget.call_limit())
             };
-            let events = self.call(wait, watch).await?;
+            let events = match self.call(wait, watch).await {
+                Err(StoreError::EraChanged(_)) => return Ok(()),
+                result => result?,
+            };
             if events.as_of.era != after.era {
                 return Ok(());
             }
