--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -207,15 +207,21 @@
         update: impl FnOnce(&mut DirectoryTracker) -> T,
     ) -> T {
         let mut tracker = lock(&self.tracker);
-        let before = tracker.directory().clone();
+        let shared_before = tracker.registered();
+        let previous = tracker.directory().content;
         let result = update(&mut tracker);
         let directory = tracker.directory().clone();
+        let shared = tracker.registered().content;
         drop(tracker);
-        let previous = before.content;
+        if shared != shared_before.content {
+            lock(&self.history).push(shared_before);
+        }
         if previous == directory.content {
+            if shared != previous {
+                self.notify();
+            }
             return result;
         }
-        lock(&self.history).push(before);
         log::info!(
             "event=directory_changed content={} previous={previous} as_of={} source={source} targets={} \
              evacuated={}",
@@ -264,20 +270,33 @@
         }
     }
 
-    /// Returns the target directory and the revisions up to which its parts were read.
-    pub fn directory_with_revisions(&self) -> (Arc<TargetDirectory>, PartRevisions) {
-        self.shared_directory(false)
+    /// Returns the directory as other hosts get it, without the entries that this host keeps after an outage, and the
+    /// positions up to which its parts were read.
+    pub fn shared_directory(&self) -> (Arc<TargetDirectory>, PartPositions) {
+        let tracker = lock(&self.tracker);
+        (tracker.registered(), tracker.positions())
     }
 
-    /// Returns the directory for another host and the revisions up to which its parts were read. Other dispatchers get it
-    /// without the entries that this host keeps after an outage.
-    pub fn shared_directory(&self, is_dispatcher: bool) -> (Arc<TargetDirectory>, PartRevisions) {
-        let tracker = lock(&self.tracker);
-        let directory = match is_dispatcher {
-            true => tracker.registered(),
-            false => tracker.directory().clone(),
-        };
-        (directory, tracker.revisions())
+    /// Returns the time in which hosts known to this one had contacts with the store without a gap.
+    pub fn served_span(&self, now: MonoTime) -> Option<ServedSpan> {
+        lock(&self.tracker).served_span(now)
+    }
+
+    /// Records the time in which another host knew of contacts with the store, from a message that was sent not before
+    /// `sent_at`. Entries that this host kept because of its own cut are dropped.
+    pub fn on_served(&self, span: ServedSpan, sent_at: MonoTime, by: &HostId, now: MonoTime) {
+        let kept = self.update_directory("peer", |tracker| {
+            let kept = tracker.lapsed().len();
+            tracker.on_served(span, sent_at, now).then_some(kept)
+        });
+        if let Some(kept) = kept {
+            log::info!("event=outage_refuted by={by} dropped={kept}");
+        }
+    }
+
+    /// Drops the entries that this host kept after an outage and whose targets did not register again in time.
+    pub fn drop_lapsed(&self, now: MonoTime) {
+        self.update_directory("timeout", |tracker| tracker.drop_lapsed(now));
     }
 
     /// Returns the changes of a directory since it had a content, or `None` if that is not known any more.
@@ -296,27 +315,74 @@
     pub fn adopt_directory(
         &self,
         directory: TargetDirectory,
-        revisions: PartRevisions,
+        positions: PartPositions,
         is_from_upstream: bool,
         now: MonoTime,
     ) -> bool {
         self.update_directory("peer", |tracker| {
-            tracker.adopt(directory, revisions, is_from_upstream, now)
+            tracker.adopt(directory, positions, is_from_upstream, now)
         })
     }
 
-    /// Records that another host has a directory content up to its revisions.
-    pub fn on_same_directory(&self, content: ContentDigest, revisions: PartRevisions) {
-        lock(&self.tracker).confirm_revisions(content, revisions);
+    /// Records that another host has a directory content up to its positions.
+    pub fn on_same_directory(
+        &self,
+        content: ContentDigest,
+        positions: PartPositions,
+        now: MonoTime,
+    ) {
+        self.update_directory("peer", |tracker| {
+            tracker.confirm_positions(content, positions, now);
+        });
+    }
+
+    /// Returns the latest era of the store that this host knows of.
+    pub fn era(&self) -> StoreEra {
+        lock(&self.tracker).era()
+    }
+
+    /// Returns what this host tells others about the era of the store.
+    pub fn era_sighting(&self, now: MonoTime) -> EraSighting {
+        lock(&self.tracker).era_sighting(now)
+    }
+
+    /// Records the position that an answer of the store states. One that refuses a call states the era only.
+    pub fn on_era(&self, seen: StorePosition, now: MonoTime) {
+        self.update_era("store", seen, |tracker| tracker.on_era(seen.era, now));
+    }
+
+    /// Records what another host knows about the era of the store, and the latest position that it has read.
+    pub fn on_era_sighting(&self, sighting: EraSighting, latest: StorePosition, now: MonoTime) {
+        let seen = latest.max(StorePosition::new(sighting.era, StoreRevision::default()));
+        self.update_era("peer", seen, |tracker| {
+            tracker.on_era_sighting(sighting, now)
+        });
+    }
+
+    /// Updates the era, and logs one that was not known before.
+    fn update_era(
+        &self,
+        source: &str,
+        seen: StorePosition,
+        update: impl FnOnce(&mut DirectoryTracker),
+    ) {
+        let (old, is_new) = self.update_directory(source, |tracker| {
+            let (era, old) = (tracker.era(), tracker.positions().latest());
+            update(tracker);
+            (old, tracker.era() > era)
+        });
+        if is_new {
+            log::info!("event=store_era_changed old={old} new={seen} source={source}");
+        }
     }
 
     /// Replaces the evacuated zones by those of a full read.
-    pub fn replace_zones(&self, evacuated: IndexSet<ZoneId>, as_of: StoreRevision, now: MonoTime) {
+    pub fn replace_zones(&self, evacuated: IndexSet<ZoneId>, as_of: StorePosition, now: MonoTime) {
         self.update_from_store(now, |tracker| tracker.replace_zones(evacuated, as_of, now));
     }
 
     /// Replaces the entries of targets by those of a full read.
-    pub fn replace_targets(&self, entries: Vec<TargetEntry>, as_of: StoreRevision, now: MonoTime) {
+    pub fn replace_targets(&self, entries: Vec<TargetEntry>, as_of: StorePosition, now: MonoTime) {
         self.update_from_store(now, |tracker| tracker.replace_targets(entries, as_of, now));
     }
 
@@ -328,14 +394,17 @@
             match decode_item(item) {
                 Ok(StoreUpdate::Directory(change)) => changes.push(change),
                 Ok(StoreUpdate::Config(config)) => {
+                    let outcome = ConfigOutcome::Accepted(config.version());
                     self.adopt_config(config, "store");
-                    lock(&self.contacts).on_config_read(item.revision, false);
+                    lock(&self.contacts).on_config_read(item.position, outcome);
                 }
                 Ok(StoreUpdate::Other) => {}
                 Err(error) => {
                     self.refused.record(item, &error);
                     if is_config(item) {
-                        lock(&self.contacts).on_config_read(item.revision, true);
+                        let in_force = self.index().map(|index| index.config().version());
+                        let outcome = ConfigOutcome::Refused(in_force);
+                        lock(&self.contacts).on_config_read(item.position, outcome);
                     }
                 }
             }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -15,5 +15,6 @@
 mod refused_reads;
 mod requests;
 mod stops;
+mod store_eras;
 mod test_gateway;
 mod zone_loads;
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -104,10 +104,15 @@
         held_millis: 250,
         age_millis: Some(120),
         target_age_millis: Some(300),
+        served: None,
+        era: EraSighting {
+            era: StoreEra::new(0),
+            age_millis: None,
+        },
         is_served: false,
         config: None,
         directory: DirectoryUpdate::Replaced(TargetDirectory::new()),
-        revisions: PartRevisions::new(StoreRevision::new(9)),
+        positions: PartPositions::new(StorePosition::without_era(StoreRevision::new(9))),
         usage: Vec::new(),
         follower_count: 3,
         fleet_size: 0,
@@ -319,12 +324,14 @@
         member: follow_answer().member,
         config: None,
         content: TargetDirectory::new().content,
-        revisions: PartRevisions::default(),
+        positions: PartPositions::default(),
         wait_millis: 500,
         is_read_wanted: false,
         is_dispatcher,
         lease_millis,
         short_teams: Vec::new(),
+        served: None,
+        era: follow_answer().era,
     };
     let codec = PeerCodec::new();
     for version in [FormatVersion::V2, FormatVersion::V3] {
