Ask for the whole rate during a cut in the model

Cause: The model did not check what a team over its rate gets during a cut.

Change: 0.98 of the rate in any ten seconds, as elsewhere.

Conclusion: Holds for cuts of a third of 5 s and 20 s.

--- a/crates/dispatch/tests/team_rates/scenarios.rs
+++ b/crates/dispatch/tests/team_rates/scenarios.rs
@@ -110,7 +110,7 @@
         fleet.run_to(fleet.now + 10_000);
         check_bound(&fleet).unwrap();
         if length <= 20_000 {
-            check(&fleet, 0);
+            check(&fleet, 980);
         }
     }
 }
