Move target selection into a module of its own

Change: target_selection.rs holds the ranks, trials and coverage of a pool; service_pool.rs keeps slots, queue and releases. No change of behaviour. Conclusion: selection can change without the queue.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,10 +8,11 @@
 //! - [`fleet_share`]: the part of the fleet that a dispatcher decides for.
 //! - [`excluded_targets`]: targets that one host sends nothing to, although the directory lists them.
 //! - [`target_limit`]: the request rate that a target states.
+//! - `target_selection`: the target of a request.
 //! - [`target_slots`]: the concurrency limit of one target.
 //! - [`waiting_queue`]: requests that wait for a slot.
 //! - [`pool_answer`]: the decisions of a pool.
-//! - [`service_pool`]: the targets of a service in a zone, and target selection.
+//! - [`service_pool`]: the targets of a service in a zone, and the requests that wait for one.
 //! - [`retry_terms`]: the retry budget of one dispatcher.
 //! - [`team_bucket`]: the rate and burst of a team over all dispatchers.
 //! - [`dispatcher`]: combines pools, buckets and budgets for all services and teams.
@@ -31,6 +32,7 @@
 pub mod retry_terms;
 pub mod service_pool;
 pub mod target_limit;
+pub(crate) mod target_selection;
 pub mod target_slots;
 pub mod team_bucket;
 pub mod time_budget;
--- a/crates/dispatch/src/service_pool.rs
+++ b/crates/dispatch/src/service_pool.rs
@@ -1,9 +1,7 @@
-//! The targets of a service in a zone, and target selection.
+//! The targets of a service in a zone, and the requests that wait for one.
 //!
-//! Load pattern: about a third of the slots are in use, at any time a third of the targets fails for some
-//! seconds, and each host sends one or two requests per second. Non-idempotent requests go to targets with a
-//! recent good answer, first to those that the host has an idle connection to. Idempotent requests also try
-//! targets without a recent answer. When all slots are in use, requests wait in a queue.
+//! Load pattern: about a third of the slots are in use, and for some seconds all of them are; requests then wait in
+//! a queue. `target_selection` selects the target of a request.
 
 use std::time::Duration;
 
@@ -29,6 +27,12 @@
         PoolAnswer,
         QueueChange, //
     },
+    target_selection::{
+        FAILING_RATIO_MIN,
+        PoolState,
+        TRIAL_IDLE,
+        TargetSelection, //
+    },
     target_slots::{
         ReleaseEffect,
         TargetSlots, //
@@ -39,39 +43,6 @@
 /// Assumed mean latency before the first answer.
 const INITIAL_LATENCY: Duration = Duration::from_millis(250);
 
-/// Multiple of the mean latency after which an open request makes its target doubtful. Fewer than one ordinary
-/// request in a hundred takes longer.
-const STUCK_FACTOR: u32 = 3;
-
-/// Time without a request after which a host tries a target that it has an idle connection to. The platform asks
-/// that most healthy targets get a request within two seconds while others fail.
-const TRIAL_IDLE_CONNECTED: Duration = Duration::from_millis(1000);
-
-/// Time without a request after which any host tries a target. It is longer than [`TRIAL_IDLE_CONNECTED`], as a
-/// trial without an idle connection costs a new one.
-const TRIAL_IDLE: Duration = Duration::from_millis(1600);
-
-/// Fraction of the unblocked targets that must get a request within [`TRIAL_IDLE`]. The platform asks for 0.7 within
-/// two seconds, over all zones together, and checks the past two seconds when a tenth of the requests fails at once.
-const USED_RATIO_MIN: CapacityRatio = CapacityRatio::from_mille(800);
-
-/// The same while many requests fail. The platform looks at the healthy targets only, so that most of those without
-/// requests may be among them.
-const USED_RATIO_FAILING: CapacityRatio = CapacityRatio::from_mille(950);
-
-/// Fraction of failed attempts from which many requests fail: somewhat less than the tenth from which the platform
-/// checks, as each dispatcher sees the failures of its own zone only.
-const FAILING_RATIO_MIN: CapacityRatio = CapacityRatio::from_mille(90);
-
-/// Fraction of a pool that may be blocked. Beyond it, blocked targets get requests again, so that the rest
-/// does not carry the whole load.
-const BLOCKED_RATIO_MAX: CapacityRatio = CapacityRatio::from_mille(400);
-
-/// Age up to which a good answer is fresh. A third of the targets begin a gray failure within nine seconds, so a
-/// target with a good answer of this age has failed since in one of twenty cases, and with one that is three
-/// seconds old in one of three.
-const FRESH_FOR: Duration = Duration::from_millis(400);
-
 /// A request in flight.
 #[derive(Clone, Debug)]
 struct OpenRequest {
@@ -99,44 +70,6 @@
     failures: FailureWindow,
 }
 
-/// Sort key of a target for a request; the lowest is selected.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
-struct TargetRank {
-    /// `None` for a trial, which goes before all others.
-    trust: Option<TargetTrust>,
-    /// Step of the age of the last good answer for non-idempotent requests, see [`staleness_of`]; 0 for others.
-    staleness: u32,
-    is_unconnected: bool,
-    open_count: usize,
-    /// Time since the last good answer.
-    answer_age: Duration,
-}
-
-/// Returns `true` if a request is a trial of a target that got none for a while, or none ever. A host with an idle
-/// connection to the target tries it earlier, because that costs no new connection. Non-idempotent requests try
-/// targets only if too few are in use, as in a service without idempotent requests.
-fn is_trial(
-    request: &AdmitRequest,
-    (id, target): (&TargetId, &TargetSlots),
-    (trust, is_coverage_low): (TargetTrust, bool),
-    now: MonoTime,
-) -> bool {
-    let is_due = match request.is_idempotent {
-        true if target.granted_at().is_none() => true,
-        true if request.connected.contains(id) => target.idle_time(now) > TRIAL_IDLE_CONNECTED,
-        true => target.idle_time(now) > TRIAL_IDLE,
-        false => is_coverage_low && target.idle_time(now) > TRIAL_IDLE,
-    };
-    is_due && trust != TargetTrust::Blocked && !request.is_repeat
-}
-
-/// Returns the step that an age falls into. Step 0 ends at [`FRESH_FOR`], and each further step ends at twice the
-/// age of the one before.
-fn staleness_of(age: Duration) -> u32 {
-    let steps = age.as_millis() / FRESH_FOR.as_millis();
-    steps.checked_ilog2().map_or(0, |step| step + 1)
-}
-
 impl Default for ServicePool {
     fn default() -> Self {
         Self::new()
@@ -276,86 +209,13 @@
 
     /// Returns the best target for a request, and the trust in it; `None` if no acceptable target has a slot.
     fn select(&self, request: &AdmitRequest, now: MonoTime) -> Option<(TargetTrust, &TargetId)> {
-        let stuck_after = self.mean_latency.saturating_mul(STUCK_FACTOR);
-        let blocked = self.targets.values();
-        let blocked = blocked.filter(|target| target.evidence().trust(now) == TargetTrust::Blocked);
-        let blocked_max = BLOCKED_RATIO_MAX.ceil_of(u32::try_from(self.targets.len()).unwrap_or(0));
-        let may_use_blocked = u32::try_from(blocked.count()).unwrap_or(0) > blocked_max;
-        let is_failing = self.failures.has_failed(FAILING_RATIO_MIN, now);
-        let is_coverage_low = self.is_coverage_low(is_failing, now);
-        // While many requests fail, the platform also wants requests to a target that has recovered since it left
-        // some without an answer. At other times these show that it still hangs.
-        let idle_after = match is_failing {
-            true => stuck_after,
-            false => Duration::MAX,
+        let state = PoolState {
+            mean_latency: self.mean_latency,
+            share: self.share,
+            is_failing: self.failures.has_failed(FAILING_RATIO_MIN, now),
+            has_idempotent: self.has_idempotent(now),
         };
-        let share = self.share.zone_fraction;
-        let candidates = self.targets.iter().filter_map(|(id, target)| {
-            let is_paced = target.is_cold(now) || target.is_limited();
-            let trust = target.trust(stuck_after, now);
-            let is_trial = target.is_idle(idle_after, now)
-                && is_trial(request, (id, target), (trust, is_coverage_low), now);
-            let has_slot = match is_trial {
-                true => target.has_trial_slot(share, now),
-                false => target.has_free_slot(share, now),
-            };
-            let is_usable =
-                has_slot && (self.share.is_followed || !is_paced) && !request.tried.contains(id);
-            let is_excluded =
-                trust == TargetTrust::Blocked && !(may_use_blocked && target.allows_trial(now));
-            let rank = match is_trial {
-                true => TargetRank::default(),
-                false => self.rank(request, (id, target), trust, now),
-            };
-            let is_acceptable = trust <= request.least_trust || is_trial;
-            (is_usable && is_acceptable && !is_excluded).then_some((rank, id, trust))
-        });
-        let (_, id, trust) = candidates.min()?;
-        Some((trust, id))
-    }
-
-    /// Returns `true` if too few of the unblocked targets got a request within [`TRIAL_IDLE`].
-    fn is_coverage_low(&self, is_failing: bool, now: MonoTime) -> bool {
-        let (mut usable, mut used) = (0, 0);
-        for target in self.targets.values() {
-            if target.evidence().trust(now) != TargetTrust::Blocked {
-                usable += 1;
-                used += u32::from(target.idle_time(now) < TRIAL_IDLE);
-            }
-        }
-        let ratio_min = match is_failing {
-            true => USED_RATIO_FAILING,
-            false => USED_RATIO_MIN,
-        };
-        used < ratio_min.ceil_of(usable)
-    }
-
-    fn rank(
-        &self,
-        request: &AdmitRequest,
-        (id, target): (&TargetId, &TargetSlots),
-        trust: TargetTrust,
-        now: MonoTime,
-    ) -> TargetRank {
-        // Without idempotent requests, others spread over targets without a recent answer.
-        let counts_as_proven = !self.has_idempotent(now) && trust == TargetTrust::Unknown;
-        let trust = match counts_as_proven {
-            true => TargetTrust::Proven,
-            false => trust,
-        };
-        let answer_age = target.evidence().good_at().map(|at| now.since(at));
-        let answer_age = answer_age.unwrap_or(Duration::MAX);
-        let staleness = match request.is_idempotent {
-            true => 0,
-            false => staleness_of(answer_age),
-        };
-        TargetRank {
-            trust: Some(trust),
-            staleness,
-            is_unconnected: !request.connected.contains(id),
-            open_count: target.open_count(),
-            answer_age,
-        }
+        TargetSelection::new(&self.targets, state, now).select(request)
     }
 
     /// Returns `true` if idempotent requests arrive often enough to try targets with them.
