Name the host in release notices of format version 4

Cause: a failed connection says something about the path of one host, but a dispatcher can't tell whose it was. Change: ReleaseNotice has the host that made the attempt; versions 2 and 3 keep their frozen forms and map to no host. Measured: cargo test -p chicorycroft-peer: 19 passed, with a new test of both directions for versions 2 and 3. Conclusion: the dispatcher does not use the host yet.

--- a/crates/dispatch/src/messages.rs
+++ b/crates/dispatch/src/messages.rs
@@ -175,6 +175,8 @@
     pub elapsed_millis: u32,
     /// What the target said about itself; `None` without an answer.
     pub signals: Option<TargetSignals>,
+    /// Host that made the attempt; `None` if it speaks an earlier format version.
+    pub host: Option<HostId>,
 }
 
 /// Requests that a dispatcher has charged to a team since its start.
--- a/crates/dispatch/tests/dispatcher/common.rs
+++ b/crates/dispatch/tests/dispatcher/common.rs
@@ -140,6 +140,7 @@
         result,
         elapsed_millis: 250,
         signals: None,
+        host: None,
     }
 }
 
--- a/crates/gateway/src/permit_client.rs
+++ b/crates/gateway/src/permit_client.rs
@@ -197,6 +197,7 @@
             result: AttemptResult::Cancelled,
             elapsed_millis: 0,
             signals: None,
+            host: Some(state.settings.host.clone()),
         },
         granted_at: state.now(),
         hedge_delay: hedge_delay(mean_latency),
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -96,6 +96,7 @@
         result: AttemptResult::Good,
         elapsed_millis: 20,
         signals: None,
+        host: None,
     };
     let release = GatewayMessage::Release(notice);
     notify(&state, address, release.clone(), LIMIT)
--- a/crates/peer/src/format_v2.rs
+++ b/crates/peer/src/format_v2.rs
@@ -215,6 +215,7 @@
             result: notice.result,
             elapsed_millis: notice.elapsed_millis,
             signals: None,
+            host: None,
         }
     }
 }
--- a/crates/peer/src/format_v3.rs
+++ b/crates/peer/src/format_v3.rs
@@ -216,18 +216,59 @@
     }
 }
 
+/// Release of a permit in format version 3, without the host that made the attempt.
+#[derive(Deserialize, Serialize)]
+pub(crate) struct ReleaseNoticeV3 {
+    service: ServiceId,
+    zone: Option<ZoneId>,
+    target: TargetId,
+    permit: PermitNumber,
+    result: AttemptResult,
+    elapsed_millis: u32,
+    signals: Option<TargetSignals>,
+}
+
+impl From<&ReleaseNotice> for ReleaseNoticeV3 {
+    fn from(notice: &ReleaseNotice) -> Self {
+        Self {
+            service: notice.service.clone(),
+            zone: notice.zone.clone(),
+            target: notice.target.clone(),
+            permit: notice.permit,
+            result: notice.result,
+            elapsed_millis: notice.elapsed_millis,
+            signals: notice.signals,
+        }
+    }
+}
+
+impl From<ReleaseNoticeV3> for ReleaseNotice {
+    fn from(notice: ReleaseNoticeV3) -> Self {
+        Self {
+            service: notice.service,
+            zone: notice.zone,
+            target: notice.target,
+            permit: notice.permit,
+            result: notice.result,
+            elapsed_millis: notice.elapsed_millis,
+            signals: notice.signals,
+            host: None,
+        }
+    }
+}
+
 /// A relayed call in format version 3.
 #[derive(Deserialize, Serialize)]
 pub(crate) enum RelayedCallV3 {
     Admit(AdmitRequestV3),
-    Release(ReleaseNotice),
+    Release(ReleaseNoticeV3),
 }
 
 impl From<&RelayedCall> for RelayedCallV3 {
     fn from(call: &RelayedCall) -> Self {
         match call {
             RelayedCall::Admit(request) => Self::Admit(request.into()),
-            RelayedCall::Release(notice) => Self::Release(notice.clone()),
+            RelayedCall::Release(notice) => Self::Release(notice.into()),
         }
     }
 }
@@ -236,7 +277,7 @@
     fn from(call: RelayedCallV3) -> Self {
         match call {
             RelayedCallV3::Admit(request) => Self::Admit(request.into()),
-            RelayedCallV3::Release(notice) => Self::Release(notice),
+            RelayedCallV3::Release(notice) => Self::Release(notice.into()),
         }
     }
 }
@@ -249,7 +290,7 @@
     FollowAnswer(Box<FollowAnswerV3>),
     Admit(AdmitRequestV3),
     Admitted(AdmitAnswerV3),
-    Release(ReleaseNotice),
+    Release(ReleaseNoticeV3),
     Relayed(RelayedCallV3),
 }
 
@@ -263,7 +304,7 @@
             }
             GatewayMessage::Admit(request) => Self::Admit(request.into()),
             GatewayMessage::Admitted(answer) => Self::Admitted(answer.into()),
-            GatewayMessage::Release(notice) => Self::Release(notice.clone()),
+            GatewayMessage::Release(notice) => Self::Release(notice.into()),
             GatewayMessage::Relayed(call) => Self::Relayed(call.into()),
         }
     }
@@ -279,7 +320,7 @@
             }
             GatewayMessageV3::Admit(request) => Self::Admit(request.into()),
             GatewayMessageV3::Admitted(answer) => Self::Admitted(answer.into()),
-            GatewayMessageV3::Release(notice) => Self::Release(notice),
+            GatewayMessageV3::Release(notice) => Self::Release(notice.into()),
             GatewayMessageV3::Relayed(call) => Self::Relayed(call.into()),
         }
     }
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use chicorycroft_core::prelude::*;
 use chicorycroft_directory::prelude::*;
+use chicorycroft_dispatch::prelude::*;
 use chicorycroft_membership::prelude::*;
 use chicorycroft_peer::{
     codec::MESSAGE_BYTES_MAX,
@@ -307,6 +308,45 @@
     assert_eq!(new.decode(&from_old).unwrap(), expected);
 }
 
+/// Guards against a rolling upgrade during which one release decodes the other's release notice incorrectly: version 4 adds
+/// the host that made the attempt, and version 2 lacks what the target said.
+#[test]
+fn release_notice_of_earlier_versions_has_no_host() {
+    let notice = ReleaseNotice {
+        service: service(),
+        zone: None,
+        target: target(1),
+        permit: PermitNumber::new(7),
+        result: AttemptResult::Unreachable,
+        elapsed_millis: 150,
+        signals: Some(TargetSignals::default()),
+        host: Some(host(1)),
+    };
+    let release = |notice| PeerMessage::Gateway(GatewayMessage::Release(notice));
+    let relayed =
+        |notice| PeerMessage::Gateway(GatewayMessage::Relayed(RelayedCall::Release(notice)));
+    for message in [release, relayed] {
+        for version in [FormatVersion::V2, FormatVersion::V3] {
+            let expected = ReleaseNotice {
+                signals: notice.signals.filter(|_| version == FormatVersion::V3),
+                host: None,
+                ..notice.clone()
+            };
+            let (old, new) = (PeerCodec::with_highest(version), PeerCodec::new());
+            for (from, to) in [(&new, &old), (&old, &new)] {
+                let bytes = from.encode(&message(notice.clone()), version).unwrap();
+                assert_eq!(
+                    to.decode(&bytes).unwrap(),
+                    (version, message(expected.clone()))
+                );
+            }
+        }
+        let bytes = encode(&message(notice.clone()));
+        let (_, decoded) = PeerCodec::new().decode(&bytes).unwrap();
+        assert_eq!(decoded, message(notice.clone()));
+    }
+}
+
 /// Guards against accepting messages of an unknown release, truncated messages and messages with extra bytes.
 #[test]
 fn unknown_truncated_and_overlong_messages_are_refused() {
