Count failed connections by host, and not as use of the target

Cause: two failed connections in a row blocked a target for all hosts, though both may come from hosts on lossy paths; and each counted as a request that the target got, so that the next trial came 1.6 s later. Change: PathReports lets a failed connection count only if another host reported one within two seconds and nothing came through meanwhile; notices without a host count as before. The idle time of a target leaves out grants whose host found no connection, and trials of one target are 300 ms apart. replay.rs plays a service in three zones with 24 hosts, faults and lossy paths; floor.rs measures sound targets without requests.

--- a/crates/dispatch/src/evidence.rs
+++ b/crates/dispatch/src/evidence.rs
@@ -90,7 +90,8 @@
         AttemptResult::Failed => 80,
         AttemptResult::Shed => 50,
         AttemptResult::Broken => 90,
-        // One failed connection may be a lost path of its host; a second one in a row blocks the target.
+        // One failed connection may be a lost path of its host, see `path_reports`; what counts in spite of that makes the
+        // target doubtful, and a second one in a row blocks it.
         AttemptResult::Unreachable => 80,
         AttemptResult::Hung | AttemptResult::Misdirected => BLOCK_AT,
     }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`messages`]: requests from hosts to a dispatcher, and its answers.
 //! - [`evidence`]: trust in a target, derived from the results of its recent attempts.
 //! - [`pacer`]: request rate of a cold target.
+//! - [`path_reports`]: failed connections of single hosts to a target.
 //! - [`completion_window`]: completion rate of a pool over the last second.
 //! - [`failure_window`]: part of the attempts of a pool that failed in the last two seconds.
 //! - [`fleet_share`]: the part of the fleet that a dispatcher decides for.
@@ -28,6 +29,7 @@
 pub mod fleet_share;
 pub mod messages;
 pub mod pacer;
+pub mod path_reports;
 pub mod pool_answer;
 pub mod retry_terms;
 pub mod service_pool;
--- a/crates/dispatch/src/target_selection.rs
+++ b/crates/dispatch/src/target_selection.rs
@@ -99,7 +99,7 @@
         true => target.idle_time(now) > TRIAL_IDLE,
         false => is_coverage_low && target.idle_time(now) > TRIAL_IDLE,
     };
-    is_due && trust != TargetTrust::Blocked && !request.is_repeat
+    is_due && target.is_trial_due(now) && trust != TargetTrust::Blocked && !request.is_repeat
 }
 
 /// Returns the step that an age falls into. Step 0 ends at [`FRESH_FOR`], and each further step ends at twice the
--- a/crates/dispatch/src/target_slots.rs
+++ b/crates/dispatch/src/target_slots.rs
@@ -17,6 +17,7 @@
         ReleaseNotice, //
     },
     pacer::ColdPacer,
+    path_reports::PathReports,
     target_limit::{
         LimitState,
         TargetLimiter, //
@@ -55,11 +56,14 @@
     entry: TargetEntry,
     permits: IndexMap<PermitNumber, OpenPermit>,
     evidence: TargetEvidence,
+    path_reports: PathReports,
     pacer: ColdPacer,
     limiter: TargetLimiter,
     /// Time at which the directory listed this incarnation.
     listed_at: MonoTime,
     granted_at: Option<MonoTime>,
+    /// Latest grant whose request has ended and did reach the target.
+    reached_at: Option<MonoTime>,
     /// Whether the address belongs to another target by now.
     is_misdirected: bool,
     /// Whether the target said that it leaves, which the directory may show later.
@@ -77,10 +81,12 @@
             entry,
             permits: IndexMap::new(),
             evidence: TargetEvidence::new(),
+            path_reports: PathReports::new(),
             pacer,
             limiter: TargetLimiter::new(),
             listed_at: now,
             granted_at: None,
+            reached_at: None,
             is_misdirected: false,
             is_leaving: false,
         }
@@ -167,10 +173,7 @@
     /// always has a free slot and would attract the load of the whole pool, so it gets at most one request each
     /// 300 ms.
     pub fn allows_trial(&self, now: MonoTime) -> bool {
-        let is_due = self
-            .granted_at
-            .is_none_or(|at| now.since(at) >= TRIAL_PAUSE);
-        !self.evidence.is_failing() || is_due && self.permits.is_empty()
+        !self.evidence.is_failing() || self.is_trial_due(now) && self.permits.is_empty()
     }
 
     /// Returns the trust in the target. A request that has been open for longer than `stuck_after` makes the
@@ -205,9 +208,19 @@
         self.granted_at
     }
 
-    /// Returns the time since the last grant or, before the first one, since the directory lists the target.
+    /// Returns the time since the last grant or, before the first one, since the directory lists the target. A grant whose
+    /// host found no connection does not count, as the target got no request.
     pub fn idle_time(&self, now: MonoTime) -> Duration {
-        now.since(self.granted_at.unwrap_or(self.listed_at))
+        let open = self.permits.values().map(|permit| permit.granted_at);
+        let used_at = open.max().max(self.reached_at);
+        now.since(used_at.unwrap_or(self.listed_at))
+    }
+
+    /// Returns `true` if the latest grant is long enough ago for a trial. Those whose hosts found no connection leave the
+    /// target idle, and must not draw every request.
+    pub fn is_trial_due(&self, now: MonoTime) -> bool {
+        self.granted_at
+            .is_none_or(|at| now.since(at) >= TRIAL_PAUSE)
     }
 
     /// Occupies a slot with a permit that expires shortly after the request's time is over, and returns the time at
@@ -248,11 +261,23 @@
         self.is_misdirected |= notice.result == AttemptResult::Misdirected;
         effect.is_blocked = match notice.result {
             AttemptResult::Hung => self.evidence.record_hang(permit.granted_at, now),
+            AttemptResult::Unreachable => self.on_unreached(notice.host.as_ref(), now),
             result => self.evidence.record(result, now),
         };
+        if notice.result != AttemptResult::Unreachable {
+            self.reached_at = self.reached_at.max(Some(permit.granted_at));
+        }
+        if notice.result == AttemptResult::Good {
+            self.path_reports.clear();
+        }
         effect
     }
 
+    /// Records that a host found no connection, and returns `true` if that blocks a target that was not blocked.
+    fn on_unreached(&mut self, host: Option<&HostId>, now: MonoTime) -> bool {
+        self.path_reports.record(host, now) && self.evidence.record(AttemptResult::Unreachable, now)
+    }
+
     /// Frees the slots of expired permits, whose hosts did not release them.
     pub fn expire(&mut self, now: MonoTime) {
         self.permits.retain(|_, permit| now < permit.ends_at);
--- a/crates/dispatch/tests/dispatcher/main.rs
+++ b/crates/dispatch/tests/dispatcher/main.rs
@@ -8,7 +8,9 @@
 
 mod charging;
 mod common;
+mod floor;
 mod limits;
+mod replay;
 mod retry_terms;
 mod selection;
 mod team_bucket;
--- a/crates/dispatch/tests/dispatcher/selection.rs
+++ b/crates/dispatch/tests/dispatcher/selection.rs
@@ -238,6 +238,36 @@
     );
 }
 
+/// Guards against blocking a target for all hosts by the reports of one: only those of two hosts within two seconds count,
+/// and only if nothing has come through between them.
+#[test]
+fn failed_connections_count_by_host() {
+    let (dispatcher, directory) = (ZoneDispatcher::new(0), directory_of(1));
+    let try_by = |host: &str, result, millis| {
+        let grant = grant(&dispatcher, &directory, &request("1"), at(millis));
+        let host = Some(HostId::new(host).unwrap());
+        let notice = ReleaseNotice {
+            host,
+            ..notice(&grant, result)
+        };
+        dispatcher.release(&notice, at(millis + 150));
+        grant.trust
+    };
+    for turn in 0..5 {
+        let trust = try_by("edge-1", AttemptResult::Unreachable, turn * 400);
+        assert_eq!(trust, TargetTrust::Unknown);
+    }
+    try_by("edge-2", AttemptResult::Good, 2000);
+    try_by("edge-2", AttemptResult::Unreachable, 2400);
+    let trust = try_by("edge-2", AttemptResult::Unreachable, 4800);
+    assert_eq!(trust, TargetTrust::Proven);
+    try_by("edge-1", AttemptResult::Unreachable, 5000);
+    let trust = try_by("edge-2", AttemptResult::Unreachable, 5200);
+    assert_eq!(trust, TargetTrust::Doubtful);
+    let answer = admit(&dispatcher, &directory, &request("2"), at(5400));
+    assert!(matches!(answer, PoolAnswer::Busy { .. }), "{answer:?}");
+}
+
 /// Guards against a host that keeps connecting to a target that it cannot reach.
 #[test]
 fn host_excludes_unreachable_targets() {
