Search the other zones in an order that differs by request

Cause: hosts without a free target in their zone all asked the same next zone first, so that the last zone of a service got nothing while its callers were elsewhere. Change: RequestAttempts::zones ranks the other zones by the id of the request. No test of its own in the gateway. Its tests passed on this code. Conclusion: a zone whose own hosts send nothing still gets requests only when another zone has no free trusted target.

--- a/crates/gateway/src/request_attempts.rs
+++ b/crates/gateway/src/request_attempts.rs
@@ -6,7 +6,10 @@
 };
 
 use chicorycroft_adapter::prelude::*;
-use chicorycroft_core::prelude::*;
+use chicorycroft_core::{
+    prelude::*,
+    rendezvous::ranked, //
+};
 use chicorycroft_directory::prelude::*;
 use chicorycroft_dispatch::prelude::*;
 use chicorycroft_retry::prelude::*;
@@ -166,13 +169,16 @@
         excluded
     }
 
-    /// Returns the zones with targets of the service in the order of the search, the local one first.
+    /// Returns the zones with targets of the service in the order of the search, the local one first. The order of the others
+    /// differs by request: in a fixed one the last zone gets nothing while the callers of another one need targets of
+    /// two.
     fn zones(&self) -> Vec<ZoneId> {
         let own = &self.state.settings.zone;
         let directory = self.state.store_cache.directory();
         let mut others = directory.zones_of(&self.plan.service);
         let own = others.shift_take(own);
-        own.into_iter().chain(others).collect()
+        let others = ranked(&self.plan.id, &others, |zone| zone.as_str());
+        own.into_iter().chain(others.into_iter().cloned()).collect()
     }
 
     /// Finds a target and obtains a permit for it.
