Place requests by the measured speed of targets

Cause: among equally trusted targets the one with the least open requests went first, so that a slow target drew as much as a fast one, and one with a connection before all others. Change: TargetSpeed keeps a moving mean of each target's answer times and raises it by open requests that are older. Ranks compare steps of the expected time before the connection, and the time itself after the open requests. A request is stuck after three times the longer mean of pool and target. Grants name their choice, mean and expected time in the dispatcher's log and in gateway_granted_target_seconds; these fields are not sent.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`target_limit`]: the request rate that a target states.
 //! - `target_selection`: the target of a request.
 //! - [`target_slots`]: the concurrency limit of one target.
+//! - [`target_speed`]: the times of a target's answers.
 //! - [`waiting_queue`]: requests that wait for a slot.
 //! - [`pool_answer`]: the decisions of a pool.
 //! - [`service_pool`]: the targets of a service in a zone, and the requests that wait for one.
@@ -36,6 +37,7 @@
 pub mod target_limit;
 pub(crate) mod target_selection;
 pub mod target_slots;
+pub mod target_speed;
 pub mod team_bucket;
 pub mod time_budget;
 pub mod waiting_queue;
@@ -54,6 +56,7 @@
             DispatchGrant,
             PermitNumber,
             ReleaseNotice,
+            TargetChoice,
             TeamUsage,
             TicketNumber,
             whole_millis, //
--- a/crates/dispatch/src/messages.rs
+++ b/crates/dispatch/src/messages.rs
@@ -96,6 +96,29 @@
     pub trust: TargetTrust,
     /// What the dispatcher knows about the rate limit of the target.
     pub limit: LimitState,
+    /// Why the target was taken, for the dispatcher's log; not sent.
+    #[serde(skip)]
+    pub choice: TargetChoice,
+}
+
+/// Why a dispatcher took a target.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct TargetChoice {
+    /// Whether the request tries a target that got none for a while.
+    pub is_trial: bool,
+    /// Mean time of the target's answers.
+    pub mean_time: Duration,
+    /// Expected time to the answer, with the requests that the target has open.
+    pub expected_time: Duration,
+}
+
+impl fmt::Display for TargetChoice {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self.is_trial {
+            true => "trial",
+            false => "rank",
+        })
+    }
 }
 
 /// Answer of a dispatcher to an [`AdmitRequest`].
--- a/crates/dispatch/src/service_pool.rs
+++ b/crates/dispatch/src/service_pool.rs
@@ -30,6 +30,7 @@
     target_selection::{
         FAILING_RATIO_MIN,
         PoolState,
+        SelectedTarget,
         TRIAL_IDLE,
         TargetSelection, //
     },
@@ -188,8 +189,8 @@
         number: u64,
         now: MonoTime,
     ) -> Option<DispatchGrant> {
-        let (trust, id) = self.select(request, now)?;
-        let id = id.clone();
+        let selected = self.select(request, now)?;
+        let (trust, choice, id) = (selected.trust, selected.choice, selected.id.clone());
         let permit = PermitNumber::new(number);
         let target = self.targets.get_mut(&id)?;
         let rates = (self.cold_rate, self.share.zone_fraction);
@@ -204,11 +205,12 @@
             mean_latency_millis: whole_millis(self.mean_latency),
             trust,
             limit,
+            choice,
         })
     }
 
-    /// Returns the best target for a request, and the trust in it; `None` if no acceptable target has a slot.
-    fn select(&self, request: &AdmitRequest, now: MonoTime) -> Option<(TargetTrust, &TargetId)> {
+    /// Returns the best target for a request; `None` if no acceptable target has a slot.
+    fn select(&self, request: &AdmitRequest, now: MonoTime) -> Option<SelectedTarget<'_>> {
         let state = PoolState {
             mean_latency: self.mean_latency,
             share: self.share,
--- a/crates/dispatch/src/target_selection.rs
+++ b/crates/dispatch/src/target_selection.rs
@@ -13,7 +13,10 @@
 use crate::{
     evidence::TargetTrust,
     fleet_share::FleetShare,
-    messages::AdmitRequest,
+    messages::{
+        AdmitRequest,
+        TargetChoice, //
+    },
     target_slots::TargetSlots, //
 };
 
@@ -63,6 +66,14 @@
     pub(crate) has_idempotent: bool,
 }
 
+/// The target for a request.
+#[derive(Debug)]
+pub(crate) struct SelectedTarget<'a> {
+    pub(crate) id: &'a TargetId,
+    pub(crate) trust: TargetTrust,
+    pub(crate) choice: TargetChoice,
+}
+
 /// Selects among the targets of a pool at one time.
 #[derive(Debug)]
 pub(crate) struct TargetSelection<'a> {
@@ -78,8 +89,12 @@
     trust: Option<TargetTrust>,
     /// Step of the age of the last good answer for non-idempotent requests, see [`staleness_of`]; 0 for others.
     staleness: u32,
+    /// Step of the expected time, see [`slowness_of`].
+    slowness: u32,
     is_unconnected: bool,
     open_count: usize,
+    /// Expected time to the answer.
+    expected_time: Duration,
     /// Time since the last good answer.
     answer_age: Duration,
 }
@@ -109,6 +124,13 @@
     steps.checked_ilog2().map_or(0, |step| step + 1)
 }
 
+/// Returns the step that an expected time falls into. Step 0 ends at half the mean of the pool, and each further step at
+/// twice the time of the one before; within a step, a connection counts more than the time.
+fn slowness_of(expected_time: Duration, mean_latency: Duration) -> u32 {
+    let halves = expected_time.as_micros() * 2 / mean_latency.as_micros().max(1);
+    halves.checked_ilog2().map_or(0, |step| step + 1)
+}
+
 impl<'a> TargetSelection<'a> {
     /// Creates a selection among `targets` at `now`.
     pub(crate) fn new(
@@ -123,8 +145,8 @@
         }
     }
 
-    /// Returns the best target for a request, and the trust in it; `None` if no acceptable target has a slot.
-    pub(crate) fn select(&self, request: &AdmitRequest) -> Option<(TargetTrust, &'a TargetId)> {
+    /// Returns the best target for a request; `None` if no acceptable target has a slot.
+    pub(crate) fn select(&self, request: &AdmitRequest) -> Option<SelectedTarget<'a>> {
         let now = self.now;
         let stuck_after = self.state.mean_latency.saturating_mul(STUCK_FACTOR);
         let blocked = self.targets.values();
@@ -141,7 +163,9 @@
         let share = self.state.share.zone_fraction;
         let candidates = self.targets.iter().filter_map(|(id, target)| {
             let is_paced = target.is_cold(now) || target.is_limited();
-            let trust = target.trust(stuck_after, now);
+            let mean = target.mean_time(self.state.mean_latency);
+            // Ordinary requests of a target that is slow by nature are no sign that it hangs.
+            let trust = target.trust(stuck_after.max(mean.saturating_mul(STUCK_FACTOR)), now);
             let is_trial = target.is_idle(idle_after, now)
                 && is_trial(request, (id, target), (trust, is_coverage_low), now);
             let has_slot = match is_trial {
@@ -160,8 +184,14 @@
             let is_acceptable = trust <= request.least_trust || is_trial;
             (is_usable && is_acceptable && !is_excluded).then_some((rank, id, trust))
         });
-        let (_, id, trust) = candidates.min()?;
-        Some((trust, id))
+        let (rank, id, trust) = candidates.min()?;
+        let (target, mean_latency) = (self.targets.get(id)?, self.state.mean_latency);
+        let choice = TargetChoice {
+            is_trial: rank.trust.is_none(),
+            mean_time: target.mean_time(mean_latency),
+            expected_time: target.expected_time(mean_latency, now),
+        };
+        Some(SelectedTarget { id, trust, choice })
     }
 
     /// Returns `true` if too few of the unblocked targets got a request within [`TRIAL_IDLE`].
@@ -198,11 +228,14 @@
             true => 0,
             false => staleness_of(answer_age),
         };
+        let expected_time = target.expected_time(self.state.mean_latency, self.now);
         TargetRank {
             trust: Some(trust),
             staleness,
+            slowness: slowness_of(expected_time, self.state.mean_latency),
             is_unconnected: !request.connected.contains(id),
             open_count: target.open_count(),
+            expected_time,
             answer_age,
         }
     }
--- a/crates/dispatch/src/target_slots.rs
+++ b/crates/dispatch/src/target_slots.rs
@@ -22,6 +22,7 @@
         LimitState,
         TargetLimiter, //
     },
+    target_speed::TargetSpeed,
 };
 
 /// Time for which a permit outlives its request, so that a release in transit still finds it.
@@ -57,6 +58,7 @@
     permits: IndexMap<PermitNumber, OpenPermit>,
     evidence: TargetEvidence,
     path_reports: PathReports,
+    speed: TargetSpeed,
     pacer: ColdPacer,
     limiter: TargetLimiter,
     /// Time at which the directory listed this incarnation.
@@ -82,6 +84,7 @@
             permits: IndexMap::new(),
             evidence: TargetEvidence::new(),
             path_reports: PathReports::new(),
+            speed: TargetSpeed::new(),
             pacer,
             limiter: TargetLimiter::new(),
             listed_at: now,
@@ -176,6 +179,18 @@
         !self.evidence.is_failing() || self.is_trial_due(now) && self.permits.is_empty()
     }
 
+    /// Returns the mean time of an answer; that of the pool before the first one.
+    pub fn mean_time(&self, pool_mean: Duration) -> Duration {
+        self.speed.mean(pool_mean)
+    }
+
+    /// Returns the expected time to the answer of a further request.
+    pub fn expected_time(&self, pool_mean: Duration, now: MonoTime) -> Duration {
+        let permits = self.permits.values();
+        let ages = permits.map(|permit| now.since(permit.granted_at));
+        self.speed.expected_time(pool_mean, self.entry.slots, ages)
+    }
+
     /// Returns the trust in the target. A request that has been open for longer than `stuck_after` makes the
     /// target doubtful before the result is known.
     pub fn trust(&self, stuck_after: Duration, now: MonoTime) -> TargetTrust {
@@ -267,8 +282,14 @@
         if notice.result != AttemptResult::Unreachable {
             self.reached_at = self.reached_at.max(Some(permit.granted_at));
         }
-        if notice.result == AttemptResult::Good {
-            self.path_reports.clear();
+        let elapsed = Duration::from_millis(notice.elapsed_millis.into());
+        match notice.result {
+            AttemptResult::Good => {
+                self.path_reports.clear();
+                self.speed.record(elapsed);
+            }
+            AttemptResult::Hung | AttemptResult::Cancelled => self.speed.record_unanswered(elapsed),
+            _ => {}
         }
         effect
     }
--- a/crates/dispatch/tests/dispatcher/main.rs
+++ b/crates/dispatch/tests/dispatcher/main.rs
@@ -13,6 +13,7 @@
 mod replay;
 mod retry_terms;
 mod selection;
+mod speed;
 mod team_bucket;
 mod time_budget;
 mod trials;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use chicorycroft_directory::prelude::*;
+use chicorycroft_dispatch::prelude::*;
 use prometheus::{
     Encoder,
     HistogramOpts,
@@ -33,6 +34,7 @@
     attempts: IntCounterVec,
     permits: IntCounterVec,
     copy_age: HistogramVec,
+    granted_time: HistogramVec,
     config_version: IntGauge,
     refused_documents: IntCounter,
 }
@@ -55,6 +57,10 @@
             "gateway_copy_age_seconds",
             "Age of the copy of the store when it was used, by decision, part of the store, and source.",
         );
+        let granted_time = HistogramOpts::new(
+            "gateway_granted_target_seconds",
+            "Expected time to the answer of the targets that this host granted, by choice: rank or trial.",
+        );
         let metrics = Self {
             registry: Registry::new(),
             requests: counter(
@@ -77,6 +83,10 @@
                 copy_age.buckets(COPY_AGE_BUCKETS.to_vec()),
                 &["use", "part", "source"],
             )?,
+            granted_time: HistogramVec::new(
+                granted_time.buckets(LATENCY_BUCKETS.to_vec()),
+                &["choice"],
+            )?,
             config_version: IntGauge::new(
                 "gateway_config_version",
                 "Version of the configuration in force.",
@@ -92,6 +102,7 @@
         registry.register(Box::new(metrics.attempts.clone()))?;
         registry.register(Box::new(metrics.permits.clone()))?;
         registry.register(Box::new(metrics.copy_age.clone()))?;
+        registry.register(Box::new(metrics.granted_time.clone()))?;
         registry.register(Box::new(metrics.config_version.clone()))?;
         registry.register(Box::new(metrics.refused_documents.clone()))?;
         Ok(metrics)
@@ -114,6 +125,12 @@
         self.permits.with_label_values(&[answer]).inc();
     }
 
+    /// Records the expected time of a target that was granted.
+    pub fn on_grant(&self, choice: TargetChoice) {
+        let times = self.granted_time.with_label_values(&[&*choice.to_string()]);
+        times.observe(choice.expected_time.as_secs_f64());
+    }
+
     /// Records the age of a part of the copy of the store when a decision used it.
     pub fn on_copy_use(
         &self,
--- a/crates/gateway/src/permit_service.rs
+++ b/crates/gateway/src/permit_service.rs
@@ -55,6 +55,7 @@
         PoolAnswer::Granted(grant) => {
             record_copy_use(state, CopyUse::Grant, &request.request);
             log_grant(request, &grant, (share, directory.as_of), Duration::ZERO);
+            state.metrics.on_grant(grant.choice);
             AdmitAnswer::Granted(grant)
         }
         PoolAnswer::NoTarget => AdmitAnswer::NoTarget,
@@ -85,6 +86,7 @@
                     (share, directory.as_of),
                     state.now().since(now),
                 );
+                state.metrics.on_grant(grant.choice);
             }
             answer
         }
@@ -113,7 +115,7 @@
 ) {
     log::info!(
         "event=permit_granted id={} permit={} target={} trust={} limit={} service={} team={} charged={} \
-         share={} as_of={as_of} waited_ms={}",
+         share={} as_of={as_of} waited_ms={} choice={} mean_ms={} expected_ms={}",
         request.request,
         grant.permit,
         grant.target,
@@ -123,7 +125,10 @@
         request.team.as_ref().map_or("-", TeamId::as_str),
         request.charged_team.is_some(),
         share.fraction,
-        waited.as_millis()
+        waited.as_millis(),
+        grant.choice,
+        grant.choice.mean_time.as_millis(),
+        grant.choice.expected_time.as_millis()
     );
 }
 
--- a/crates/peer/src/format_v2.rs
+++ b/crates/peer/src/format_v2.rs
@@ -161,6 +161,7 @@
     fn from(answer: AdmitAnswerV2) -> Self {
         match answer {
             AdmitAnswerV2::Granted(grant) => Self::Granted(DispatchGrant {
+                choice: TargetChoice::default(),
                 permit: grant.permit,
                 target: grant.target,
                 mean_latency_millis: grant.mean_latency_millis,
