--- a/crates/dispatch/tests/dispatcher/floor.rs
+++ b/crates/dispatch/tests/dispatcher/floor.rs
@@ -1,6 +1,9 @@
 //! Use of sound targets while others fail, in replays of a service in three zones.
 
-use crate::replay::*;
+use crate::{
+    replay::*,
+    replay_plan::*, //
+};
 
 /// Targets that are by turns faulty for two to five seconds and without a fault for three to seven, `sound` of each nine
 /// always without one.
--- a/crates/dispatch/tests/dispatcher/main.rs
+++ b/crates/dispatch/tests/dispatcher/main.rs
@@ -11,6 +11,7 @@
 mod floor;
 mod limits;
 mod replay;
+mod replay_plan;
 mod retry_terms;
 mod selection;
 mod speed;
--- a/crates/dispatch/tests/dispatcher/speed.rs
+++ b/crates/dispatch/tests/dispatcher/speed.rs
@@ -4,7 +4,8 @@
 
 use crate::{
     common::*,
-    replay::*, //
+    replay::*,
+    replay_plan::*, //
 };
 use chicorycroft_core::prelude::*;
 use chicorycroft_dispatch::{
