--- a/crates/dispatch/src/pool_load.rs
+++ b/crates/dispatch/src/pool_load.rs
@@ -17,11 +17,11 @@
 use crate::{
     evidence::TargetTrust,
     messages::whole_millis,
-    service_pool::{
+    service_pool::ServicePool,
+    target_selection::{
         BLOCKED_RATIO_MAX,
         FAILING_RATIO_MIN,
         STUCK_FACTOR,
-        ServicePool,
         TRIAL_IDLE_CONNECTED, //
     },
     target_slots::TargetSlots, //
--- a/crates/dispatch/src/zone_order.rs
+++ b/crates/dispatch/src/zone_order.rs
@@ -23,6 +23,10 @@
 /// Time that a zone elsewhere must save for a request with a long body.
 const UPLOAD_MARGIN: Duration = Duration::from_millis(150);
 
+/// Differences of the expected time below which zones count as equal. If they decided, the targets of the farthest zone
+/// would get nothing while the callers of another one need targets of two.
+const TIME_STEP: Duration = Duration::from_millis(10);
+
 /// Length from which a body is long.
 const UPLOAD_BYTES_MIN: u64 = 32 << 10;
 
@@ -55,12 +59,13 @@
         expected_wait + view.way + margin
     }
 
-    /// Orders zones by the expected time to an answer, the home zone first at equal times and zones that did not answer
-    /// last. Zones without a known load go as if they had a slot.
+    /// Orders zones by the expected time to an answer, in steps, the home zone first at equal times and zones that did not
+    /// answer last. Zones without a known load go as if they had a slot, and zones of one step stay in their order.
     pub fn order(&self, mut views: Vec<ZoneView>) -> Vec<ZoneView> {
         views.sort_by_cached_key(|view| {
             let time = self.time_to_answer(view, view.expected_wait(self.priority));
-            (view.is_silent, time, view.zone != *self.home)
+            let step = time.as_millis() / TIME_STEP.as_millis();
+            (view.is_silent, step, view.zone != *self.home)
         });
         views
     }
--- a/crates/gateway/src/permit_service.rs
+++ b/crates/gateway/src/permit_service.rs
@@ -69,6 +69,7 @@
         PoolAnswer::Granted(grant) => {
             record_copy_use(state, CopyUse::Grant, &request.request);
             log_grant(request, &grant, (share, directory.as_of), Duration::ZERO);
+            state.metrics.on_grant(grant.choice);
             AdmitAnswer::Granted(grant)
         }
         PoolAnswer::NoTarget => AdmitAnswer::NoTarget,
@@ -101,6 +102,7 @@
                 record_copy_use(state, CopyUse::Grant, &request.request);
                 let waited = state.now().since(now);
                 log_grant(request, grant, (share, directory.as_of), waited);
+                state.metrics.on_grant(grant.choice);
             }
             if let Some(terms) = busy_terms(&answer) {
                 log_turned_away(state, request, terms, state.now().since(now));
@@ -155,7 +157,7 @@
 ) {
     log::info!(
         "event=permit_granted id={} permit={} target={} trust={} limit={} service={} team={} charged={} \
-         share={} as_of={as_of} waited_ms={}",
+         share={} as_of={as_of} waited_ms={} choice={} mean_ms={} expected_ms={}",
         request.request,
         grant.permit,
         grant.target,
@@ -165,7 +167,10 @@
         request.team.as_ref().map_or("-", TeamId::as_str),
         request.charged_team.is_some(),
         share.fraction,
-        waited.as_millis()
+        waited.as_millis(),
+        grant.choice,
+        grant.choice.mean_time.as_millis(),
+        grant.choice.expected_time.as_millis()
     );
 }
 
--- a/crates/gateway/src/target_search.rs
+++ b/crates/gateway/src/target_search.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use chicorycroft_adapter::prelude::*;
-use chicorycroft_core::prelude::*;
+use chicorycroft_core::{
+    prelude::*,
+    rendezvous::ranked, //
+};
 use chicorycroft_dispatch::prelude::*;
 
 use crate::{
@@ -44,7 +47,10 @@
 
     /// Creates a search with the zones ordered by the expected time to an answer.
     fn new_search(&self, may_wait: bool) -> ZoneSearch {
+        // The order of zones at equal times differs by request, so that none goes last for all.
         let zones = zones_of(&self.state, &self.plan.service);
+        let zones = ranked(&self.plan.id, &zones, |zone| zone.as_str());
+        let zones: Vec<ZoneId> = zones.into_iter().cloned().collect();
         let loads = &self.state.zone_loads;
         let views = loads.views(&self.plan.service, &zones, self.state.now());
         let terms = OrderTerms {
--- a/crates/peer/src/format_v2.rs
+++ b/crates/peer/src/format_v2.rs
@@ -175,6 +175,7 @@
     fn from(answer: AdmitAnswerV2) -> Self {
         match answer {
             AdmitAnswerV2::Granted(grant) => Self::Granted(DispatchGrant {
+                choice: TargetChoice::default(),
                 permit: grant.permit,
                 target: grant.target,
                 mean_latency_millis: grant.mean_latency_millis,
@@ -231,6 +232,7 @@
             result: notice.result,
             elapsed_millis: notice.elapsed_millis,
             signals: None,
+            host: None,
         }
     }
 }
