Give back permits whose answer comes late

While hosts start, answers come later, and each such permit held a slot of a sound target until the deadline of its request plus 300 ms, so that home zones counted as busy.

The way to a zone includes the time lost on hosts that did not answer.

Conclusion: A permit is still held if its caller leaves while the call is open, as before.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`connection_pool`]: idle connections to targets.
 //!
 //! Dispatch path:
+//! - `late_permit`: calls for permits, and the return of late ones.
 //! - [`permit_relay`]: forwards permit requests to the dispatcher of the zone.
 //! - [`permit_service`]: grants permits on this host and queues requests that have to wait.
 //! - [`peer_calls`]: calls to other hosts.
@@ -50,6 +51,7 @@
 pub mod gossip_loop;
 pub mod host;
 pub mod ingress;
+mod late_permit;
 mod load_view;
 pub mod metrics;
 pub mod peer_calls;
--- a/crates/gateway/src/peer_calls.rs
+++ b/crates/gateway/src/peer_calls.rs
@@ -1,6 +1,7 @@
 //! Calls to other hosts.
 
 use std::{
+    fmt,
     net::SocketAddr,
     time::Duration, //
 };
@@ -79,10 +80,15 @@
     limit: Duration,
 ) -> Result<GatewayMessage, PeerError> {
     let answer = call(state, member.address, message, limit).await;
-    if let Err(error) = &answer
-        && state.gossip.suspect(&member.host, state.now())
-    {
-        log::warn!("event=peer_lost host={} error=\"{error}\"", member.host);
+    if let Err(error) = &answer {
+        suspect(state, member, error);
     }
     answer
 }
+
+/// Marks a host that did not answer as suspected.
+pub fn suspect(state: &GatewayState, member: &MemberRecord, error: impl fmt::Display) {
+    if state.gossip.suspect(&member.host, state.now()) {
+        log::warn!("event=peer_lost host={} error=\"{error}\"", member.host);
+    }
+}
--- a/crates/gateway/src/permit_client.rs
+++ b/crates/gateway/src/permit_client.rs
@@ -13,11 +13,9 @@
 use smol_str::SmolStr;
 
 use crate::{
+    late_permit::call_dispatcher,
     load_view::record_reply,
-    peer_calls::{
-        call_member,
-        notify, //
-    },
+    peer_calls::notify,
     permit_service,
     state::GatewayState, //
 };
@@ -130,7 +128,11 @@
     }
 }
 
-async fn send_release(state: &GatewayState, member: &MemberRecord, notice: ReleaseNotice) {
+pub(crate) async fn send_release(
+    state: &GatewayState,
+    member: &MemberRecord,
+    notice: ReleaseNotice,
+) {
     let permit = notice.permit;
     let message = GatewayMessage::Release(notice);
     if let Err(error) = notify(state, member.address, message, RELEASE_LIMIT).await {
@@ -153,6 +155,23 @@
     NoAnswer,
 }
 
+/// Returns the release of a permit that was not used.
+pub(crate) fn unused_notice(
+    request: &AdmitRequest,
+    target: TargetId,
+    permit: PermitNumber,
+) -> ReleaseNotice {
+    ReleaseNotice {
+        service: request.service.clone(),
+        zone: request.zone.clone(),
+        target,
+        permit,
+        result: AttemptResult::Cancelled,
+        elapsed_millis: 0,
+        signals: None,
+    }
+}
+
 /// Converts a dispatcher's answer into a [`PermitAnswer`], counts it and logs refusals.
 fn accept_answer(
     state: &Arc<GatewayState>,
@@ -190,15 +209,7 @@
         state: state.clone(),
         source,
         request: request.request.clone(),
-        notice: ReleaseNotice {
-            service: request.service.clone(),
-            zone: request.zone.clone(),
-            target: grant.target,
-            permit: grant.permit,
-            result: AttemptResult::Cancelled,
-            elapsed_millis: 0,
-            signals: None,
-        },
+        notice: unused_notice(request, grant.target, grant.permit),
         granted_at: state.now(),
         hedge_delay: hedge_delay(mean_latency),
         limit: grant.limit,
@@ -224,6 +235,8 @@
     request: &AdmitRequest,
 ) -> PermitAnswer {
     let ranked = state.gossip.ranked(zone, state.now());
+    // The way to a zone includes the time lost on hosts that did not answer.
+    let sent_at = state.now();
     for (rank, member) in ranked.into_iter().take(DISPATCHERS_TRIED_MAX).enumerate() {
         if member.host == state.settings.host {
             return request_local_permit(state, request).await;
@@ -234,15 +247,14 @@
             0 => request.wait() + ANSWER_LIMIT,
             _ => request.wait() + 2 * ANSWER_LIMIT,
         };
-        let sent_at = state.now();
-        match call_member(state, &member, message, limit).await {
+        match call_dispatcher(state, &member, request, message, limit).await {
             Ok(GatewayMessage::Admitted(reply)) => {
                 record_reply(state, request, &reply, sent_at);
                 let source = PermitSource::Remote(member);
                 return accept_answer(state, request, source, reply.answer);
             }
             Ok(_) => log::warn!("event=peer_answer_unexpected host={}", member.host),
-            // `call_member` has logged the loss of the host; the next host is tried.
+            // `call_dispatcher` has logged the loss of the host; the next host is tried.
             Err(_) => {}
         }
     }
--- a/crates/gateway/src/permit_relay.rs
+++ b/crates/gateway/src/permit_relay.rs
@@ -10,10 +10,8 @@
 use chicorycroft_peer::prelude::*;
 
 use crate::{
-    peer_calls::{
-        call_member,
-        notify, //
-    },
+    late_permit::call_dispatcher,
+    peer_calls::notify,
     permit_client::{
         ANSWER_LIMIT,
         RELEASE_LIMIT, //
@@ -28,7 +26,7 @@
     if let Some(dispatcher) = state.remote_dispatcher() {
         let message = GatewayMessage::Relayed(RelayedCall::Admit(request.clone()));
         let limit = request.wait() + ANSWER_LIMIT;
-        match call_member(state, &dispatcher, message, limit).await {
+        match call_dispatcher(state, &dispatcher, request, message, limit).await {
             Ok(GatewayMessage::Admitted(reply)) => {
                 log::info!(
                     "event=permit_relayed id={} dispatcher={}",
@@ -38,7 +36,7 @@
                 return reply;
             }
             Ok(_) => log::warn!("event=peer_answer_unexpected host={}", dispatcher.host),
-            // `call_member` has logged the loss of the host; this host decides.
+            // `call_dispatcher` has logged the loss of the host; this host decides.
             Err(_) => {}
         }
     }
