Decide without zones that answer late

Cause: A request waited 150 and 300 ms for two hosts of each zone in turn, also if its home zone had stated a wait of some milliseconds, and so had no time left for its target.

Change: A host that no dispatcher answered within 0.2 of the request's time decides for itself. Zones that were silent, or whose way takes 100 ms or more, are left out while another zone states a wait that is in time and shorter than their way (`WaitChoice::leaves_out`).

--- a/crates/dispatch/src/wait_choice.rs
+++ b/crates/dispatch/src/wait_choice.rs
@@ -16,6 +16,9 @@
     },
 };
 
+/// Way there and back from which the hosts of a zone answer late. A host waits for an answer for 150 ms.
+const LATE_WAY: Duration = Duration::from_millis(100);
+
 /// A zone in which a request may wait.
 #[derive(Clone, Copy, Debug)]
 struct WaitOption {
@@ -100,8 +103,16 @@
         Some(zone)
     }
 
-    /// Returns the number of zones in which the request did not wait.
-    pub fn unused_count(&self) -> usize {
-        self.options.len()
+    /// Returns `true` if a zone that answers late or not at all is left out, because another one stated that it serves the
+    /// request within `left` and sooner.
+    pub fn leaves_out(&self, zone: &ZoneId, left: Duration) -> bool {
+        let view = self.views.iter().find(|view| view.zone == *zone);
+        let Some(view) = view.filter(|view| view.is_silent || view.way >= LATE_WAY) else {
+            return false;
+        };
+        self.options.values().any(|option| {
+            let is_sooner = view.is_silent || option.time < view.way;
+            option.is_stated && option.expected_wait <= left && is_sooner
+        })
     }
 }
--- a/crates/dispatch/tests/dispatcher/zone_loads.rs
+++ b/crates/dispatch/tests/dispatcher/zone_loads.rs
@@ -290,3 +290,29 @@
     }
     assert!(is_refused(decide_with(360_000, at(1401))));
 }
+
+/// Guards against calls to zones that answer late, which use up the time of a request that its home zone would serve.
+#[test]
+fn zones_that_answer_late_are_left_out_if_another_serves_in_time() {
+    let loads = loads_of([load(0, 100), load(2, 0), load(2, 0)], at(0));
+    let ids = zone_ids();
+    loads.record_silence(&ids[1], at(0));
+    let terms = OrderTerms {
+        home: &ids[0],
+        priority: 1,
+        length: BodyLength::new(0),
+    };
+    let views = terms.order(loads.views(&service(), &ids, at(0)));
+    let mut choice = WaitChoice::new(terms, views);
+    assert!(!choice.leaves_out(&ids[1], WAIT), "no zone serves it yet");
+    choice.add_stated(&ids[0], millis(100));
+    assert!(choice.leaves_out(&ids[1], WAIT));
+    assert!(
+        !choice.leaves_out(&ids[1], millis(50)),
+        "the wait is too long"
+    );
+    assert!(
+        !choice.leaves_out(&ids[2], WAIT),
+        "the zone answers in time"
+    );
+}
--- a/crates/gateway/src/target_search.rs
+++ b/crates/gateway/src/target_search.rs
@@ -29,6 +29,10 @@
 /// Maximum number of permits of one zone in a row that a request does not use because this host knows better.
 const UNUSABLE_GRANTS_MAX: usize = 3;
 
+/// Fraction of the time left, in tenths, in which a dispatcher must have answered; the host decides for itself after it.
+/// A request that waits for all hosts of all zones has no time left for its target.
+const SILENCE_TENTHS: u32 = 2;
+
 impl RequestAttempts {
     /// Returns what a refusal by the loads of the zones depends on.
     fn door_request(&self) -> DoorRequest<'_> {
@@ -67,8 +71,16 @@
         may_wait: bool,
     ) -> Result<PermittedTarget, AdmitAnswer> {
         let mut search = self.new_search(may_wait);
+        let silence_max = self.budget().left * SILENCE_TENTHS / 10;
+        let silent_at = self.state.now().after(silence_max);
         let least_trust = TargetTrust::Unknown;
         for zone in search.zones.clone() {
+            if search.is_unanswered && self.state.now() > silent_at {
+                return self.find_target_locally().await;
+            }
+            if may_wait && search.choice.leaves_out(&zone, self.door_request().wait) {
+                continue;
+            }
             let request = self.admit_request(Some(&zone), Duration::ZERO, least_trust);
             match self.request_permit(&zone, request, &mut search).await {
                 Err(refusal) if search.continues_after(&zone, &refusal) => {}
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 )]
 
 mod configuration;
+mod fleet_start;
 mod metrics;
 mod peers;
 mod pipelining;
