--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 
 mod configuration;
 mod early_answers;
+mod fleet_start;
 mod metrics;
 mod peers;
 mod pipelining;
