--- a/crates/dispatch/src/target_selection.rs
+++ b/crates/dispatch/src/target_selection.rs
@@ -89,12 +89,10 @@
     trust: Option<TargetTrust>,
     /// Step of the age of the last good answer for non-idempotent requests, see [`staleness_of`]; 0 for others.
     staleness: u32,
-    /// Step of the expected time, see [`slowness_of`].
-    slowness: u32,
     is_unconnected: bool,
     open_count: usize,
-    /// Expected time to the answer.
-    expected_time: Duration,
+    /// Step of the expected time, see [`slowness_of`].
+    slowness: u32,
     /// Time since the last good answer.
     answer_age: Duration,
 }
@@ -125,7 +123,7 @@
 }
 
 /// Returns the step that an expected time falls into. Step 0 ends at half the mean of the pool, and each further step at
-/// twice the time of the one before; within a step, a connection counts more than the time.
+/// twice the time of the one before.
 fn slowness_of(expected_time: Duration, mean_latency: Duration) -> u32 {
     let halves = expected_time.as_micros() * 2 / mean_latency.as_micros().max(1);
     halves.checked_ilog2().map_or(0, |step| step + 1)
@@ -235,7 +233,6 @@
             slowness: slowness_of(expected_time, self.state.mean_latency),
             is_unconnected: !request.connected.contains(id),
             open_count: target.open_count(),
-            expected_time,
             answer_age,
         }
     }
