--- a/crates/directory/src/tracker.rs
+++ b/crates/directory/src/tracker.rs
@@ -3,6 +3,9 @@
 //! The store removes entries whose targets could not renew them during an outage, and such targets register again
 //! within about two seconds of its recovery. An entry that is removed in that time stays in use until the
 //! time is over. At any other time a removed entry means that the target has left.
+//!
+//! If the store comes back from an older copy, a full read or another host's directory of the new era replaces the
+//! directory, except for what this host knows to be later (see `copies.rs`).
 
 use std::{
     sync::Arc,
@@ -20,17 +23,31 @@
         ContactAge,
         StorePart, //
     },
-    outage::OutageDetector,
+    eras::{
+        EraClock,
+        EraSighting,
+        KeptEntries, //
+    },
+    outage::{
+        OutageDetector,
+        ServedSpan, //
+    },
+    position::{
+        PartPositions,
+        StoreEra,
+        StorePosition, //
+    },
     removals::RemovalMemory,
     targets::{
         ContentDigest,
-        PartRevisions,
-        StoreRevision,
         TargetDirectory,
         TargetEntry, //
     },
 };
 
+mod adoption;
+mod copies;
+
 /// A change of the directory that was read from the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum DirectoryChange {
@@ -44,13 +61,15 @@
     ZoneRestored(ZoneId),
 }
 
-/// The directory of one host, with the revisions up to which each part of the store was read.
+/// The directory of one host, with the positions up to which each part of the store was read.
 #[derive(Debug, Default)]
 pub struct DirectoryTracker {
     directory: Arc<TargetDirectory>,
-    revisions: PartRevisions,
-    /// Targets whose entries lapsed in an outage, with the time until which they stay in use.
-    lapsed: IndexMap<TargetId, MonoTime>,
+    /// The directory without what is only kept.
+    registered: Arc<TargetDirectory>,
+    positions: PartPositions,
+    kept: KeptEntries,
+    eras: EraClock,
     removals: RemovalMemory,
     /// Time of the latest answer of the store about targets.
     targets_read_at: Option<MonoTime>,
@@ -74,115 +93,132 @@
         &self.directory
     }
 
-    /// Returns the targets whose entries lapsed in an outage, with the time until which they stay in use.
+    /// Returns the targets whose entries lapsed in an outage, or are missing in the copy from which the store came back,
+    /// with the time until which they stay in use.
     pub fn lapsed(&self) -> &IndexMap<TargetId, MonoTime> {
-        &self.lapsed
+        &self.kept.targets
     }
 
-    /// Returns the revisions up to which the parts were read.
-    pub fn revisions(&self) -> PartRevisions {
-        self.revisions
+    /// Returns the latest era of the store that this host knows of.
+    pub fn era(&self) -> StoreEra {
+        self.eras.era()
     }
 
-    /// Takes over the parts of another host's directory that were read from the store later. For the host that this
-    /// one follows, the same revision suffices, and the entries that it keeps after an outage count; otherwise this host
-    /// decides itself which entries it keeps, and does not take back those that it has removed. Returns `false` if a part
-    /// of the other directory is older.
-    ///
-    /// The parts are read independently, so that each of two hosts may have the later state of one part. A part that
-    /// was read later on this host stays: its changes would be lost, as the watches continue after them.
-    pub fn adopt(
-        &mut self,
-        directory: TargetDirectory,
-        revisions: PartRevisions,
-        is_from_upstream: bool,
-        now: MonoTime,
-    ) -> bool {
-        let is_taken = |part| {
-            let (theirs, ours) = (revisions.part(part), self.revisions.part(part));
-            theirs > ours || is_from_upstream && theirs == ours
-        };
-        let is_older = |part| revisions.part(part) < self.revisions.part(part);
-        let is_current = !StorePart::ALL.into_iter().any(is_older);
-        let taken = StorePart::ALL.map(is_taken);
-        if taken == [false; 2] {
-            return is_current;
-        }
-        let mut next = (*self.directory).clone();
-        let [takes_zones, takes_targets] = taken;
-        if takes_zones {
-            self.revisions.operator = revisions.operator;
-            next.evacuated = directory.evacuated;
+    /// Returns what this host tells others about the era of the store.
+    pub fn era_sighting(&self, now: MonoTime) -> EraSighting {
+        self.eras.sighting(now)
+    }
+
+    /// Records the era that an answer of the store or another host states. What is kept in use gets the time to register in
+    /// the new era, too.
+    pub fn on_era(&mut self, era: StoreEra, now: MonoTime) {
+        if !self.eras.on_era(era) {
+            return;
         }
-        if takes_targets {
-            self.revisions.targets = revisions.targets;
-            next.targets = directory.targets;
-            if !is_from_upstream {
-                let kept = self.keep_missing(&next.targets, now);
-                let removals = &self.removals;
-                next.targets.retain(|_, entry| !removals.is_removed(entry));
-                next.targets.extend(kept);
-            }
-            // The other host may keep a lapsed entry too, and the removal is not delivered again.
-            self.lapsed.retain(|id, _| next.targets.contains_key(id));
+        self.removals.on_era(now);
+        if let Some(end) = self.eras.registration_end(now) {
+            self.kept.extend(end);
         }
-        self.set_directory(next, now);
-        is_current
     }
 
-    /// Returns the entries that another host's directory lacks and that stay in use on this host, as it knows of an outage
-    /// of the store in which they may have lapsed.
-    fn keep_missing(
-        &mut self,
-        registered: &IndexMap<TargetId, TargetEntry>,
-        now: MonoTime,
-    ) -> IndexMap<TargetId, TargetEntry> {
-        let end = self.outage.adoption_end(now);
-        let mut kept = IndexMap::new();
-        for (id, entry) in &self.directory.targets {
-            if registered.contains_key(id) {
-                continue;
-            }
-            match (self.lapsed.get(id), end) {
-                (Some(until), _) if now < *until => {}
-                (None, Some(end)) => {
-                    self.lapsed.insert(id.clone(), end);
-                }
-                _ => continue,
-            }
-            kept.insert(id.clone(), entry.clone());
+    /// Records what another host knows about the era of the store.
+    pub fn on_era_sighting(&mut self, sighting: EraSighting, now: MonoTime) {
+        self.on_era(sighting.era, now);
+        if let Some(millis) = sighting.age_millis {
+            let age = Duration::from_millis(millis.into());
+            self.eras.on_contact(sighting.era, age, now);
+            self.limit_kept(now);
         }
-        kept
     }
 
-    /// Returns the directory without the entries that only this host keeps in use after an outage. Another dispatcher
-    /// decides by what it knows itself whether there was an outage: this host may have been cut off from the store and
-    /// from all others, while targets left.
+    /// Ends what is kept when the time to register ends by the latest knowledge: another host may have had its first contact
+    /// in the era earlier, or may have been served while this one was cut off.
+    fn limit_kept(&mut self, now: MonoTime) {
+        let (era_end, outage_end) = (
+            self.eras.registration_end(now),
+            self.outage.adoption_end(now),
+        );
+        self.kept.limit(era_end.max(outage_end).unwrap_or(now));
+        self.drop_lapsed(now);
+    }
+
+    /// Returns the positions up to which the parts were read.
+    pub fn positions(&self) -> PartPositions {
+        self.positions
+    }
+
+    /// Returns the directory without the entries that only this host keeps in use after an outage. Another host decides by
+    /// what it knows itself whether there was an outage: this host may have been cut off from the store and from all
+    /// others, while targets left.
     pub fn registered(&self) -> Arc<TargetDirectory> {
-        if self.lapsed.is_empty() {
-            return self.directory.clone();
+        self.registered.clone()
+    }
+
+    /// Returns the time in which hosts known to this one had contacts with the store without a gap.
+    pub fn served_span(&self, now: MonoTime) -> Option<ServedSpan> {
+        self.outage.served_span(now)
+    }
+
+    /// Records the time in which another host knew of contacts with the store without a gap. If this host was cut off in
+    /// that time, the entries that it kept are dropped. Returns `true` in that case.
+    pub fn on_served(&mut self, span: ServedSpan, sent_at: MonoTime, now: MonoTime) -> bool {
+        if !self.outage.on_served(span, sent_at, now) {
+            return false;
+        }
+        self.limit_kept(now);
+        true
+    }
+
+    /// Drops what was kept and was not written again in time.
+    pub fn drop_lapsed(&mut self, now: MonoTime) {
+        if self.kept.is_due(now) {
+            let mut next = (*self.directory).clone();
+            self.expire_kept(&mut next, now);
+            self.set_directory(next, now);
+        }
+    }
+
+    fn expire_kept(&mut self, next: &mut TargetDirectory, now: MonoTime) {
+        for id in self.kept.expire(next, now) {
+            if let Some(entry) = next.targets.shift_remove(&id) {
+                self.removals.on_lapse(&entry, now);
+            }
         }
-        let mut registered = (*self.directory).clone();
-        registered
-            .targets
-            .retain(|id, _| !self.lapsed.contains_key(id));
-        registered.update_digest();
-        Arc::new(registered)
     }
 
-    /// Records that another host has a content up to its revisions. They count for this host only while it has the same
-    /// content: it would ignore the changes between its own revisions and those.
-    pub fn confirm_revisions(&mut self, content: ContentDigest, revisions: PartRevisions) {
-        if content != self.directory.content {
+    /// Records that another host has a content up to its positions. They count for this host only while it has the same
+    /// content: it would ignore the changes between its own positions and those.
+    pub fn confirm_positions(
+        &mut self,
+        content: ContentDigest,
+        positions: PartPositions,
+        now: MonoTime,
+    ) {
+        if content != self.registered.content {
             return;
         }
+        self.on_era(positions.latest().era, now);
         for part in StorePart::ALL {
-            let known = self.revisions.part_mut(part);
-            *known = revisions.part(part).max(*known);
+            let known = self.positions.part_mut(part);
+            *known = positions.part(part).max(*known);
         }
         let mut next = (*self.directory).clone();
-        next.as_of = self.revisions.both();
+        next.as_of = self.positions.both();
+        self.store(next);
+    }
+
+    /// Replaces the directory by one whose digest is up to date.
+    fn store(&mut self, next: TargetDirectory) {
         self.directory = Arc::new(next);
+        self.registered = match self.kept.is_empty() {
+            true => self.directory.clone(),
+            false => {
+                let mut registered = (*self.directory).clone();
+                self.kept.strip(&mut registered);
+                registered.update_digest();
+                Arc::new(registered)
+            }
+        };
     }
 
     fn set_directory(&mut self, mut next: TargetDirectory, now: MonoTime) {
@@ -193,9 +229,9 @@
         }
         let is_registered = |id: &TargetId| next.targets.contains_key(id);
         self.removals.forget(is_registered, now);
-        next.as_of = self.revisions.both();
+        next.as_of = self.positions.both();
         next.update_digest();
-        self.directory = Arc::new(next);
+        self.store(next);
     }
 
     /// Records an answer of the store to this host. Returns the time for which its calls had failed, if the last one
@@ -226,47 +262,81 @@
         self.outage.has_registration_ended(read_at, now)
     }
 
-    /// Applies a full read of the evacuated zones. Zones that are missing count as restored.
+    /// Records an answer of the store, and returns `true` if it counts: it is not of an earlier era than the latest one,
+    /// and not older than what was read of the part.
+    fn on_answer(&mut self, part: StorePart, as_of: StorePosition, now: MonoTime) -> bool {
+        self.on_era(as_of.era, now);
+        self.eras.on_contact(as_of.era, Duration::ZERO, now);
+        as_of.era == self.eras.era() && as_of >= self.positions.part(part)
+    }
+
+    /// Applies a full read of the evacuated zones. Zones that are missing count as restored, unless they are missing in
+    /// the copy from which the store has come back.
     pub fn replace_zones(
         &mut self,
         evacuated: IndexSet<ZoneId>,
-        as_of: StoreRevision,
+        as_of: StorePosition,
         now: MonoTime,
     ) {
-        let restored = self.directory.evacuated.difference(&evacuated);
-        let restored = restored.cloned().map(DirectoryChange::ZoneRestored);
-        let mut changes: Vec<DirectoryChange> = restored.collect();
-        changes.extend(evacuated.into_iter().map(DirectoryChange::ZoneEvacuated));
-        self.apply(StorePart::Operator, changes, as_of, now);
+        if !self.on_answer(StorePart::Operator, as_of, now) {
+            return;
+        }
+        let has_new_era = as_of.era > self.positions.operator.era;
+        self.positions.operator = as_of;
+        let mut next = (*self.directory).clone();
+        match has_new_era {
+            true => self.take_zone_copy(&mut next, evacuated, now),
+            false => self.take_zones(&mut next, evacuated),
+        }
+        self.expire_kept(&mut next, now);
+        self.set_directory(next, now);
     }
 
-    /// Applies a full read of the entries of all targets. Targets that are missing count as removed.
+    /// Applies a full read of the entries of all targets. Targets that are missing count as removed, unless they are missing
+    /// in the copy from which the store has come back.
     pub fn replace_targets(
         &mut self,
         entries: Vec<TargetEntry>,
-        as_of: StoreRevision,
+        as_of: StorePosition,
         now: MonoTime,
     ) {
-        let listed: IndexSet<&TargetId> = entries.iter().map(|entry| &entry.id).collect();
-        let known = self.directory.targets.keys();
-        let missing = known.filter(|id| !listed.contains(id)).cloned();
-        let mut changes: Vec<DirectoryChange> =
-            missing.map(DirectoryChange::TargetRemoved).collect();
-        changes.extend(entries.into_iter().map(DirectoryChange::TargetUpdated));
-        self.apply(StorePart::Targets, changes, as_of, now);
+        if !self.on_answer(StorePart::Targets, as_of, now) {
+            return;
+        }
+        if as_of.era == self.positions.targets.era {
+            let listed: IndexSet<&TargetId> = entries.iter().map(|entry| &entry.id).collect();
+            let known = self.directory.targets.keys();
+            let is_missing =
+                |id: &&TargetId| !listed.contains(id) && !self.kept.targets.contains_key(*id);
+            let missing = known.filter(is_missing).cloned();
+            let mut changes: Vec<DirectoryChange> =
+                missing.map(DirectoryChange::TargetRemoved).collect();
+            changes.extend(entries.into_iter().map(DirectoryChange::TargetUpdated));
+            self.apply(StorePart::Targets, changes, as_of, now);
+            return;
+        }
+        self.positions.targets = as_of;
+        let mut next = (*self.directory).clone();
+        let outage_end = self.outage.registration_end(now);
+        self.take_copy(&mut next, entries.into_iter(), outage_end, now);
+        self.targets_read_at = Some(now);
+        self.expire_kept(&mut next, now);
+        self.set_directory(next, now);
     }
 
-    /// Applies the changes of one part up to a revision. An answer at an older revision of the part is ignored. The
+    /// Applies the changes of one part that a watch returned, up to a position. An answer at an older position of the part
+    /// is ignored, and so is one of an earlier era. One of a later era only shows the era: it must be read in full. The
     /// parts are read independently, so an answer about one may follow a later answer about the other.
     pub fn apply(
         &mut self,
         part: StorePart,
         changes: Vec<DirectoryChange>,
-        as_of: StoreRevision,
+        as_of: StorePosition,
         now: MonoTime,
     ) {
-        let known = self.revisions.part_mut(part);
-        if as_of < *known {
+        let counts = self.on_answer(part, as_of, now);
+        let known = self.positions.part_mut(part);
+        if !counts || as_of.era != known.era {
             return;
         }
         *known = as_of;
@@ -277,7 +347,7 @@
         if part == StorePart::Targets {
             self.targets_read_at = Some(now);
         }
-        remove_lapsed(&mut self.lapsed, &mut next, now);
+        self.expire_kept(&mut next, now);
         self.set_directory(next, now);
     }
 
@@ -285,9 +355,10 @@
         match change {
             DirectoryChange::TargetRemoved(id) => match self.outage.registration_end(now) {
                 Some(end) => {
-                    self.lapsed.entry(id).or_insert(end);
+                    self.kept.targets.entry(id).or_insert(end);
                 }
                 None => {
+                    self.kept.targets.shift_remove(&id);
                     if let Some(entry) = next.targets.shift_remove(&id) {
                         self.removals.on_removal(&entry, now);
                     }
@@ -295,9 +366,11 @@
             },
             DirectoryChange::TargetUpdated(entry) => self.apply_entry(next, entry, now),
             DirectoryChange::ZoneEvacuated(zone) => {
+                self.kept.zones.shift_remove(&zone);
                 next.evacuated.insert(zone);
             }
             DirectoryChange::ZoneRestored(zone) => {
+                self.kept.zones.shift_remove(&zone);
                 next.evacuated.shift_remove(&zone);
             }
         }
@@ -314,10 +387,14 @@
             }
             return;
         };
-        let is_earlier = known.born == entry.born && entry.sequence < known.sequence;
+        // The copy may hold the entry of an earlier incarnation.
+        if known.is_born_after(&entry) && self.eras.registration_end(now).is_some() {
+            return;
+        }
+        let is_earlier = known.is_written_after(&entry);
         // A target that does not state its start may have begun to count anew after its entry lapsed.
         if !is_earlier || entry.born == 0 {
-            self.lapsed.shift_remove(&entry.id);
+            self.kept.targets.shift_remove(&entry.id);
         }
         if is_earlier {
             return;
@@ -331,18 +408,3 @@
         }
     }
 }
-
-/// Removes the lapsed targets that did not register again in time.
-fn remove_lapsed(
-    lapsed: &mut IndexMap<TargetId, MonoTime>,
-    directory: &mut TargetDirectory,
-    now: MonoTime,
-) {
-    lapsed.retain(|id, until| {
-        let is_over = now >= *until;
-        if is_over {
-            directory.targets.shift_remove(id);
-        }
-        !is_over
-    });
-}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -3,12 +3,15 @@
 //! - [`messages`]: requests from hosts to a dispatcher, and its answers.
 //! - [`evidence`]: trust in a target, derived from the results of its recent attempts.
 //! - [`pacer`]: request rate of a cold target.
+//! - [`path_reports`]: failed connections of single hosts to a target.
 //! - [`completion_window`]: completion rate of a pool over the last second.
 //! - [`failure_window`]: part of the attempts of a pool that failed in the last two seconds.
 //! - [`fleet_share`]: the part of the fleet that a dispatcher decides for.
 //! - [`excluded_targets`]: targets that one host sends nothing to, although the directory lists them.
 //! - [`target_limit`]: the request rate that a target states.
+//! - `target_selection`: the target of a request.
 //! - [`target_slots`]: the concurrency limit of one target.
+//! - [`target_speed`]: the times of a target's answers.
 //! - [`waiting_queue`]: requests that wait for a slot.
 //! - [`priority_line`]: requests of one priority that wait.
 //! - [`team_turns`]: fair queueing over teams.
@@ -17,7 +20,7 @@
 //! - [`pool_queue`]: which requests wait, and which are turned away.
 //! - [`pool_answer`]: the decisions of a pool.
 //! - [`pool_load`]: the load of a pool.
-//! - [`service_pool`]: the targets of a service in a zone, and target selection.
+//! - [`service_pool`]: the targets of a service in a zone, and the requests that wait for one.
 //! - [`retry_terms`]: the retry budget of one dispatcher.
 //! - [`rate_lease`]: which host lends its unit of the team rates to which dispatcher.
 //! - [`fleet_roster`]: the number of hosts among which the team rates are divided.
@@ -42,6 +45,7 @@
 pub mod fleet_share;
 pub mod messages;
 pub mod pacer;
+pub mod path_reports;
 pub mod pool_answer;
 pub mod pool_load;
 pub mod pool_queue;
@@ -52,7 +56,9 @@
 pub mod return_schedule;
 pub mod service_pool;
 pub mod target_limit;
+pub(crate) mod target_selection;
 pub mod target_slots;
+pub mod target_speed;
 pub mod team_bucket;
 pub mod team_tokens;
 pub mod team_turns;
@@ -85,6 +91,7 @@
             PermitNumber,
             PermitReply,
             ReleaseNotice,
+            TargetChoice,
             TeamTokens,
             TeamUsage,
             TicketNumber,
--- a/crates/dispatch/src/target_slots.rs
+++ b/crates/dispatch/src/target_slots.rs
@@ -17,10 +17,12 @@
         ReleaseNotice, //
     },
     pacer::ColdPacer,
+    path_reports::PathReports,
     target_limit::{
         LimitState,
         TargetLimiter, //
     },
+    target_speed::TargetSpeed,
 };
 
 /// Time for which a permit outlives its request, so that a release in transit still finds it.
@@ -55,11 +57,15 @@
     entry: TargetEntry,
     permits: IndexMap<PermitNumber, OpenPermit>,
     evidence: TargetEvidence,
+    path_reports: PathReports,
+    speed: TargetSpeed,
     pacer: ColdPacer,
     limiter: TargetLimiter,
     /// Time at which the directory listed this incarnation.
     listed_at: MonoTime,
     granted_at: Option<MonoTime>,
+    /// Latest grant whose request has ended and did reach the target.
+    reached_at: Option<MonoTime>,
     /// Whether the address belongs to another target by now.
     is_misdirected: bool,
     /// Whether the target said that it leaves, which the directory may show later.
@@ -77,10 +83,13 @@
             entry,
             permits: IndexMap::new(),
             evidence: TargetEvidence::new(),
+            path_reports: PathReports::new(),
+            speed: TargetSpeed::new(),
             pacer,
             limiter: TargetLimiter::new(),
             listed_at: now,
             granted_at: None,
+            reached_at: None,
             is_misdirected: false,
             is_leaving: false,
         }
@@ -167,10 +176,19 @@
     /// always has a free slot and would attract the load of the whole pool, so it gets at most one request each
     /// 300 ms.
     pub fn allows_trial(&self, now: MonoTime) -> bool {
-        let is_due = self
-            .granted_at
-            .is_none_or(|at| now.since(at) >= TRIAL_PAUSE);
-        !self.evidence.is_failing() || is_due && self.permits.is_empty()
+        !self.evidence.is_failing() || self.is_trial_due(now) && self.permits.is_empty()
+    }
+
+    /// Returns the mean time of an answer; that of the pool before the first one.
+    pub fn mean_time(&self, pool_mean: Duration) -> Duration {
+        self.speed.mean(pool_mean)
+    }
+
+    /// Returns the expected time to the answer of a further request.
+    pub fn expected_time(&self, pool_mean: Duration, now: MonoTime) -> Duration {
+        let permits = self.permits.values();
+        let ages = permits.map(|permit| now.since(permit.granted_at));
+        self.speed.expected_time(pool_mean, self.entry.slots, ages)
     }
 
     /// Returns the trust in the target. A request that has been open for longer than `stuck_after` makes the
@@ -205,9 +223,19 @@
         self.granted_at
     }
 
-    /// Returns the time since the last grant or, before the first one, since the directory lists the target.
+    /// Returns the time since the last grant or, before the first one, since the directory lists the target. A grant whose
+    /// host found no connection does not count, as the target got no request.
     pub fn idle_time(&self, now: MonoTime) -> Duration {
-        now.since(self.granted_at.unwrap_or(self.listed_at))
+        let open = self.permits.values().map(|permit| permit.granted_at);
+        let used_at = open.max().max(self.reached_at);
+        now.since(used_at.unwrap_or(self.listed_at))
+    }
+
+    /// Returns `true` if the latest grant is long enough ago for a trial. Those whose hosts found no connection leave the
+    /// target idle, and must not draw every request.
+    pub fn is_trial_due(&self, now: MonoTime) -> bool {
+        self.granted_at
+            .is_none_or(|at| now.since(at) >= TRIAL_PAUSE)
     }
 
     /// Occupies a slot with a permit that expires shortly after the request's time is over, and returns the time at
@@ -248,11 +276,29 @@
         self.is_misdirected |= notice.result == AttemptResult::Misdirected;
         effect.is_blocked = match notice.result {
             AttemptResult::Hung => self.evidence.record_hang(permit.granted_at, now),
+            AttemptResult::Unreachable => self.on_unreached(notice.host.as_ref(), now),
             result => self.evidence.record(result, now),
         };
+        if notice.result != AttemptResult::Unreachable {
+            self.reached_at = self.reached_at.max(Some(permit.granted_at));
+        }
+        let elapsed = Duration::from_millis(notice.elapsed_millis.into());
+        match notice.result {
+            AttemptResult::Good => {
+                self.path_reports.clear();
+                self.speed.record(elapsed);
+            }
+            AttemptResult::Hung | AttemptResult::Cancelled => self.speed.record_unanswered(elapsed),
+            _ => {}
+        }
         effect
     }
 
+    /// Records that a host found no connection, and returns `true` if that blocks a target that was not blocked.
+    fn on_unreached(&mut self, host: Option<&HostId>, now: MonoTime) -> bool {
+        self.path_reports.record(host, now) && self.evidence.record(AttemptResult::Unreachable, now)
+    }
+
     /// Frees the slots of expired permits, whose hosts did not release them.
     pub fn expire(&mut self, now: MonoTime) {
         self.permits.retain(|_, permit| now < permit.ends_at);
--- a/crates/dispatch/tests/dispatcher/main.rs
+++ b/crates/dispatch/tests/dispatcher/main.rs
@@ -8,13 +8,17 @@
 
 mod charging;
 mod common;
+mod floor;
 mod limits;
 mod overload;
 mod queue_order;
 mod rate_lease;
+mod replay;
+mod replay_plan;
 mod retry_terms;
 mod returns;
 mod selection;
+mod speed;
 mod team_bucket;
 mod time_budget;
 mod trials;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -49,7 +49,9 @@
     attempts: IntCounterVec,
     permits: IntCounterVec,
     copy_age: HistogramVec,
+    granted_time: HistogramVec,
     config_version: IntGauge,
+    store_era: IntGauge,
     refused_documents: IntCounter,
     door_refusals: IntCounter,
     calls_saved: IntCounterVec,
@@ -82,6 +84,10 @@
             "gateway_copy_age_seconds",
             "Age of the copy of the store when it was used, by decision, part of the store, and source.",
         );
+        let granted_time = HistogramOpts::new(
+            "gateway_granted_target_seconds",
+            "Expected time to the answer of the targets that this host granted, by choice: rank or trial.",
+        );
         let metrics = Self {
             registry: Registry::new(),
             requests: counter(
@@ -104,10 +110,18 @@
                 copy_age.buckets(COPY_AGE_BUCKETS.to_vec()),
                 &["use", "part", "source"],
             )?,
+            granted_time: HistogramVec::new(
+                granted_time.buckets(LATENCY_BUCKETS.to_vec()),
+                &["choice"],
+            )?,
             config_version: IntGauge::new(
                 "gateway_config_version",
                 "Version of the configuration in force.",
             )?,
+            store_era: IntGauge::new(
+                "gateway_store_era",
+                "Latest era of the store that this host knows of.",
+            )?,
             refused_documents: IntCounter::new(
                 "gateway_documents_refused_total",
                 "Documents of the store that could not be decoded, counted at each read.",
@@ -174,7 +188,9 @@
         registry.register(Box::new(metrics.attempts.clone()))?;
         registry.register(Box::new(metrics.permits.clone()))?;
         registry.register(Box::new(metrics.copy_age.clone()))?;
+        registry.register(Box::new(metrics.granted_time.clone()))?;
         registry.register(Box::new(metrics.config_version.clone()))?;
+        registry.register(Box::new(metrics.store_era.clone()))?;
         registry.register(Box::new(metrics.refused_documents.clone()))?;
         registry.register(Box::new(metrics.door_refusals.clone()))?;
         registry.register(Box::new(metrics.calls_saved.clone()))?;
@@ -223,6 +239,12 @@
         self.load_age.observe(age.as_secs_f64());
     }
 
+    /// Records the expected time of a target that was granted.
+    pub fn on_grant(&self, choice: TargetChoice) {
+        let times = self.granted_time.with_label_values(&[&*choice.to_string()]);
+        times.observe(choice.expected_time.as_secs_f64());
+    }
+
     /// Records the age of a part of the copy of the store when a decision used it.
     pub fn on_copy_use(
         &self,
@@ -246,6 +268,12 @@
             .set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
+    /// Sets the gauge of the store's era.
+    pub fn on_store_era(&self, era: StoreEra) {
+        self.store_era
+            .set(i64::try_from(era.get()).unwrap_or(i64::MAX));
+    }
+
     /// Raises the counter of refused documents to a total.
     pub fn on_refused_documents(&self, total: u64) {
         raise(&self.refused_documents, total);
--- a/crates/gateway/src/peer_calls.rs
+++ b/crates/gateway/src/peer_calls.rs
@@ -79,16 +79,22 @@
     limit: Duration,
 ) -> Result<GatewayMessage, PeerError> {
     let answer = call(state, member.address, message, limit).await;
-    if let Err(PeerError::Connect {
+    if let Err(error) = &answer {
+        suspect(state, member, error);
+    }
+    answer
+}
+
+/// Marks a host that did not answer as suspected.
+pub fn suspect(state: &GatewayState, member: &MemberRecord, error: &PeerError) {
+    // Nothing listens there any more, so the process that held the leases has ended.
+    if let PeerError::Connect {
         is_refused: true, ..
-    }) = &answer
+    } = error
     {
         state.rates.on_ended(member);
     }
-    if let Err(error) = &answer
-        && state.gossip.suspect(&member.host, state.now())
-    {
+    if state.gossip.suspect(&member.host, state.now()) {
         log::warn!("event=peer_lost host={} error=\"{error}\"", member.host);
     }
-    answer
 }
--- a/crates/gateway/src/peer_service.rs
+++ b/crates/gateway/src/peer_service.rs
@@ -69,6 +69,13 @@
     if let Some(millis) = request.lease_millis {
         state.on_lease(&request.member.host, Duration::from_millis(millis.into()));
     }
+    state
+        .store_cache
+        .on_era_sighting(request.era, request.positions.latest(), arrival);
+    if let Some(span) = request.served {
+        let host = &request.member.host;
+        state.store_cache.on_served(span, arrival, host, arrival);
+    }
     if request.is_read_wanted {
         state.on_read_wanted(&request.member.host);
     }
@@ -81,8 +88,8 @@
     let has_changed = |_: &u64| {
         let index = state.store_cache.index();
         let version = index.map(|index| index.config().version());
-        let (directory, revisions) = state.store_cache.shared_directory(request.is_dispatcher);
-        let is_later = is_directory_later(directory.content, revisions, &request);
+        let (directory, positions) = state.store_cache.shared_directory();
+        let is_later = is_directory_later(directory.content, positions, &request);
         version > request.config || is_later || state.is_stopping()
     };
     // A timeout means that nothing has changed. The followers of a host that stops lend their units to another one at once.
@@ -97,13 +104,13 @@
         age.map(|age| whole_millis(age.get()))
     });
     let index = state.store_cache.index();
-    let (directory, revisions) = state.store_cache.shared_directory(request.is_dispatcher);
-    // A host without revisions has just started, or is of a release that takes whole directories only.
-    let has_base = request.revisions != PartRevisions::default();
+    let (directory, positions) = state.store_cache.shared_directory();
+    // A host without positions has just started, or is of a release that takes whole directories only.
+    let has_base = request.positions != PartPositions::default();
     let changes = || state.store_cache.changes_since(request.content, &directory);
     let update = match has_base.then(changes).flatten() {
         _ if directory.content == request.content => DirectoryUpdate::Same,
-        _ if !is_directory_later(directory.content, revisions, &request) => DirectoryUpdate::Older,
+        _ if !is_directory_later(directory.content, positions, &request) => DirectoryUpdate::Older,
         Some(changes) => DirectoryUpdate::Changed(changes),
         None => DirectoryUpdate::Replaced((*directory).clone()),
     };
@@ -121,12 +128,14 @@
         held_millis: whole_millis(now.since(arrival)),
         age_millis,
         target_age_millis,
+        served: state.store_cache.served_span(now),
+        era: state.store_cache.era_sighting(now),
         is_served: state
             .store_cache
             .is_served(state.change_budget().late_age(), now),
         config: config.map(|config| (*config).clone()),
         directory: update,
-        revisions,
+        positions,
         usage: usage_for(state, &request),
         follower_count: state.follower_count(),
         fleet_size: state.fleet_size(),
@@ -136,13 +145,13 @@
 }
 
 /// Returns `true` if a follower can take over a part of this host's directory. It takes over a different state of the same
-/// revisions from the host that it follows; another dispatcher does not.
+/// positions from the host that it follows; another dispatcher does not.
 fn is_directory_later(
     content: ContentDigest,
-    revisions: PartRevisions,
+    positions: PartPositions,
     request: &FollowRequest,
 ) -> bool {
-    let compare = |part| revisions.part(part).cmp(&request.revisions.part(part));
+    let compare = |part| positions.part(part).cmp(&request.positions.part(part));
     let orders = StorePart::ALL.map(compare);
     let is_same_read = orders == [Ordering::Equal; 2];
     let is_later = orders.contains(&Ordering::Greater) || is_same_read && !request.is_dispatcher;
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 
 mod configuration;
 mod early_answers;
+mod fleet_start;
 mod metrics;
 mod peers;
 mod pipelining;
@@ -15,5 +16,6 @@
 mod refused_reads;
 mod requests;
 mod stops;
+mod store_eras;
 mod test_gateway;
 mod zone_loads;
