--- a/crates/directory/src/removals.rs
+++ b/crates/directory/src/removals.rs
@@ -213,8 +213,8 @@
     }
 
     /// Records a write of a target that is not registered. Returns `true` if the target is live, and `false` if the entry
-    /// was left by a late write of a removed incarnation. An entry without the start of its incarnation cannot be told from that of a
-    /// later one.
+    /// was left by a late write of a removed incarnation. An entry without the start of its incarnation cannot be told
+    /// from that of a later one.
     pub fn on_registration(&mut self, entry: &TargetEntry, now: MonoTime) -> bool {
         let Some(removed) = self.removed.get_mut(&entry.id) else {
             return true;
--- a/crates/dispatch/src/fleet_roster.rs
+++ b/crates/dispatch/src/fleet_roster.rs
@@ -104,8 +104,8 @@
         }
     }
 
-    /// Records the size of the fleet as the dispatcher of the zone counts it, or zero from one that does not know it. A process that starts on the smaller side of a
-    /// cut would take that side for the whole fleet.
+    /// Records the size of the fleet as the dispatcher of the zone counts it, or zero from one that does not know it. A
+    /// process that starts on the smaller side of a cut would take that side for the whole fleet.
     pub fn on_size(&mut self, size: u32, now: MonoTime) {
         if size > 0 {
             self.told = Some((size, now));
--- a/crates/dispatch/src/zone_loads.rs
+++ b/crates/dispatch/src/zone_loads.rs
@@ -209,8 +209,8 @@
         zones.iter().map(view_of).collect()
     }
 
-    /// Records that all zones refused a request for want of a slot, with the shortest wait that they stated. Only a request of the same team and priority may be
-    /// refused at the door after it.
+    /// Records that all zones refused a request for want of a slot, with the shortest wait that they stated. Only a request
+    /// of the same team and priority may be refused at the door after it.
     pub fn record_refusal(&self, request: &DoorRequest<'_>, stated_wait: Duration, now: MonoTime) {
         self.services
             .with_or_insert(request.service, ServiceLoads::default, |loads| {
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -2,8 +2,8 @@
 //!
 //! Version 2 added the suspect flag of a target's load, and version 3 the ages and revisions of both parts of the
 //! store, and what targets say about themselves. Version 4 added the positions in the store, the leases of team rates and
-//! the load of pools. A host decodes all versions and answers in the version of the request, so that hosts of two releases work together during a
-//! rolling upgrade.
+//! the load of pools. A host decodes all versions and answers in the version of the request, so that hosts of two
+//! releases work together during a rolling upgrade.
 
 use std::{
     fmt,
