Work out the pace of a pool once for its load

Cause: each answer to a permit request carries the load of its pool, which worked out the pace twice, each time over all targets. Change: one pace serves the time to the next slot and the waits by priority. Behaviour stays as it is.

--- a/crates/dispatch/src/pool_load.rs
+++ b/crates/dispatch/src/pool_load.rs
@@ -24,7 +24,8 @@
         STUCK_FACTOR,
         TRIAL_IDLE_CONNECTED, //
     },
-    target_slots::TargetSlots, //
+    target_slots::TargetSlots,
+    wait_estimate::PoolPace, //
 };
 
 /// Number of priorities whose expected waits are told apart; lower ones share that of the last.
@@ -91,14 +92,15 @@
             .sum();
         let interval = self.completions.mean_interval(slots, now);
         let rate = interval.map(|interval| interval.as_secs_f64().recip() * 1e6);
+        let pace = self.pace(now);
         PoolLoad {
             free_slots: SlotTotal::new(self.free_slots(now)),
             waiting: WaitingCount::new(self.queue.len() as u64),
             completions: rate.map_or(RequestRate::ZERO, |rate| {
                 RequestRate::from_micros(rate as u64)
             }),
-            next_slot_millis: whole_millis(self.pace(now).interval),
-            waits: self.priority_waits(now),
+            next_slot_millis: whole_millis(pace.interval),
+            waits: self.priority_waits(pace),
         }
     }
 
@@ -134,9 +136,8 @@
     }
 
     /// Returns the expected waits of the priorities in which requests wait.
-    fn priority_waits(&self, now: MonoTime) -> Vec<PriorityWait> {
+    fn priority_waits(&self, pace: PoolPace) -> Vec<PriorityWait> {
         let (mut waits, mut ahead) = (Vec::<PriorityWait>::new(), 0);
-        let pace = self.pace(now);
         for (priority, count) in self.queue.counts().filter(|(_, count)| *count > 0) {
             ahead += count;
             if waits.len() == PRIORITIES_MAX {
