Review: show that a 503 of a target that has run the request reaches callers

Cause: a target's 503 without X-Not-Executed counts as run, but is passed on to the caller of an unsafe request, where it promises the opposite.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -20,6 +20,7 @@
         "interim" => interim(&mut world, has_trouble),
         "old-incarnation" => old_incarnation(&mut world, has_trouble),
         "cold-again" => cold_again(&mut world, has_trouble),
+        "grey-refusal" => grey_refusal(&mut world, has_trouble),
         "last-tenant" => last_tenant(&mut world, has_trouble),
         _ => Err(format!("no case {name}")),
     }?;
@@ -75,6 +76,61 @@
     verdict(world, wrong > 0, &format!("{count} of 60 requests were answered, {wrong} of them with 101 and nothing else"))
 }
 
+/// A backend with a gray failure runs requests and then fails them with 503, without the header that says "not run".
+fn grey_refusal(world: &mut World, has_trouble: bool) -> Result<bool, String> {
+    world.store.write("op/config", Some(config(3, TENANTS)));
+    let mut backends = Vec::new();
+    let is_failing = Arc::new(AtomicBool::new(false));
+    for n in 1..=8u8 {
+        // One backend of eight fails two in five of its unsafe requests.
+        let is_failing = (n == 1).then(|| is_failing.clone());
+        let count = AtomicU64::new(0);
+        let handler = move |_: &Backend, head: &str| {
+            let is_faulty = is_failing.as_ref().is_some_and(|is_failing| is_failing.load(Ordering::Relaxed));
+            let fails = is_faulty && head.starts_with("POST /buy/") && count.fetch_add(1, Ordering::Relaxed) % 5 < 2;
+            if !fails {
+                return Action::Run;
+            }
+            let id = header(head, "x-request-id").unwrap_or_default();
+            let text = format!(
+                "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: {id}\r\nX-Response-Signature: 3e1b.07\r\nContent-Length: 6\r\n\r\nfailed"
+            );
+            Action::Write(text.into_bytes())
+        };
+        let id = format!("i-{n}");
+        let backend = Backend::start((&id, "rate", "akl-a"), (world.ip(100 + n), 2, MS(20)), &world.record, Arc::new(handler)).map_err(text)?;
+        backend.register(&world.store);
+        backends.push(backend);
+    }
+    world.start_gateways(1)?;
+    sleep(MS(1500));
+    let (mut refused, mut twice) = (0, 0);
+    let runs = |id: &str| backends.iter().map(|backend| lock(&backend.arrivals).iter().filter(|arrival| arrival.id == id && arrival.was_run).count()).sum::<usize>();
+    is_failing.store(has_trouble, Ordering::Relaxed);
+    let started_at = Instant::now();
+    for n in 0.. {
+        if started_at.elapsed() > MS(6000) {
+            break;
+        }
+        let order = |attempt: u32| -> Result<(u16, usize), String> {
+            let mut client = Client::connect(world.gateways[0].front).map_err(text)?;
+            let id = format!("order-{n}-attempt-{attempt}");
+            let ask = Ask { method: "POST", path: "/buy/a", id: &id, key: Some("k1"), body: b"order", deadline: MS(2000) };
+            let answer = client.ask(&ask, &world.record);
+            Ok((answer.status, runs(&id)))
+        };
+        let (status, run_count) = order(1)?;
+        if [408, 421, 429, 503].contains(&status) {
+            refused += usize::from(run_count > 0);
+            // The promise says that the request has not run: the client sends the order once more.
+            let (_, again) = order(2)?;
+            twice += usize::from(run_count > 0 && again > 0);
+        }
+        sleep(MS(20));
+    }
+    verdict(world, refused > 0, &format!("{refused} unsafe requests were answered with a promise that they had not run, and had run; {twice} orders ran twice, as their clients sent them again"))
+}
+
 /// An earlier incarnation's last write got no answer and is done late, after the next incarnation has left.
 fn old_incarnation(world: &mut World, has_trouble: bool) -> Result<bool, String> {
     world.store.write("op/config", Some(config(3, TENANTS)));
