Review: show that a late write brings a target back that has left

Cause: renewals that change only the sequence number are not read, so the removal of an entry looks like a lapse, after which any later write counts.

Done: case 7 is this plainer case, with one disruption. The late write of an earlier incarnation, and the one that a new reader meets, stay as variants.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -21,6 +21,8 @@
         "old-incarnation" => old_incarnation(&mut world, has_trouble),
         "cold-again" => cold_again(&mut world, has_trouble),
         "grey-refusal" => grey_refusal(&mut world, has_trouble),
+        "late-write" => late_write(&mut world, has_trouble),
+        "new-reader" => new_reader(&mut world, has_trouble),
         "last-tenant" => last_tenant(&mut world, has_trouble),
         _ => Err(format!("no case {name}")),
     }?;
@@ -177,6 +179,89 @@
     ))
 }
 
+/// A backend's write that got no answer is done late, after the backend has left, and the host that reads the store has
+/// changed in between by a planned stop.
+fn new_reader(world: &mut World, has_trouble: bool) -> Result<bool, String> {
+    world.store.write("op/config", Some(config(3, TENANTS)));
+    let make = |id: &str, last: u8| {
+        Backend::start((id, "rate", "akl-a"), (world.ip(last), 2, MS(20)), &world.record, Arc::new(|_: &Backend, _: &str| Action::Run))
+    };
+    let (leaving, other) = (make("i-1", 101).map_err(text)?, make("i-2", 102).map_err(text)?);
+    leaving.register(&world.store);
+    other.register(&world.store);
+    world.start_gateways(3)?;
+    sleep(MS(6000));
+    let late = leaving.next_entry();
+    world.record.line(&format!("i-1 writes {late}, and gets no answer"));
+    let lost_at = Instant::now();
+    let until = |at: u64| sleep((lost_at + MS(at)).saturating_duration_since(Instant::now()));
+    let traffic = Traffic::start(world, 6);
+    until(3300);
+    leaving.is_registered.store(false, Ordering::Relaxed);
+    let left_at = world.store.write("servers/i-1", None);
+    until(3600);
+    world.gateways[0].signal("TERM");
+    world.record.line("gateway 1 gets SIGTERM");
+    until(5500);
+    if has_trouble {
+        world.record.line("the store does the late write of i-1");
+        world.store.write("servers/i-1", Some(late));
+    }
+    sleep(3 * HEARTBEAT);
+    if has_trouble {
+        world.store.write("servers/i-1", None);
+    }
+    traffic.stop();
+    world.gateways[0].kill();
+    let bound = left_at + MS(2000);
+    let arrivals = lock(&leaving.arrivals);
+    let late: Vec<_> = arrivals.iter().filter(|arrival| arrival.at > bound + MS(100) && arrival.was_run).collect();
+    verdict(world, !late.is_empty(), &format!(
+        "{} requests ran at i-1, {} of them later than drainS after the store had acknowledged that it is gone (the last {:.2} s after it)",
+        arrivals.len(), late.len(),
+        late.last().map_or(0.0, |arrival| (arrival.at - left_at).as_secs_f64())
+    ))
+}
+
+/// A backend's write that got no answer is done late, after the backend has left.
+fn late_write(world: &mut World, has_trouble: bool) -> Result<bool, String> {
+    world.store.write("op/config", Some(config(3, TENANTS)));
+    let make = |id: &str, last: u8| {
+        Backend::start((id, "rate", "akl-a"), (world.ip(last), 2, MS(20)), &world.record, Arc::new(|_: &Backend, _: &str| Action::Run))
+    };
+    let (leaving, other) = (make("i-1", 101).map_err(text)?, make("i-2", 102).map_err(text)?);
+    leaving.register(&world.store);
+    other.register(&world.store);
+    world.start_gateways(2)?;
+    sleep(MS(6000));
+    let late = leaving.next_entry();
+    world.record.line(&format!("i-1 renews {late}, and gets no answer"));
+    let lost_at = Instant::now();
+    let until = |at: u64| sleep((lost_at + MS(at)).saturating_duration_since(Instant::now()));
+    let traffic = Traffic::start(world, 6);
+    until(3300);
+    leaving.is_registered.store(false, Ordering::Relaxed);
+    let left_at = world.store.write("servers/i-1", None);
+    until(5500);
+    if has_trouble {
+        world.record.line("the store does the late write of i-1");
+        world.store.write("servers/i-1", Some(late));
+    }
+    sleep(3 * HEARTBEAT);
+    if has_trouble {
+        world.store.write("servers/i-1", None);
+    }
+    traffic.stop();
+    let bound = left_at + MS(2000);
+    let arrivals = lock(&leaving.arrivals);
+    let late: Vec<_> = arrivals.iter().filter(|arrival| arrival.at > bound + MS(100) && arrival.was_run).collect();
+    verdict(world, !late.is_empty(), &format!(
+        "{} requests ran at i-1, {} of them later than drainS after the store had acknowledged that it is gone (the last {:.2} s after it)",
+        arrivals.len(), late.len(),
+        late.last().map_or(0.0, |arrival| (arrival.at - left_at).as_secs_f64())
+    ))
+}
+
 /// A steady flow of requests, each client on a kept connection.
 struct Traffic {
     is_over: Arc<AtomicBool>,
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -143,6 +143,11 @@
         Instant::now()
     }
 
+    /// Returns the present value of an item.
+    pub fn value(&self, key: &str) -> Option<String> {
+        lock(&self.state).items.get(key).map(|item| item.2.clone())
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut buffer = Vec::new();
@@ -377,10 +382,15 @@
         self.seq.store(0, Ordering::Relaxed);
     }
 
+    /// Writes the entry. It changes only if more than `seq` does; otherwise the write renews it, and no watch hears of it.
     pub fn write_entry(&self, store: &Store) {
         let entry = self.next_entry();
-        self.record.line(&format!("{} writes {entry}", self.id));
-        store.write(&self.key(), Some(entry));
+        let without_seq = |text: &str| text.split("\"seq\":").map(|part| part.trim_start_matches(|digit: char| digit.is_ascii_digit()).to_owned()).collect::<String>();
+        let is_renewal = store.value(&self.key()).is_some_and(|known| without_seq(&known) == without_seq(&entry));
+        self.record.line(&format!("{} {} {entry}", self.id, if is_renewal { "renews" } else { "writes" }));
+        if !is_renewal {
+            store.write(&self.key(), Some(entry));
+        }
     }
 
     /// Registers, and renews the entry from then on.
@@ -621,6 +631,11 @@
         self.child.as_ref().map_or(0, Child::id)
     }
 
+    /// Sends a signal to the process by its id.
+    pub fn signal(&self, name: &str) {
+        let _ = Command::new("kill").args(["-s", name, &self.pid().to_string()]).status();
+    }
+
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
