--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -246,6 +246,9 @@
     traffic.stop();
     let bound = left_at + MS(2000);
     let arrivals = lock(&leaving.arrivals);
+    if arrivals.is_empty() {
+        return Err("i-1 got no request at all".to_owned());
+    }
     let late: Vec<_> = arrivals
         .iter()
         .filter(|arrival| arrival.at > bound + MS(100) && arrival.was_run)
@@ -309,6 +312,9 @@
     world.gateways[0].kill();
     let bound = left_at + MS(2000);
     let arrivals = lock(&leaving.arrivals);
+    if arrivals.is_empty() {
+        return Err("i-1 got no request at all".to_owned());
+    }
     let late: Vec<_> = arrivals
         .iter()
         .filter(|arrival| arrival.at > bound + MS(100) && arrival.was_run)
@@ -367,6 +373,9 @@
     traffic.stop();
     let bound = left_at + MS(2000);
     let arrivals = lock(&leaving.arrivals);
+    if arrivals.is_empty() {
+        return Err("i-1 got no request at all".to_owned());
+    }
     let late: Vec<_> = arrivals
         .iter()
         .filter(|arrival| arrival.at > bound + MS(100) && arrival.was_run)
