--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -413,6 +413,11 @@
         self.has_crashed.load(Ordering::Relaxed)
     }
 
+    /// Breaks all connections and serves no further one, or serves again.
+    pub fn set_down(&self, is_down: bool) {
+        self.has_crashed.store(is_down, Ordering::Relaxed);
+    }
+
     pub fn cold_left(&self) -> Duration {
         let until = *lock(&self.cold_until);
         until.map_or(Duration::ZERO, |until| {
