Withhold statuses that promise "not run" for requests that may have run

Callers saw 503 for non-idempotent requests that a target had run.

Cause: classify() took a 503, 429 or 408 without the statement "not run" for an answer to a request that had run, and forward_response() passed its status on unchanged. 408 and 429 also counted as good answers, which ended the search of an idempotent request. Change: AnswerStatement::verdict() in chicorycroft-retry decides from what the answer states whether the request ran and what the caller gets. The adapter reads the statement and names the statuses that promise. An answer that promises without the statement is withheld: the caller gets 502, and an idempotent request is sent to another target first. Conclusion: one table decides proof and status; 421 proves by itself.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -18,7 +18,6 @@
 use http::{
     Request,
     Response,
-    StatusCode,
     header::{
         CONTENT_LENGTH,
         TRANSFER_ENCODING, //
@@ -259,30 +258,21 @@
 
 /// Derives the outcome of an attempt from the target's response.
 fn classify(response: Response<BufferedBody>) -> ExchangeOutcome {
-    let status = response.status();
-    let fields = response.headers();
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        let result = AttemptResult::Misdirected;
-        return ExchangeOutcome::failed(result, RunProof::NotRun, "another-target");
-    }
-    if headers::is_not_run(fields) && !status.is_success() {
-        return ExchangeOutcome::failed(AttemptResult::Shed, RunProof::NotRun, "shed");
-    }
-    if status.is_success() && !headers::is_signed(fields) {
-        let result = AttemptResult::Broken;
-        return ExchangeOutcome::failed(result, RunProof::Unknown, "unsigned");
-    }
-    let result = match status {
-        // The target stopped at the deadline from the request.
-        StatusCode::GATEWAY_TIMEOUT => AttemptResult::Hung,
-        status if status.is_server_error() => AttemptResult::Failed,
-        _ => AttemptResult::Good,
+    let statement = headers::answer_statement(response.status(), response.headers());
+    let verdict = statement.verdict();
+    let result = match (verdict, statement.kind) {
+        (AnswerVerdict::Misdirected, _) => AttemptResult::Misdirected,
+        (AnswerVerdict::Shed, _) => AttemptResult::Shed,
+        (AnswerVerdict::Invalid, _) => AttemptResult::Broken,
+        (_, AnswerKind::TimedOut) => AttemptResult::Hung,
+        (AnswerVerdict::Withheld, _) | (_, AnswerKind::Failure) => AttemptResult::Failed,
+        (AnswerVerdict::Forwarded, _) => AttemptResult::Good,
     };
     ExchangeOutcome {
         result,
-        proof: RunProof::Ran,
-        response: Some(response),
-        reason: "answered",
+        proof: verdict.proof(),
+        response: (verdict == AnswerVerdict::Forwarded).then_some(response),
+        reason: verdict.name(),
         signals: None,
     }
 }
--- a/crates/gateway/tests/gateway/requests.rs
+++ b/crates/gateway/tests/gateway/requests.rs
@@ -121,6 +121,41 @@
     assert_eq!(gateway.received_requests().len(), 2);
 }
 
+/// Guards against a status of a target that promises "not run" for a request which has run: its caller would send the
+/// request once more, and it would run twice.
+#[tokio::test]
+async fn request_that_ran_gets_no_status_that_promises_the_opposite() {
+    for status in [408, 429, 503] {
+        let gateway = TestGateway::new(2).await;
+        for target in &gateway.targets {
+            target.set_default_behaviour(Some(TargetBehaviour::FailWith(status)));
+        }
+        let answer = gateway.call("POST /buy/1", "key-1", "x").await;
+        assert_eq!(answer.status, 502, "{status}");
+        assert!(!answer.head.contains(SIGNATURE), "{status}");
+        let received = gateway.received_requests();
+        assert_eq!(received.len(), 1, "{status}");
+        assert!(received[0].is_run, "{status}");
+        let answer = gateway.call("GET /look/1", "key-1", "").await;
+        assert_eq!(answer.status, 502, "idempotent request, {status}");
+    }
+}
+
+/// Guards against giving up an idempotent request after a status that other targets may not answer with.
+#[tokio::test]
+async fn idempotent_request_is_sent_to_another_target_after_a_false_refusal() {
+    for status in [408, 429, 503] {
+        let gateway = TestGateway::new(2).await;
+        let failing = &gateway.targets[0];
+        failing.set_next_behaviours([TargetBehaviour::FailWith(status)]);
+        let mut answer = gateway.call("GET /look/1", "key-1", "").await;
+        if failing.requests().is_empty() {
+            answer = gateway.call("GET /look/1", "key-1", "").await;
+        }
+        assert_eq!(answer.status, 200, "{status}");
+    }
+}
+
 /// Guards against changing the status of a target's error response.
 #[tokio::test]
 async fn error_response_of_a_target_is_forwarded() {
--- a/crates/retry/tests/retry.rs
+++ b/crates/retry/tests/retry.rs
@@ -169,3 +169,44 @@
     let (run, reason) = (RunVerdict::NotRun, GiveUpReason::NoTime);
     assert_eq!(decision, RetryDecision::GiveUp { run, reason });
 }
+
+/// Guards against a promise of "not run" to callers for a request that may have run (I9), and against losing the proof that
+/// a request did not run: each combination of what an answer can state.
+#[test]
+fn answer_that_promises_not_run_is_forwarded_only_with_proof() {
+    let kinds = [
+        AnswerKind::Success,
+        AnswerKind::Rejection,
+        AnswerKind::Failure,
+        AnswerKind::TimedOut,
+        AnswerKind::Misdirected,
+    ];
+    for kind in kinds {
+        for bits in 0..8 {
+            let statement = AnswerStatement {
+                kind,
+                states_not_run: bits & 1 != 0,
+                promises_not_run: bits & 2 != 0,
+                is_signed: bits & 4 != 0,
+            };
+            let verdict = statement.verdict();
+            let is_failure = kind != AnswerKind::Success && kind != AnswerKind::Misdirected;
+            if is_failure && statement.promises_not_run {
+                assert_ne!(verdict, AnswerVerdict::Forwarded, "{statement:?}");
+            }
+            let is_proven =
+                kind == AnswerKind::Misdirected || is_failure && statement.states_not_run;
+            assert_eq!(
+                verdict.proof() == RunProof::NotRun,
+                is_proven,
+                "{statement:?}"
+            );
+            let is_unsigned_success = kind == AnswerKind::Success && !statement.is_signed;
+            assert_eq!(
+                verdict == AnswerVerdict::Invalid,
+                is_unsigned_success,
+                "{statement:?}"
+            );
+        }
+    }
+}
