Begin a new cold time when a cold target is cold again

Cause: three places took a cold time for a flag. The directory did not replace an entry by an equivalent one, a pool looked at a directory only if its digest had changed, and TargetSlots ignored a cold time while the target was cold. So the end of the first cold time held. Change: a write that states an end more than 0.7 s after the known one begins a new cold time and replaces the entry; TargetDirectory has a second digest, which is not sent, for the host's own pools; the pacer holds until the later end. event=targets_cold logs it.

--- a/crates/directory/src/removals.rs
+++ b/crates/directory/src/removals.rs
@@ -11,7 +11,10 @@
 //!
 //! The same order holds between incarnations: a write of an earlier one is late.
 
-use std::time::Duration;
+use std::{
+    cmp::Ordering,
+    time::Duration, //
+};
 
 use chicorycroft_core::prelude::*;
 use indexmap::IndexMap;
@@ -35,6 +38,10 @@
 /// the platform's six seconds and one read of this host.
 const LATE_WRITE_MAX: Duration = Duration::from_secs(7);
 
+/// Difference of the delays with which this host reads two writes of a cold target. It is that which dispatchers add to a
+/// cold time.
+const COUNTDOWN_DELAY_MAX: Duration = Duration::from_millis(700);
+
 /// Time for which the removal of an entry that a target has removed itself is remembered. It is longer than the life of
 /// an entry that was left by the latest late write.
 const LEFT_MEMORY: Duration = Duration::from_secs(30);
@@ -164,7 +171,10 @@
 /// The incarnation of a registered target.
 #[derive(Clone, Copy, Debug)]
 struct RegisteredIncarnation {
-    born: u64,
+    /// Place of the latest write that was read.
+    latest: WritePlace,
+    /// Place of the entry in use, and the end of the cold time that it states.
+    entry: (WritePlace, MonoTime),
     /// When this host learned of the incarnation.
     since: MonoTime,
     /// Place of the latest write of an earlier incarnation that was late.
@@ -243,8 +253,11 @@
         rejects_earlier: bool,
         now: MonoTime,
     ) {
+        let registered = self.registered.get(&entry.id);
+        let latest = registered.map(|registered| registered.latest);
+        let latest = latest.filter(|latest| latest.born == entry.born);
         let removed = RemovedIncarnation {
-            place: entry.place(),
+            place: entry.place().max(latest.unwrap_or(entry.place())),
             at: now,
             cause,
             pending: None,
@@ -414,17 +427,47 @@
 
     /// Records the entry of a target in use.
     pub fn on_registered(&mut self, entry: &TargetEntry, now: MonoTime) {
+        let place = entry.place();
+        let read = (place, now.after(entry.cold_left));
         let learned = RegisteredIncarnation {
-            born: entry.born,
+            latest: place,
+            entry: read,
             since: now,
             late: None,
         };
         match self.registered.get_mut(&entry.id) {
-            Some(known) if known.born == entry.born => {}
+            Some(known) if known.latest.born == place.born => {
+                known.latest = known.latest.max(place);
+                if known.entry.0 != place {
+                    known.entry = read;
+                }
+            }
             Some(known) => *known = learned,
             None => {
                 self.registered.insert(entry.id.clone(), learned);
             }
         }
     }
+
+    /// Returns the place of an entry relative to that of the latest write that was read of the incarnation in use; `None`
+    /// if it is of another incarnation.
+    pub fn order_of(&self, entry: &TargetEntry) -> Option<Ordering> {
+        let latest = self.registered.get(&entry.id)?.latest;
+        let is_same_start = latest.born == entry.born;
+        is_same_start.then(|| entry.place().cmp(&latest))
+    }
+
+    /// Records a further write of a cold target in use. Returns `true` if it counts down the cold time that began with the
+    /// entry in use, and `false` if the target is cold again.
+    pub fn on_countdown(&mut self, entry: &TargetEntry, now: MonoTime) -> bool {
+        let Some(registered) = self.registered.get_mut(&entry.id) else {
+            return false;
+        };
+        let (_, cold_until) = registered.entry;
+        let is_countdown = now.after(entry.cold_left) <= cold_until.after(COUNTDOWN_DELAY_MAX);
+        if is_countdown {
+            registered.latest = registered.latest.max(entry.place());
+        }
+        is_countdown
+    }
 }
--- a/crates/directory/src/targets.rs
+++ b/crates/directory/src/targets.rs
@@ -92,16 +92,27 @@
 }
 
 impl TargetEntry {
-    /// Returns a digest of the fields that matter for dispatching. The remaining cold time counts only as zero or
-    /// not, as its countdown is no change.
+    /// Returns `true` if the target is cold when it writes this entry.
+    pub fn is_cold(&self) -> bool {
+        !self.cold_left.is_zero()
+    }
+
+    /// Returns a digest of the fields that hosts must agree on. The remaining cold time counts only as zero or not, as its
+    /// countdown is no change.
     fn digest(&self) -> u64 {
         let mut hasher = Xxh3::new();
         (&self.id, &self.service, self.address, &self.zone).hash(&mut hasher);
-        let is_cold = !self.cold_left.is_zero();
-        (self.slots, self.phase, self.born, is_cold).hash(&mut hasher);
+        (self.slots, self.phase, self.born, self.is_cold()).hash(&mut hasher);
         hasher.finish()
     }
 
+    /// Returns a digest of the write that began the cold time of a target; `None` if it is warm.
+    fn cold_digest(&self) -> Option<u64> {
+        let mut hasher = Xxh3::new();
+        (&self.id, self.born, self.sequence).hash(&mut hasher);
+        self.is_cold().then(|| hasher.finish())
+    }
+
     /// Returns the place of the entry among the writes of its target.
     pub fn place(&self) -> WritePlace {
         WritePlace {
@@ -120,8 +131,7 @@
         other.place().is_of_earlier_start(self.place())
     }
 
-    /// Returns `true` if the entries are equal for dispatching: they differ at most in the sequence number and in the
-    /// countdown of the cold time.
+    /// Returns `true` if the entries differ at most in the sequence number and in the remaining cold time of a cold target.
     pub fn is_equivalent(&self, other: &Self) -> bool {
         self.digest() == other.digest()
     }
@@ -134,6 +144,10 @@
     pub as_of: StorePosition,
     /// Digest of the content, see [`TargetDirectory::update_digest`].
     pub content: ContentDigest,
+    /// Digest of the content and of the cold times that this host has read. It is not sent: hosts that read different
+    /// writes of a cold target have the same content.
+    #[serde(skip)]
+    pub local_content: ContentDigest,
     /// All registered targets, including draining ones and those of evacuated zones.
     pub targets: IndexMap<TargetId, TargetEntry>,
     /// Zones whose targets get no new requests.
@@ -146,7 +160,7 @@
         Self::default()
     }
 
-    /// Recomputes the digest of the content. Must be called after each change of the targets or zones.
+    /// Recomputes the digests of the content. Must be called after each change of the targets or zones.
     pub fn update_digest(&mut self) {
         let entries = self.targets.values().map(TargetEntry::digest);
         let zones = self.evacuated.iter().map(|zone| {
@@ -157,6 +171,8 @@
         // A sum does not depend on the order in which changes arrived.
         let sum = entries.chain(zones).fold(0, u64::wrapping_add);
         self.content = ContentDigest(sum);
+        let cold = self.targets.values().filter_map(TargetEntry::cold_digest);
+        self.local_content = ContentDigest(cold.fold(sum, u64::wrapping_add));
     }
 
     /// Returns `true` if a target may get new requests: it is ready, and its zone is not evacuated.
--- a/crates/directory/src/tracker.rs
+++ b/crates/directory/src/tracker.rs
@@ -8,6 +8,7 @@
 //! directory, except for what this host knows to be later (see `copies.rs`).
 
 use std::{
+    cmp::Ordering,
     sync::Arc,
     time::Duration, //
 };
@@ -407,8 +408,8 @@
     }
 
     /// Inserts or replaces an entry. An entry that the same or an earlier incarnation wrote before the known one, or before
-    /// it was removed, arrived late and is ignored. An equivalent one updates only the sequence number, because the
-    /// remaining cold time of a target counts from the first reading of its entry.
+    /// it was removed, arrived late and is ignored. An equivalent one does not replace the known one: the remaining cold
+    /// time of a target counts from the reading of the write that began it, unless the target is cold again.
     fn apply_entry(
         &mut self,
         next: &mut TargetDirectory,
@@ -430,20 +431,25 @@
         {
             return;
         }
-        let is_earlier = known.is_written_after(&entry);
+        let order = self.removals.order_of(&entry);
+        let is_earlier = known.is_written_after(&entry) || order == Some(Ordering::Less);
         // A target that does not state its start may have begun to count anew after its entry lapsed.
         if !is_earlier || entry.born == 0 {
             self.kept.targets.shift_remove(&entry.id);
         }
-        if is_earlier {
+        let is_equivalent = known.is_equivalent(&entry);
+        let is_known_place = known.place() == entry.place() || order == Some(Ordering::Equal);
+        let is_same_write = is_equivalent && is_known_place;
+        if is_earlier || is_same_write {
             return;
         }
-        match known.is_equivalent(&entry) {
+        if is_equivalent && entry.is_cold() && self.removals.on_countdown(&entry, now) {
+            return;
+        }
+        self.removals.on_registered(&entry, now);
+        match is_equivalent && !entry.is_cold() {
             true => known.sequence = entry.sequence,
-            false => {
-                self.removals.on_registered(&entry, now);
-                *known = entry;
-            }
+            false => *known = entry,
         }
     }
 }
--- a/crates/directory/tests/tracker.rs
+++ b/crates/directory/tests/tracker.rs
@@ -740,3 +740,59 @@
     let id = TargetId::new("t-1").unwrap();
     assert_eq!(tracker.directory().targets[&id].born, 5);
 }
+
+/// Returns a write of a target that stays cold for some time.
+fn cold(id: &str, sequence: u64, left_millis: u64) -> DirectoryChange {
+    DirectoryChange::TargetUpdated(TargetEntry {
+        sequence,
+        cold_left: Duration::from_millis(left_millis),
+        ..entry(id, TargetPhase::Ready)
+    })
+}
+
+fn entry_in_use(tracker: &DirectoryTracker, id: &str) -> TargetEntry {
+    tracker.directory().targets[&TargetId::new(id).unwrap()].clone()
+}
+
+/// Guards against a target that counts as warm while it is cold: it was cold again before its first cold time was over, and
+/// the write that says so was taken for the countdown of the first.
+#[test]
+fn target_that_is_cold_again_has_a_new_cold_time() {
+    let mut tracker = tracker_with_two_targets();
+    watch(&mut tracker, 1000, vec![cold("t-1", 6, 3000)]);
+    watch(&mut tracker, 2500, vec![cold("t-1", 7, 1500)]);
+    let first = tracker.directory().local_content;
+    assert_eq!(entry_in_use(&tracker, "t-1").sequence, 6);
+    watch(&mut tracker, 3000, vec![cold("t-1", 8, 3000)]);
+    assert_ne!(tracker.directory().local_content, first);
+    let again = entry_in_use(&tracker, "t-1");
+    assert_eq!((again.sequence, again.cold_left.as_millis()), (8, 3000));
+    watch(&mut tracker, 4500, vec![cold("t-1", 9, 1500)]);
+    assert_eq!(entry_in_use(&tracker, "t-1").sequence, 8);
+}
+
+/// Guards against a cold time without an end: each countdown, read somewhat late, or the same write in a full read began it
+/// anew.
+#[test]
+fn countdown_of_a_cold_time_does_not_begin_it_anew() {
+    let mut tracker = tracker_with_two_targets();
+    watch(&mut tracker, 1000, vec![cold("t-1", 6, 3000)]);
+    watch(&mut tracker, 3000, vec![cold("t-1", 7, 1500)]);
+    let DirectoryChange::TargetUpdated(written) = cold("t-1", 7, 1500) else {
+        panic!("a write is an update");
+    };
+    let entries = vec![written, entry("t-2", TargetPhase::Ready)];
+    let as_of = StorePosition::without_era(StoreRevision::new(3300));
+    tracker.replace_targets(entries, as_of, at(3300));
+    assert_eq!(entry_in_use(&tracker, "t-1").sequence, 6);
+}
+
+/// Guards against a cold target that counts as warm: the store did its last write before it was cold late.
+#[test]
+fn late_write_does_not_end_a_cold_time() {
+    let mut tracker = tracker_with_two_targets();
+    watch(&mut tracker, 1000, vec![cold("t-1", 7, 3000)]);
+    watch(&mut tracker, 2500, vec![cold("t-1", 8, 1500)]);
+    watch(&mut tracker, 2600, vec![written("t-1", 6)]);
+    assert!(entry_in_use(&tracker, "t-1").is_cold());
+}
--- a/crates/dispatch/src/pacer.rs
+++ b/crates/dispatch/src/pacer.rs
@@ -30,9 +30,10 @@
         Self::default()
     }
 
-    /// Marks the target as cold for `left` from `now` on, plus a margin for the delay of its entry.
+    /// Marks the target as cold for `left` from `now` on, plus a margin for the delay of its entry. A target that is cold
+    /// for longer stays so.
     pub fn set_cold(&mut self, left: Duration, now: MonoTime) {
-        self.cold_until = Some(now.after(left + COLD_MARGIN));
+        self.cold_until = self.cold_until.max(Some(now.after(left + COLD_MARGIN)));
     }
 
     /// Returns `true` if the target is cold.
--- a/crates/dispatch/src/service_pool.rs
+++ b/crates/dispatch/src/service_pool.rs
@@ -107,10 +107,10 @@
         (service, zone): (&ServiceId, Option<&ZoneId>),
         now: MonoTime,
     ) {
-        if self.directory_digest == Some(directory.content) {
+        if self.directory_digest == Some(directory.local_content) {
             return;
         }
-        self.directory_digest = Some(directory.content);
+        self.directory_digest = Some(directory.local_content);
         let is_in_zone = |entry: &TargetEntry| zone.is_none_or(|zone| entry.zone == *zone);
         let open: IndexMap<&TargetId, &TargetEntry> = directory
             .open_targets(service)
--- a/crates/dispatch/src/target_slots.rs
+++ b/crates/dispatch/src/target_slots.rs
@@ -76,7 +76,7 @@
     /// Creates the state of a target that the directory lists for the first time.
     pub fn new(entry: TargetEntry, now: MonoTime) -> Self {
         let mut pacer = ColdPacer::new();
-        if !entry.cold_left.is_zero() {
+        if entry.is_cold() {
             pacer.set_cold(entry.cold_left, now);
         }
         Self {
@@ -107,7 +107,8 @@
             self.permits = permits;
             return;
         }
-        if !entry.cold_left.is_zero() && !self.pacer.is_cold(now) {
+        let is_later_write = !self.entry.is_cold() || self.entry.sequence != entry.sequence;
+        if entry.is_cold() && is_later_write {
             self.pacer.set_cold(entry.cold_left, now);
         }
         self.entry = entry.clone();
--- a/crates/dispatch/tests/dispatcher/selection.rs
+++ b/crates/dispatch/tests/dispatcher/selection.rs
@@ -185,6 +185,53 @@
     assert!(sent.len() >= 6, "a cold target gets some work");
 }
 
+/// Returns the most requests that a cold target gets in one second from a dispatcher that sends as often as it may, with the
+/// entries that the directory lists from some times on.
+fn most_in_a_second(listed: &[(u64, TargetEntry)], until: u64) -> usize {
+    let dispatcher = ZoneDispatcher::new(0);
+    let mut sent: Vec<u64> = Vec::new();
+    for millis in (0..until).step_by(10) {
+        let present = listed.iter().rev().find(|(from, _)| *from <= millis);
+        let directory = directory(
+            present
+                .into_iter()
+                .map(|(_, entry)| entry.clone())
+                .collect(),
+        );
+        let request = request(&millis.to_string());
+        if let PoolAnswer::Granted(grant) = admit(&dispatcher, &directory, &request, at(millis)) {
+            release(&dispatcher, &grant, AttemptResult::Good, at(millis));
+            sent.push(millis);
+        }
+    }
+    let in_second = |from: &u64| {
+        sent.iter()
+            .filter(|at| (*from..from + 1000).contains(*at))
+            .count()
+    };
+    sent.iter().map(in_second).max().unwrap_or(0)
+}
+
+/// Guards against a cold target that gets the load of a warm one and crashes: it was cold again before its first cold time
+/// was over, which it says with the same time left.
+#[test]
+fn target_that_is_cold_again_stays_paced() {
+    let cold = |sequence| TargetEntry {
+        cold_left: Duration::from_secs(3),
+        sequence,
+        ..entry(0)
+    };
+    let listed = [(0, cold(1)), (2000, cold(3))];
+    let most = most_in_a_second(&listed, 5000);
+    // The platform allows a cold target its cold rate x 1.5 + 5 requests in a second.
+    assert!(
+        most as f64 <= COLD_RATE * 1.5 + 5.0,
+        "{most} requests in a second"
+    );
+    // Once its second cold time is over, it gets more.
+    assert!(most_in_a_second(&listed, 7000) > 20);
+}
+
 /// Guards against a host without followers that sends to cold targets in addition to the dispatcher.
 #[test]
 fn host_without_followers_sends_nothing_to_cold_targets() {
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -51,6 +51,26 @@
     ids.join(",")
 }
 
+/// Logs the targets whose cold time has begun, also those that were cold already.
+fn log_cold_times(before: &TargetDirectory, after: &TargetDirectory) {
+    let has_begun = |entry: &&TargetEntry| {
+        let known = before.targets.get(&entry.id);
+        entry.is_cold() && known.is_none_or(|known| known.place() != entry.place())
+    };
+    let begun: Vec<_> = after.targets.values().filter(has_begun).collect();
+    if begun.is_empty() {
+        return;
+    }
+    let longest = begun.iter().map(|entry| entry.cold_left).max();
+    log::info!(
+        "event=targets_cold count={} as_of={} left_ms={} targets={}",
+        begun.len(),
+        after.as_of,
+        longest.unwrap_or_default().as_millis(),
+        join_ids(begun.iter().map(|entry| &entry.id))
+    );
+}
+
 impl Default for StoreCache {
     fn default() -> Self {
         Self::new()
@@ -265,6 +285,9 @@
                 join_ids(deferred.keys())
             );
         }
+        if before.local_content != after.local_content {
+            log_cold_times(&before, &after);
+        }
         if before.content == after.content {
             return;
         }
--- a/crates/peer/src/format_v3.rs
+++ b/crates/peer/src/format_v3.rs
@@ -78,6 +78,7 @@
         Self {
             as_of: StorePosition::without_era(directory.as_of),
             content: directory.content,
+            local_content: ContentDigest::default(),
             targets: directory.targets,
             evacuated: directory.evacuated,
         }
