Recompute the local digest of a directory that is received

The second digest of a directory, which covers the cold times, is not sent, so a received directory had the digest zero until the host applied it, and differed from the one that was sent.

Cause: the field was skipped by the encoding and nothing filled it. No caller saw an effect: each host computes both digests when it applies a directory. Change: a received directory is built from its sent fields, which computes the digest.

--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -75,6 +75,7 @@
         signals::TargetSignals,
         targets::{
             ContentDigest,
+            SentDirectory,
             TargetDirectory,
             TargetEntry,
             TargetPhase, //
--- a/crates/directory/src/targets.rs
+++ b/crates/directory/src/targets.rs
@@ -139,6 +139,7 @@
 
 /// The targets and evacuated zones at one position of the store.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "SentDirectory")]
 pub struct TargetDirectory {
     /// Position up to which the store was read.
     pub as_of: StorePosition,
@@ -171,8 +172,14 @@
         // A sum does not depend on the order in which changes arrived.
         let sum = entries.chain(zones).fold(0, u64::wrapping_add);
         self.content = ContentDigest(sum);
+        self.update_local_digest();
+    }
+
+    /// Recomputes the digest that is not sent from the one that is.
+    fn update_local_digest(&mut self) {
         let cold = self.targets.values().filter_map(TargetEntry::cold_digest);
-        self.local_content = ContentDigest(cold.fold(sum, u64::wrapping_add));
+        let sum = cold.fold(self.content.0, u64::wrapping_add);
+        self.local_content = ContentDigest(sum);
     }
 
     /// Returns `true` if a target may get new requests: it is ready, and its zone is not evacuated.
@@ -192,3 +199,30 @@
         entries.map(|entry| entry.zone.clone()).collect()
     }
 }
+
+/// The fields of a directory that hosts send to one another.
+#[derive(Clone, Debug, Deserialize)]
+pub struct SentDirectory {
+    /// Position up to which the store was read.
+    pub as_of: StorePosition,
+    /// Digest of the content as the sender computed it.
+    pub content: ContentDigest,
+    /// All registered targets.
+    pub targets: IndexMap<TargetId, TargetEntry>,
+    /// Zones whose targets get no new requests.
+    pub evacuated: IndexSet<ZoneId>,
+}
+
+impl From<SentDirectory> for TargetDirectory {
+    fn from(sent: SentDirectory) -> Self {
+        let mut directory = Self {
+            as_of: sent.as_of,
+            content: sent.content,
+            local_content: ContentDigest::default(),
+            targets: sent.targets,
+            evacuated: sent.evacuated,
+        };
+        directory.update_local_digest();
+        directory
+    }
+}
--- a/crates/peer/src/format_v3.rs
+++ b/crates/peer/src/format_v3.rs
@@ -75,13 +75,13 @@
 
 impl From<TargetDirectoryV3> for TargetDirectory {
     fn from(directory: TargetDirectoryV3) -> Self {
-        Self {
+        let sent = SentDirectory {
             as_of: StorePosition::without_era(directory.as_of),
             content: directory.content,
-            local_content: ContentDigest::default(),
             targets: directory.targets,
             evacuated: directory.evacuated,
-        }
+        };
+        sent.into()
     }
 }
 
