Give hosts with short names different gossip keys

Cause: the key under which hosts exchange heartbeat counters hashed the name with the incarnation as the seed. For names of up to three bytes the two cancel each other out, so hosts that start some milliseconds apart had equal keys, and the counter of one was credited to the other. Those hosts counted as silent after 8 s, and the other dispatchers used their units as well. Change: name and incarnation are hashed together, and processes whose keys are equal nevertheless are known by their records.

--- a/crates/membership/src/beat_digest.rs
+++ b/crates/membership/src/beat_digest.rs
@@ -15,20 +15,23 @@
     Deserialize,
     Serialize, //
 };
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::host_gossip::MemberRecord;
 
-/// Short name of one process of a host. Of 1,700 processes two have the same key in one of 3,000 cases; each is then known
-/// by its record only.
+/// Short name of one process of a host. Of 1,700 processes two have the same key in one of 3,000 cases; both are then
+/// known by their records only.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct MemberKey(u32);
 
 impl MemberKey {
     /// Returns the key of a process.
     pub fn new(host: &HostId, incarnation: HostIncarnation) -> Self {
-        let hash = xxh3_64_with_seed(host.as_str().as_bytes(), incarnation.get());
-        Self((hash >> 32) as u32)
+        // Both are hashed as data. With the incarnation as the seed of the hash, names of up to three bytes that differ in
+        // the last one have the same key if the processes start some milliseconds apart.
+        let mut bytes = host.as_str().as_bytes().to_vec();
+        bytes.extend(incarnation.get().to_le_bytes());
+        Self((xxh3_64(&bytes) >> 32) as u32)
     }
 }
 
--- a/crates/membership/src/host_gossip.rs
+++ b/crates/membership/src/host_gossip.rs
@@ -19,7 +19,10 @@
 };
 
 use chicorycroft_core::prelude::*;
-use indexmap::IndexMap;
+use indexmap::{
+    IndexMap,
+    IndexSet, //
+};
 use serde::{
     Deserialize,
     Serialize, //
@@ -188,13 +191,32 @@
         std::iter::once(own).chain(others).take(count_max).collect()
     }
 
-    /// Merges counters received from another host, and returns the keys of processes that this host has no record of.
+    /// Returns the keys that more than one of the known processes have.
+    fn shared_keys(&self) -> IndexSet<MemberKey> {
+        let (mut keys, mut shared) = (IndexSet::new(), IndexSet::new());
+        keys.insert(MemberBeat::from(&self.own()).key);
+        self.members.for_each(|_, known| {
+            let key = MemberBeat::from(&known.record).key;
+            if !keys.insert(key) {
+                shared.insert(key);
+            }
+        });
+        shared
+    }
+
+    /// Merges counters received from another host, and returns the keys of processes whose records it must send: those that
+    /// this host has no record of, and those whose key does not tell them apart.
     pub fn merge_beats(&self, beats: &[MemberBeat], now: MonoTime) -> Vec<MemberKey> {
+        let shared = self.shared_keys();
         let mut unknown: IndexMap<MemberKey, MemberBeat> =
             beats.iter().map(|beat| (beat.key, *beat)).collect();
-        unknown.swap_remove(&MemberBeat::from(&self.own()).key);
+        let mut take_known = |key: MemberKey| match shared.contains(&key) {
+            true => None,
+            false => unknown.swap_remove(&key),
+        };
+        take_known(MemberBeat::from(&self.own()).key);
         self.members.for_each(|_, known| {
-            let Some(beat) = unknown.swap_remove(&MemberBeat::from(&known.record).key) else {
+            let Some(beat) = take_known(MemberBeat::from(&known.record).key) else {
                 return;
             };
             if beat.beat > known.record.beat {
--- a/crates/membership/tests/host_gossip.rs
+++ b/crates/membership/tests/host_gossip.rs
@@ -145,6 +145,65 @@
     assert!(receiver.merge_beats(&sender.beats(8), at(5000)).is_empty());
 }
 
+/// Guards against hosts with short names, started some milliseconds apart, that have the same key. The counter of one of
+/// them then never increases on the others, which take it for dead.
+#[test]
+fn keys_of_short_names_differ() {
+    let fleets = 0..100;
+    let shared = fleets.map(|fleet| {
+        let processes = (0..32).map(|host| {
+            let start = 1_796_651_205_000 + fleet * 7_919 + host * 2 + (host * host + fleet) % 3;
+            MemberKey::new(
+                &HostId::new(&format!("n{host:02}")).unwrap(),
+                HostIncarnation::new(start),
+            )
+        });
+        32 - processes.collect::<std::collections::HashSet<_>>().len()
+    });
+    assert_eq!(shared.sum::<usize>(), 0);
+}
+
+/// Returns two names whose processes, started at the same time, have the same key.
+fn names_with_one_key(start: u64) -> (String, String) {
+    let mut seen = std::collections::HashMap::new();
+    let names = (0..2_000_000).map(|number| format!("host-{number}"));
+    let mut pairs = names.filter_map(|name| {
+        let key = MemberKey::new(&HostId::new(&name).unwrap(), HostIncarnation::new(start));
+        seen.insert(key, name.clone()).map(|other| (other, name))
+    });
+    pairs.next().unwrap()
+}
+
+/// Guards against a host that counts as dead because another one has its key: the counter of only one of them was renewed.
+#[test]
+fn hosts_with_one_key_are_known_by_their_records() {
+    let (first, second) = names_with_one_key(10);
+    let (near, far) = (
+        HostGossip::new(record("near", 20, 1)),
+        HostGossip::new(record("far", 30, 1)),
+    );
+    for gossip in [&near, &far] {
+        gossip.merge(record(&first, 10, 1), at(0));
+        gossip.merge(record(&second, 10, 1), at(0));
+    }
+    for (beat, millis) in (2..12).zip((1000..).step_by(1000)) {
+        far.merge(record(&first, 10, beat), at(millis));
+        far.merge(record(&second, 10, beat), at(millis));
+        let wanted = near.merge_beats(&far.beats(10), at(millis));
+        for record in far.records_of(&wanted) {
+            near.merge(record, at(millis));
+        }
+        near.advance(at(millis));
+    }
+    let known = near.records().into_iter();
+    let mut beats: Vec<u64> = known.map(|record| record.beat).collect();
+    beats.sort_unstable();
+    // The counters of the host itself and of the two. That of the host that sends them stands still.
+    assert_eq!(beats, [11, 11, 11]);
+    assert!(ranked(&near, at(10_000)).contains(&first));
+    assert!(ranked(&near, at(10_000)).contains(&second));
+}
+
 /// Guards against a counter that does not pass on in a fleet with more hosts than a message has counters.
 #[test]
 fn latest_counters_go_first() {
