Count unheard zones in the share of a restarted host

Cause: a host divides the rates among the hosts that it has heard of. It assumes more only in its first 3 s, in which gossip brings it all records. Behind a cut it hears of its own zone only, and after 3 s used the whole rate. Change: while a host has heard of no host of some zone, and its dispatcher has not told it the size of the fleet, it goes on to assume as many hosts in each zone as in its own, for at most a minute after its start. Tests: zone_that_restarts_while_it_is_cut_off_stays_within_the_bound runs 824 where 770 may without the change, and passes with it. Conclusion: parts of a fleet that are cut across zones are not covered.

--- a/crates/dispatch/src/fleet_roster.rs
+++ b/crates/dispatch/src/fleet_roster.rs
@@ -7,7 +7,10 @@
 use std::time::Duration;
 
 use chicorycroft_core::prelude::*;
-use indexmap::IndexMap;
+use indexmap::{
+    IndexMap,
+    IndexSet, //
+};
 
 /// Time for which a host counts after it was heard of last, on the larger side of a cut.
 const COUNTED_FOR: Duration = Duration::from_secs(60);
@@ -28,6 +31,9 @@
 /// Fleet size that a host assumes while it knows of no other. Deployments have 32 hosts or more.
 const FLEET_SIZE_ASSUMED: u32 = 32;
 
+/// Time after the start in which gossip reaches a process from all hosts, even if the whole fleet starts at once.
+pub const STARTUP_PERIOD: Duration = Duration::from_secs(3);
+
 /// Returns the fleet size that a host with a number of units assumes before it has heard of most hosts. While all hosts
 /// start at once, a dispatcher knows those of its own zone first.
 pub fn size_assumed(units: u32, zone_count: usize) -> u32 {
@@ -48,6 +54,10 @@
     pub must_yield: bool,
     /// Whether another host was heard of since the start.
     pub has_others: bool,
+    /// Zones of which a host was heard of since the start, the own zone included.
+    pub zones: usize,
+    /// Whether the dispatcher of the zone has told the size of the fleet.
+    pub is_told: bool,
 }
 
 impl FleetCount {
@@ -59,6 +69,14 @@
         }
     }
 
+    /// Returns `true` if a process that has run for a time may not know most of the fleet yet. The hosts of a zone that
+    /// restart while the zone is cut off know only each other. A zone without hosts counts as unknown for a minute, the
+    /// time after which hosts that are gone are forgotten.
+    pub fn is_partial(self, uptime: Duration, zone_count: usize) -> bool {
+        let lacks_zone = self.zones < zone_count && !self.is_told && uptime < COUNTED_FOR;
+        uptime < STARTUP_PERIOD || !self.has_others || lacks_zone
+    }
+
     /// Returns `true` if most hosts were heard of lately, which holds on one side of a cut only.
     pub fn is_larger_side(self) -> bool {
         u64::from(self.heard) * 2 > u64::from(self.known)
@@ -69,6 +87,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct FleetRoster {
     hosts: IndexMap<HostId, HeardHost>,
+    zones: IndexSet<ZoneId>,
     has_others: bool,
     /// Size of the fleet as the dispatcher of the zone counts it.
     told: Option<(u32, MonoTime)>,
@@ -104,6 +123,13 @@
         }
     }
 
+    /// Records the zone of this host or of another one that was heard of.
+    pub fn on_zone(&mut self, zone: &ZoneId) {
+        if !self.zones.contains(zone) {
+            self.zones.insert(zone.clone());
+        }
+    }
+
     /// Records the size of the fleet as the dispatcher of the zone counts it, or zero from one that does not know it. A
     /// process that starts on the smaller side of a cut would take that side for the whole fleet.
     pub fn on_size(&mut self, size: u32, now: MonoTime) {
@@ -144,6 +170,8 @@
             silent: silent_for(LEASE_RECLAIM),
             must_yield: silent_for(YIELD_AFTER) > 0,
             has_others: self.has_others,
+            zones: self.zones.len(),
+            is_told: self.told.is_some(),
         }
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -79,6 +79,7 @@
         fleet_roster::{
             FleetCount,
             FleetRoster,
+            STARTUP_PERIOD,
             size_assumed, //
         },
         fleet_share::FleetShare,
--- a/crates/dispatch/tests/dispatcher/rate_lease.rs
+++ b/crates/dispatch/tests/dispatcher/rate_lease.rs
@@ -85,6 +85,28 @@
     }
 }
 
+/// Guards against a process that takes the hosts of its own zone for the whole fleet, and against one that for ever waits for
+/// hosts of a zone that has none.
+#[test]
+fn zones_that_were_not_heard_of_count_for_a_minute() {
+    let is_partial = |roster: &mut FleetRoster, millis: u64| {
+        let count = roster.count(at(millis));
+        count.is_partial(Duration::from_millis(millis), 2)
+    };
+    let zone = |name: &str| ZoneId::new(name).unwrap();
+    let mut roster = roster_of(8, at(1000));
+    roster.on_zone(&zone("a"));
+    assert!(is_partial(&mut roster, 5000));
+    assert!(is_partial(&mut roster, 59_999));
+    assert!(!is_partial(&mut roster, 60_000));
+    let mut told = roster.clone();
+    told.on_size(48, at(4000));
+    assert!(!is_partial(&mut told, 5000));
+    roster.on_zone(&zone("b"));
+    assert!(is_partial(&mut roster, 2999));
+    assert!(!is_partial(&mut roster, 3000));
+}
+
 /// Guards against a process that starts on the smaller side of a cut and takes that side for the whole fleet.
 #[test]
 fn size_told_by_the_dispatcher_counts() {
--- a/crates/dispatch/tests/team_rates/fleet_model.rs
+++ b/crates/dispatch/tests/team_rates/fleet_model.rs
@@ -24,6 +24,10 @@
 /// Hosts next in rank that copy bucket levels, the dispatcher included.
 const LEVEL_HOLDERS: usize = 3;
 
+fn zone_id(zone: usize) -> ZoneId {
+    ZoneId::new(&format!("zone-{zone}")).unwrap()
+}
+
 /// One process of a host.
 pub(crate) struct ModelProcess {
     pub(crate) borrower: LeaseBorrower,
@@ -48,6 +52,8 @@
 
 impl ModelProcess {
     fn new(slot: usize, incarnation: u64, now: u64) -> Self {
+        let mut roster = FleetRoster::new();
+        roster.on_zone(&zone_id(slot % ZONES));
         Self {
             borrower: LeaseBorrower {
                 host: HostId::new(&format!("host-{slot}")).unwrap(),
@@ -59,7 +65,7 @@
             known_until: 0,
             next_poll: now + START_KNOWN_AFTER,
             next_exchange: now,
-            roster: FleetRoster::new(),
+            roster,
             book: LeaseBook::new(),
             holder: LeaseHolder::new(),
             copy: None,
@@ -256,6 +262,7 @@
                     let at = self.processes[slot].at(self.now);
                     let borrower = &process.borrower;
                     roster.on_beat(&borrower.host, borrower.incarnation, beat, at);
+                    roster.on_zone(&zone_id(process.zone));
                 }
             }
             self.processes[slot].roster = roster;
@@ -267,7 +274,8 @@
         let process = &mut self.processes[slot];
         let at = process.at(now);
         let count = process.roster.count(at);
-        let is_assumed = !count.has_others || now - process.started_at < 3000;
+        let uptime = std::time::Duration::from_millis(now - process.started_at);
+        let is_assumed = count.is_partial(uptime, ZONES);
         let units = process.book.units(at) + u32::from(!process.holder.is_lent(at));
         let floor = match is_assumed {
             true => size_assumed(units, ZONES),
--- a/crates/dispatch/tests/team_rates/scenarios.rs
+++ b/crates/dispatch/tests/team_rates/scenarios.rs
@@ -140,6 +140,26 @@
     check_bound(&fleet).unwrap();
 }
 
+/// Guards against hosts that restart while their zone is cut off, know only each other and use the whole rate, so that
+/// nearly two rates are used.
+#[test]
+fn zone_that_restarts_while_it_is_cut_off_stays_within_the_bound() {
+    for length in [5000, 10_000, 30_000] {
+        let teams = [10, 100, 1000].map(|rate| ModelTeam::new(rate, 8000).with_start(12_000));
+        let mut fleet = start(48, teams.into());
+        fleet.run_to(12_000);
+        fleet.cut(|slot| slot % 3 == 2);
+        fleet.run_to(12_500);
+        for slot in (2..48).step_by(3) {
+            fleet.end(slot);
+        }
+        fleet.run_to(12_000 + length);
+        fleet.heal();
+        fleet.run_to(fleet.now + 10_000);
+        check_bound(&fleet).unwrap();
+    }
+}
+
 /// Guards against refusals of a team whose callers are all in one zone, which has a third of its tokens.
 #[test]
 fn uneven_demand_is_served() {
--- a/crates/gateway/src/rate_shares.rs
+++ b/crates/gateway/src/rate_shares.rs
@@ -26,8 +26,15 @@
     pub is_only_host: bool,
     /// Number of zones in the settings.
     pub zone_count: usize,
-    /// Whether gossip may not have delivered the records of most hosts yet.
-    pub is_starting: bool,
+    /// Time since the start of the process.
+    pub uptime: Duration,
+}
+
+impl ShareView {
+    /// Returns `true` if this host may not know most of the fleet.
+    fn is_partial(self, count: FleetCount) -> bool {
+        !self.is_only_host && count.is_partial(self.uptime, self.zone_count)
+    }
 }
 
 /// A share of the team rates and what it follows from.
@@ -37,6 +44,8 @@
     pub units: u32,
     /// Hosts of the fleet.
     pub count: FleetCount,
+    /// Whether the host may not know most of the fleet and assumes its size.
+    pub is_assumed: bool,
     /// Share by the units.
     pub fraction: CapacityRatio,
 }
@@ -80,10 +89,19 @@
         Self::default()
     }
 
+    /// Records the zone of this host.
+    pub fn on_own_zone(&self, zone: &ZoneId) {
+        lock(&self.roster).on_zone(zone);
+    }
+
     /// Records what the record of another host tells: that it lives, that its process is a later one, or that it leaves.
     pub fn on_record(&self, member: &MemberRecord, now: MonoTime) {
         let process = borrower_of(member);
-        lock(&self.roster).on_beat(&member.host, member.incarnation, member.beat, now);
+        {
+            let mut roster = lock(&self.roster);
+            roster.on_beat(&member.host, member.incarnation, member.beat, now);
+            roster.on_zone(&member.zone);
+        }
         lock(&self.holder).on_started(&process);
         if let Some(copy) = lock(&self.copy).as_mut() {
             copy.is_ended |= copy.source.is_replaced_by(&process);
@@ -204,7 +222,7 @@
         let own_units = u32::from(!lock(&self.holder).is_lent(now));
         let units = lock(&self.book).units(now) + own_units;
         let counted = *lock(&self.count);
-        let is_assumed = !view.is_only_host && (view.is_starting || !counted.has_others);
+        let is_assumed = view.is_partial(counted);
         let count = counted.with_floor(match is_assumed {
             true => size_assumed(units, view.zone_count),
             false => 1,
@@ -212,6 +230,7 @@
         RateShare {
             units,
             count,
+            is_assumed,
             fraction: share_of_units(units, count),
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -51,10 +51,6 @@
 /// Time for which a host reads the store for another one after that asked for it.
 const READ_WANTED_FOR: Duration = Duration::from_millis(500);
 
-/// Time after the start in which gossip reaches a process from all hosts, even if the whole fleet starts
-/// at once.
-const STARTUP_PERIOD: Duration = Duration::from_secs(3);
-
 /// Part of the process's memory that bodies of requests and of answers may take, in percent.
 const BODY_MEMORY_PERCENT: u64 = 30;
 
@@ -149,6 +145,8 @@
             beat: 0,
             is_leaving: false,
         };
+        let rates = RateShares::new();
+        rates.on_own_zone(&settings.zone);
         Self {
             clock,
             gossip: HostGossip::new(own),
@@ -163,7 +161,7 @@
             excluded: ExcludedTargets::new(),
             stated_limits: StatedLimits::new(),
             zone_loads: ZoneLoads::new(),
-            rates: RateShares::new(),
+            rates,
             metrics,
             queue_report: QueueReport::new(),
             body_memory: BodyMemory::new(body_kib),
@@ -273,7 +271,7 @@
         let view = ShareView {
             is_only_host: self.is_only_host(),
             zone_count: self.settings.zone_count,
-            is_starting: self.is_starting(now),
+            uptime: now.since(MonoTime::START),
         };
         let own = self.rates.own_share(view, now);
         let inherited = self.rates.inherited(now);
@@ -285,11 +283,13 @@
         (own, used)
     }
 
-    /// Returns the number of hosts among which this host divides the rates of the teams; 0 if it has just started.
+    /// Returns the number of hosts among which this host divides the rates of the teams; 0 if it may not know most of
+    /// them.
     pub fn fleet_size(&self) -> u32 {
-        match self.is_starting(self.now()) {
+        let (own, _) = self.rate_share();
+        match own.is_assumed {
             true => 0,
-            false => self.rate_share().0.count.known,
+            false => own.count.known,
         }
     }
 
