Withhold answers whose status ends no request

Cause: each status that is neither a success nor a server error counted as a rejection of the request and was forwarded: 101, and 600 and 999 too. Change: statuses outside 200 to 599 are a kind of their own, which no caller gets. An idempotent request goes to another target, others get 502. Tests: status_that_ends_no_request_reaches_no_caller gets 101 without the change and passes with it; the tables of kinds and verdicts have the new kind.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -263,7 +263,7 @@
     let result = match (verdict, statement.kind) {
         (AnswerVerdict::Misdirected, _) => AttemptResult::Misdirected,
         (AnswerVerdict::Shed, _) => AttemptResult::Shed,
-        (AnswerVerdict::Invalid, _) => AttemptResult::Broken,
+        (AnswerVerdict::Invalid | AnswerVerdict::NotFinal, _) => AttemptResult::Broken,
         (_, AnswerKind::TimedOut) => AttemptResult::Hung,
         (AnswerVerdict::Withheld, _) | (_, AnswerKind::Failure) => AttemptResult::Failed,
         (AnswerVerdict::Forwarded, _) => AttemptResult::Good,
--- a/crates/gateway/tests/gateway/requests.rs
+++ b/crates/gateway/tests/gateway/requests.rs
@@ -156,6 +156,30 @@
     }
 }
 
+/// Guards against a caller that gets an answer which is none in the protocol, such as a status 101 for a request that asked
+/// for no upgrade, and against giving up an idempotent request because of one.
+#[tokio::test]
+async fn status_that_ends_no_request_reaches_no_caller() {
+    for status in [101, 600, 999] {
+        let gateway = TestGateway::new(1).await;
+        let failing = &gateway.targets[0];
+        failing.set_next_behaviours([TargetBehaviour::FailWith(status)]);
+        let answer = gateway.call("POST /buy/1", "key-1", "x").await;
+        assert_eq!(answer.status, 502, "{status}");
+        assert!(!answer.head.contains(SIGNATURE), "{status}");
+        assert_eq!(gateway.received_requests().len(), 1, "{status}");
+
+        let gateway = TestGateway::new(2).await;
+        let failing = &gateway.targets[0];
+        failing.set_next_behaviours([TargetBehaviour::FailWith(status)]);
+        let mut answer = gateway.call("GET /look/1", "key-1", "").await;
+        if failing.requests().is_empty() {
+            answer = gateway.call("GET /look/1", "key-1", "").await;
+        }
+        assert_eq!(answer.status, 200, "idempotent request, {status}");
+    }
+}
+
 /// Guards against changing the status of a target's error response.
 #[tokio::test]
 async fn error_response_of_a_target_is_forwarded() {
--- a/crates/retry/src/answer.rs
+++ b/crates/retry/src/answer.rs
@@ -20,6 +20,8 @@
     TimedOut,
     /// The request was addressed to another target.
     Misdirected,
+    /// The status is none that ends a request: an interim one, or one that the protocol does not have.
+    NotFinal,
 }
 
 /// What a target's answer states, independent of its encoding.
@@ -48,6 +50,8 @@
     Shed,
     /// The address belongs to another target, which did not run the request.
     Misdirected,
+    /// The answer is none to a request, which may have run. No caller gets it.
+    NotFinal,
 }
 
 impl AnswerStatement {
@@ -55,6 +59,8 @@
     pub fn verdict(self) -> AnswerVerdict {
         match self.kind {
             AnswerKind::Misdirected => AnswerVerdict::Misdirected,
+            // A target that breaks the protocol is not trusted with a statement on the request either.
+            AnswerKind::NotFinal => AnswerVerdict::NotFinal,
             AnswerKind::Success if self.is_signed => AnswerVerdict::Forwarded,
             AnswerKind::Success => AnswerVerdict::Invalid,
             _ if self.states_not_run => AnswerVerdict::Shed,
@@ -73,6 +79,7 @@
             Self::Invalid => "unsigned",
             Self::Shed => "shed",
             Self::Misdirected => "another-target",
+            Self::NotFinal => "no-final-status",
         }
     }
 
@@ -80,7 +87,7 @@
     pub fn proof(self) -> RunProof {
         match self {
             Self::Forwarded | Self::Withheld => RunProof::Ran,
-            Self::Invalid => RunProof::Unknown,
+            Self::Invalid | Self::NotFinal => RunProof::Unknown,
             Self::Shed | Self::Misdirected => RunProof::NotRun,
         }
     }
--- a/crates/retry/tests/retry.rs
+++ b/crates/retry/tests/retry.rs
@@ -180,6 +180,7 @@
         AnswerKind::Failure,
         AnswerKind::TimedOut,
         AnswerKind::Misdirected,
+        AnswerKind::NotFinal,
     ];
     for kind in kinds {
         for bits in 0..8 {
@@ -190,7 +191,14 @@
                 is_signed: bits & 4 != 0,
             };
             let verdict = statement.verdict();
-            let is_failure = kind != AnswerKind::Success && kind != AnswerKind::Misdirected;
+            let is_not_final = kind == AnswerKind::NotFinal;
+            assert_eq!(
+                verdict == AnswerVerdict::NotFinal,
+                is_not_final,
+                "{statement:?}"
+            );
+            let is_failure =
+                ![AnswerKind::Success, AnswerKind::Misdirected].contains(&kind) && !is_not_final;
             if is_failure && statement.promises_not_run {
                 assert_ne!(verdict, AnswerVerdict::Forwarded, "{statement:?}");
             }
