Restart the wait for a pending entry that a late write has replaced

Cause: the entry was pending on the host when another one took over the reading. The target left and a late write restored an earlier entry. The next full read took this entry for the pending one, whose wait was over. Change: a full read that shows an earlier entry than the pending one starts the wait anew. Tests: pending_entry_of_a_former_reader_is_not_renewed_by_a_late_write plays the case that the property found; it fails without the change.

--- a/crates/directory/src/removals.rs
+++ b/crates/directory/src/removals.rs
@@ -153,9 +153,14 @@
     /// Records a later write of the removed incarnation, and returns `true` if it cannot be late. After a full read, the
     /// entry may have been there and removed again since this host last read the store.
     fn on_later(&mut self, entry: &TargetEntry, source: EntrySource, now: MonoTime) -> bool {
-        let pending = self.pending.as_ref();
-        let is_known = pending.is_some_and(|pending| entry.place() <= pending.place());
+        let pending = self.pending.as_ref().map(TargetEntry::place);
+        let is_known = pending.is_some_and(|pending| entry.place() <= pending);
         if is_known {
+            // An earlier write has taken the place of the pending one while this host did not read the store, so that the
+            // entry may have been removed in between.
+            if source == EntrySource::Listing && pending != Some(entry.place()) {
+                self.at = now;
+            }
             return false;
         }
         match source {
--- a/crates/directory/tests/write_orders.rs
+++ b/crates/directory/tests/write_orders.rs
@@ -342,6 +342,22 @@
         .quickcheck(property as fn(Vec<TroubleStep>) -> Result<(), String>);
 }
 
+/// Guards against a target that has left but counts as renewed on a host that did not read the store meanwhile: its entry
+/// was pending there, and a late write has left another one.
+#[test]
+fn pending_entry_of_a_former_reader_is_not_renewed_by_a_late_write() {
+    let troubles = [
+        (5, Trouble::Restart(27)),
+        (30, Trouble::Cut(75)),
+        (59, Trouble::LoseWrite(50)),
+        (59, Trouble::ChangeReader),
+        (17, Trouble::Leave),
+        (34, Trouble::ChangeReader),
+    ];
+    let troubles = troubles.map(|(gap, trouble)| TroubleStep { gap, trouble });
+    assert_eq!(play(&troubles), Ok(()));
+}
+
 /// Guards against the same in the orders of the review: a late write after the target has left, with another reader in
 /// between, and after a later incarnation has started or left.
 #[test]
