--- a/crates/directory/tests/write_orders.rs
+++ b/crates/directory/tests/write_orders.rs
@@ -358,6 +358,24 @@
     assert_eq!(play(&troubles), Ok(()));
 }
 
+/// Guards against a live target that stays out of use for good: its entry is in use on one host and pending on the other
+/// one when that begins to read the store.
+#[test]
+fn live_target_is_in_use_after_quick_changes_of_the_reader() {
+    let troubles = [
+        (45, Trouble::Cut(69)),
+        (29, Trouble::Leave),
+        (49, Trouble::LoseWrite(27)),
+        (53, Trouble::LoseWrite(12)),
+        (1, Trouble::ChangeReader),
+        (24, Trouble::ChangeReader),
+        (18, Trouble::ChangeReader),
+        (2, Trouble::ChangeReader),
+    ];
+    let troubles = troubles.map(|(gap, trouble)| TroubleStep { gap, trouble });
+    assert_eq!(play(&troubles), Ok(()));
+}
+
 /// Guards against the same in the orders of the review: a late write after the target has left, with another reader in
 /// between, and after a later incarnation has started or left.
 #[test]
