Share the steps of repeated plays in two test files

Cause: the tests added for statuses that end no request and for pending entries repeated code of the tests beside them. Change: idempotent_answer_beside and steps serve both. Assertions, cases and statuses are the same; the sources of the product are untouched. Conclusion: no change of behaviour.

--- a/crates/directory/tests/write_orders.rs
+++ b/crates/directory/tests/write_orders.rs
@@ -255,6 +255,14 @@
     }
 }
 
+/// Returns the steps of troubles with their gaps.
+fn steps(troubles: &[(u64, Trouble)]) -> Vec<TroubleStep> {
+    let steps = troubles.iter();
+    steps
+        .map(|&(gap, trouble)| TroubleStep { gap, trouble })
+        .collect()
+}
+
 /// Returns what is wrong on a host at a step, if anything.
 fn fault_of(host: &HostModel, target: &TargetModel, step: u64) -> Option<&'static str> {
     let open = host.open_born();
@@ -354,8 +362,7 @@
         (17, Trouble::Leave),
         (34, Trouble::ChangeReader),
     ];
-    let troubles = troubles.map(|(gap, trouble)| TroubleStep { gap, trouble });
-    assert_eq!(play(&troubles), Ok(()));
+    assert_eq!(play(&steps(&troubles)), Ok(()));
 }
 
 /// Guards against a live target that stays out of use for good: its entry is in use on one host and pending on the other
@@ -372,20 +379,13 @@
         (18, Trouble::ChangeReader),
         (2, Trouble::ChangeReader),
     ];
-    let troubles = troubles.map(|(gap, trouble)| TroubleStep { gap, trouble });
-    assert_eq!(play(&troubles), Ok(()));
+    assert_eq!(play(&steps(&troubles)), Ok(()));
 }
 
 /// Guards against the same in the orders of the review: a late write after the target has left, with another reader in
 /// between, and after a later incarnation has started or left.
 #[test]
 fn late_writes_of_the_review_count_for_nothing() {
-    let steps = |troubles: &[(u64, Trouble)]| -> Vec<TroubleStep> {
-        let steps = troubles.iter();
-        steps
-            .map(|&(gap, trouble)| TroubleStep { gap, trouble })
-            .collect()
-    };
     let lose = Trouble::LoseWrite(55);
     let plays = [
         steps(&[(1, lose), (35, Trouble::Leave)]),
--- a/crates/gateway/tests/gateway/requests.rs
+++ b/crates/gateway/tests/gateway/requests.rs
@@ -14,6 +14,7 @@
 };
 
 use crate::test_gateway::{
+    CallerAnswer,
     TestGateway,
     call,
     call_with_id, //
@@ -141,17 +142,23 @@
     }
 }
 
+/// Returns the answer to an idempotent request that reaches a target which fails it with a status, beside a sound one.
+async fn idempotent_answer_beside(status: u16) -> CallerAnswer {
+    let gateway = TestGateway::new(2).await;
+    let failing = &gateway.targets[0];
+    failing.set_next_behaviours([TargetBehaviour::FailWith(status)]);
+    let answer = gateway.call("GET /look/1", "key-1", "").await;
+    match failing.requests().is_empty() {
+        true => gateway.call("GET /look/1", "key-1", "").await,
+        false => answer,
+    }
+}
+
 /// Guards against giving up an idempotent request after a status that other targets may not answer with.
 #[tokio::test]
 async fn idempotent_request_is_sent_to_another_target_after_a_false_refusal() {
     for status in [408, 429, 503] {
-        let gateway = TestGateway::new(2).await;
-        let failing = &gateway.targets[0];
-        failing.set_next_behaviours([TargetBehaviour::FailWith(status)]);
-        let mut answer = gateway.call("GET /look/1", "key-1", "").await;
-        if failing.requests().is_empty() {
-            answer = gateway.call("GET /look/1", "key-1", "").await;
-        }
+        let answer = idempotent_answer_beside(status).await;
         assert_eq!(answer.status, 200, "{status}");
     }
 }
@@ -169,13 +176,7 @@
         assert!(!answer.head.contains(SIGNATURE), "{status}");
         assert_eq!(gateway.received_requests().len(), 1, "{status}");
 
-        let gateway = TestGateway::new(2).await;
-        let failing = &gateway.targets[0];
-        failing.set_next_behaviours([TargetBehaviour::FailWith(status)]);
-        let mut answer = gateway.call("GET /look/1", "key-1", "").await;
-        if failing.requests().is_empty() {
-            answer = gateway.call("GET /look/1", "key-1", "").await;
-        }
+        let answer = idempotent_answer_beside(status).await;
         assert_eq!(answer.status, 200, "idempotent request, {status}");
     }
 }
