Count the bytes and times of messages between hosts and of the store's answers

Change: the client and the server of peers report each call and answer to an observer; the gateway counts bytes by direction and kind, times by kind and outcome, and discarded bytes, and logs peer_answer_discarded and store_answer_slow. No change of logic.

--- a/crates/core/src/amounts.rs
+++ b/crates/core/src/amounts.rs
@@ -295,6 +295,11 @@
     }
 }
 
+define_counter!(
+    /// Size of a message, document or answer, in bytes.
+    ByteCount
+);
+
 define_counter!(
     /// Memory that a process may use, in MiB.
     MemoryLimit
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
     pub use crate::{
         amounts::{
             BurstSize,
+            ByteCount,
             CapacityRatio,
             MemoryLimit,
             RequestRate,
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -139,7 +139,9 @@
             let chosen = peer_server.address();
             settings.peer_address = chosen.map_err(listen_error("other hosts", peer))?;
         }
-        let state = Arc::new(GatewayState::new(settings, clock, GatewayMetrics::new()?));
+        let metrics = GatewayMetrics::new()?;
+        let peer_server = peer_server.with_observer(metrics.traffic().answer_observer());
+        let state = Arc::new(GatewayState::new(settings, clock, metrics));
         let stop = watch::Sender::new(false);
         let handler_state = state.clone();
         let handler = move |request| ingress::answer(handler_state.clone(), request);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 //! - [`state`]: state that all tasks share.
 //! - [`event_log`]: non-blocking log of key=value lines.
 //! - [`metrics`]: counters and histograms.
+//! - [`traffic_metrics`]: bytes and times of messages between hosts and of the store's answers.
 //! - [`ready_service`]: readiness and metrics over HTTP.
 //! - [`task_supervisor`]: restarts background tasks that end.
 //! - [`host`]: starts and stops the process.
@@ -72,6 +73,7 @@
 mod target_search;
 mod target_signals;
 pub mod task_supervisor;
+pub mod traffic_metrics;
 mod zone_search;
 
 /// The most commonly used items of this crate.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,7 +23,10 @@
     TextEncoder, //
 };
 
-use crate::copy_use::CopyUse;
+use crate::{
+    copy_use::CopyUse,
+    traffic_metrics::TrafficMetrics, //
+};
 
 /// Upper bounds of the latency buckets, in seconds. They range from a response without a target to the
 /// longest deadline.
@@ -64,6 +67,7 @@
     rate_units: IntGauge,
     tokens_moved: CounterVec,
     over_rate: IntCounter,
+    traffic: TrafficMetrics,
 }
 
 impl GatewayMetrics {
@@ -88,8 +92,10 @@
             "gateway_granted_target_seconds",
             "Expected time to the answer of the targets that this host granted, by choice: rank or trial.",
         );
+        let registry = Registry::new();
         let metrics = Self {
-            registry: Registry::new(),
+            traffic: TrafficMetrics::new(&registry)?,
+            registry,
             requests: counter(
                 "gateway_requests_total",
                 "Requests by outcome: ok, target-status, or the reason of a refusal.",
@@ -206,6 +212,11 @@
         Ok(metrics)
     }
 
+    /// Returns the metrics of messages between hosts and of the store's answers.
+    pub fn traffic(&self) -> &TrafficMetrics {
+        &self.traffic
+    }
+
     /// Records the outcome of a request and the time it took.
     pub fn on_request(&self, outcome: &str, time: Duration) {
         self.requests.with_label_values(&[outcome]).inc();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -156,7 +156,7 @@
             dispatcher: ZoneDispatcher::new(incarnation.get().saturating_mul(1000))
                 .with_retry_terms(retry_terms),
             tickets: ShardMap::new(),
-            peers: PeerClient::new(),
+            peers: PeerClient::new().with_observer(metrics.traffic().call_observer()),
             connections: ConnectionPool::new(),
             excluded: ExcludedTargets::new(),
             stated_limits: StatedLimits::new(),
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -60,7 +60,11 @@
     where
         F: Future<Output = Result<StoreEvents, StoreError>>,
     {
+        let sent_at = self.state.now();
         let result = self.first_answer(wait, call).await;
+        if let Ok(events) = &result {
+            self.record_answer(events, self.state.now().since(sent_at), wait);
+        }
         // An answer that refuses the call shows the era, too.
         let stated = StorePosition::new(self.store.era(), StoreRevision::default());
         let read = result.as_ref().map_or(stated, |events| events.as_of);
@@ -73,6 +77,20 @@
         }
     }
 
+    /// Records the size and time of an answer, and logs one that was overdue before it was complete.
+    fn record_answer(&self, events: &StoreEvents, elapsed: Duration, wait: Duration) {
+        let traffic = self.state.metrics.traffic();
+        traffic.on_store_answer(self.part, events.size, elapsed);
+        if elapsed > wait + self.budget().silence_limit() {
+            log::info!(
+                "event=store_answer_slow part={} bytes={} elapsed_ms={}",
+                self.part,
+                events.size,
+                elapsed.as_millis()
+            );
+        }
+    }
+
     async fn first_answer<F>(
         &self,
         wait: Duration,
--- a/crates/gateway/tests/gateway/metrics.rs
+++ b/crates/gateway/tests/gateway/metrics.rs
@@ -117,3 +117,27 @@
     };
     assert_eq!((written(5000), written(6000)), (10, 10));
 }
+
+/// Guards against a link that is full and metrics that do not tell which messages fill it.
+#[tokio::test]
+async fn bytes_between_hosts_are_counted_by_kind() {
+    let gateway = TestGateway::new(1).await;
+    let follower = gateway.start_follower("edge-2").await;
+    let address = follower.caller_address();
+    assert_eq!(call(address, "GET /look/a", "key-1", "").await.status, 200);
+    let text = follower.state().metrics.text().unwrap();
+    for kind in ["follow", "gossip", "permit"] {
+        for direction in ["received", "sent"] {
+            let name =
+                format!("gateway_peer_bytes_total{{direction=\"{direction}\",kind=\"{kind}\"}} ");
+            let line = text.lines().find_map(|line| line.strip_prefix(&name));
+            let count: u64 = line.expect("no such counter").parse().unwrap();
+            assert!(count > 0, "{kind} {direction}");
+        }
+    }
+    let text = gateway.host.state().metrics.text().unwrap();
+    assert!(
+        text.contains("gateway_store_bytes_total{part=\"operator\"}"),
+        "{text}"
+    );
+}
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -76,6 +76,10 @@
         MESSAGE_PATH,
         STREAM_WINDOW, //
     },
+    traffic::{
+        CallMeter,
+        CallObserver, //
+    },
 };
 
 /// Timeout for establishing a connection, which usually takes about 1 ms.
@@ -121,6 +125,7 @@
     connections: ShardMap<SocketAddr, Arc<PeerConnection>>,
     codec: PeerCodec,
     started_at: Instant,
+    observer: CallObserver,
 }
 
 impl Default for PeerClient {
@@ -185,9 +190,16 @@
             connections: ShardMap::new(),
             codec,
             started_at: Instant::now(),
+            observer: CallObserver::default(),
         }
     }
 
+    /// Sets the receiver of the reports of calls.
+    pub fn with_observer(mut self, observer: CallObserver) -> Self {
+        self.observer = observer;
+        self
+    }
+
     /// Returns the connection to a peer. One that is closed or was idle for too long is replaced.
     fn connection_to(&self, address: SocketAddr) -> Arc<PeerConnection> {
         let now = self.elapsed_millis();
@@ -252,10 +264,24 @@
         message: &PeerMessage,
         version: FormatVersion,
     ) -> Result<PeerMessage, PeerError> {
+        let bytes = self.codec.encode(message, version)?;
+        let mut meter = CallMeter::new(&self.observer, message, bytes.len());
+        let answer = self.send(address, connection, bytes, &mut meter).await;
+        meter.finish(answer.is_ok());
+        Ok(self.codec.decode(&answer?)?.1)
+    }
+
+    /// Sends the bytes of a message and returns those of the answer.
+    async fn send(
+        &self,
+        address: SocketAddr,
+        connection: &Arc<PeerConnection>,
+        bytes: Vec<u8>,
+        meter: &mut CallMeter<'_>,
+    ) -> Result<Vec<u8>, PeerError> {
         let broken_error = |reason: String| PeerError::Broken {
             reason: reason.into(),
         };
-        let bytes = self.codec.encode(message, version)?;
         let body = Full::new(Bytes::from(bytes)).map_err(|never| match never {});
         let uri = peer_uri(address, PathAndQuery::from_static(MESSAGE_PATH));
         let request = uri
@@ -264,12 +290,16 @@
         let mut sender = self.sender_of(address, connection).await?;
         let response = sender.send_request(request).await;
         let response = response.map_err(|error| broken_error(error.to_string()))?;
-        let body = Limited::new(response.into_body(), MESSAGE_BYTES_MAX);
-        let body = body
-            .collect()
-            .await
-            .map_err(|error| broken_error(error.to_string()))?;
-        Ok(self.codec.decode(&body.to_bytes())?.1)
+        let mut body = Limited::new(response.into_body(), MESSAGE_BYTES_MAX);
+        let mut answer = Vec::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| broken_error(error.to_string()))?;
+            if let Some(data) = frame.data_ref() {
+                meter.on_received(data.len());
+                answer.extend_from_slice(data);
+            }
+        }
+        Ok(answer)
     }
 
     /// Sends a message and returns the answer.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`forward`]: the header of a forwarded request.
 //! - [`client`]: one persistent connection per peer.
 //! - [`server`]: accepts connections of peers.
+//! - [`traffic`]: size, duration and outcome of calls.
 //! - [`failure`]: errors of calls and forwarded requests.
 //!
 //! This crate makes no decisions: messages and forwarded requests are handled by closures that the user of the
@@ -25,6 +26,7 @@
 pub mod messages;
 pub mod parts;
 pub mod server;
+pub mod traffic;
 
 /// The most commonly used items of this crate.
 pub mod prelude {
@@ -88,5 +90,13 @@
             PartsRequest, //
         },
         server::PeerServer,
+        traffic::{
+            AnswerObserver,
+            AnswerReport,
+            CallObserver,
+            CallOutcome,
+            CallReport,
+            MessageKind, //
+        },
     };
 }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -66,6 +66,12 @@
         PeerMessage,
         RefusalReason, //
     },
+    traffic::{
+        AnswerObserver,
+        AnswerReport,
+        MessageKind,
+        byte_count, //
+    },
 };
 
 /// HTTP path of control messages.
@@ -105,6 +111,7 @@
     listener: TcpListener,
     codec: PeerCodec,
     drain_limit: Duration,
+    observer: AnswerObserver,
 }
 
 impl PeerServer {
@@ -123,6 +130,7 @@
             listener,
             codec: PeerCodec::new(),
             drain_limit: DRAIN_TIMEOUT,
+            observer: AnswerObserver::default(),
         }
     }
 
@@ -132,6 +140,12 @@
         self
     }
 
+    /// Sets the receiver of the reports of answered messages.
+    pub fn with_observer(mut self, observer: AnswerObserver) -> Self {
+        self.observer = observer;
+        self
+    }
+
     /// Sets the longest time that a planned stop waits for requests in flight.
     pub fn with_drain_limit(mut self, limit: Duration) -> Self {
         self.drain_limit = limit;
@@ -164,7 +178,7 @@
         B: Body<Data = Bytes> + Send + 'static,
         B::Error: Into<BodyError>,
     {
-        let (builder, codec) = (http2_builder(), self.codec);
+        let (builder, codec, observer) = (http2_builder(), self.codec, self.observer);
         let permits = Arc::new(Semaphore::new(CONNECTIONS_MAX));
         let graceful = GracefulShutdown::new();
         // Dropping this future aborts the connection tasks, so that a forced close leaves no connection open.
@@ -182,13 +196,14 @@
                 continue;
             };
             let (on_message, on_forward) = (on_message.clone(), on_forward.clone());
+            let observer = observer.clone();
             let service = service_fn(move |request| {
                 let (on_message, on_forward) = (on_message.clone(), on_forward.clone());
-                async move {
-                    Ok::<_, Infallible>(
-                        handle_request(codec, request, on_message, on_forward).await,
-                    )
-                }
+                let service = MessageService {
+                    codec,
+                    observer: observer.clone(),
+                };
+                async move { Ok::<_, Infallible>(service.handle(request, on_message, on_forward).await) }
             });
             let connection = builder.serve_connection(TokioIo::new(stream), service);
             let connection = graceful.watch(connection);
@@ -256,46 +271,63 @@
     builder
 }
 
-/// Handles one HTTP request of a peer: a forwarded request or a control message.
-async fn handle_request<M, MF, F, FF, B>(
+/// Handles the requests of peers.
+#[derive(Debug)]
+struct MessageService {
     codec: PeerCodec,
-    mut request: Request<Incoming>,
-    on_message: M,
-    on_forward: F,
-) -> Response<ServerBody>
-where
-    M: Fn(PeerMessage) -> MF,
-    MF: Future<Output = PeerMessage>,
-    F: Fn(ForwardHead, Request<Incoming>) -> FF,
-    FF: Future<Output = Response<B>>,
-    B: Body<Data = Bytes> + Send + 'static,
-    B::Error: Into<BodyError>,
-{
-    if let Some(value) = request.headers_mut().remove(FORWARD_HEADER) {
-        return match ForwardHead::from_header(&value) {
-            Ok(head) => {
-                let mut response = on_forward(head, request).await;
-                response.headers_mut().remove(REFUSED_HEADER);
-                response.map(|body| body.map_err(Into::into).boxed_unsync())
-            }
-            Err(error) => refuse(codec, error.refusal()),
-        };
-    }
-    if request.method() != Method::POST || request.uri().path() != MESSAGE_PATH {
-        return refuse(codec, RefusalReason::NotFromPeer);
-    }
-    let bytes = match read_message(request.into_body()).await {
-        Ok(bytes) => bytes,
-        Err(reason) => return refuse(codec, reason),
-    };
-    match codec.decode(&bytes) {
-        Ok((version, message)) => {
-            let message = on_message(message).await;
-            respond(codec, StatusCode::OK, &message, version)
+    observer: AnswerObserver,
+}
+
+impl MessageService {
+    /// Handles one HTTP request of a peer: a forwarded request or a control message.
+    async fn handle<M, MF, F, FF, B>(
+        &self,
+        mut request: Request<Incoming>,
+        on_message: M,
+        on_forward: F,
+    ) -> Response<ServerBody>
+    where
+        M: Fn(PeerMessage) -> MF,
+        MF: Future<Output = PeerMessage>,
+        F: Fn(ForwardHead, Request<Incoming>) -> FF,
+        FF: Future<Output = Response<B>>,
+        B: Body<Data = Bytes> + Send + 'static,
+        B::Error: Into<BodyError>,
+    {
+        let codec = self.codec;
+        if let Some(value) = request.headers_mut().remove(FORWARD_HEADER) {
+            return match ForwardHead::from_header(&value) {
+                Ok(head) => {
+                    let mut response = on_forward(head, request).await;
+                    response.headers_mut().remove(REFUSED_HEADER);
+                    response.map(|body| body.map_err(Into::into).boxed_unsync())
+                }
+                Err(error) => refuse(codec, error.refusal()),
+            };
         }
-        Err(error) => {
-            log::debug!("event=peer_message_refused error=\"{error}\"");
-            refuse(codec, error.refusal())
+        if request.method() != Method::POST || request.uri().path() != MESSAGE_PATH {
+            return refuse(codec, RefusalReason::NotFromPeer);
+        }
+        let bytes = match read_message(request.into_body()).await {
+            Ok(bytes) => bytes,
+            Err(reason) => return refuse(codec, reason),
+        };
+        match codec.decode(&bytes) {
+            Ok((version, message)) => {
+                let kind = MessageKind::of(&message);
+                let message = on_message(message).await;
+                let answer = encode_answer(codec, &message, version);
+                self.observer.observe(&AnswerReport {
+                    kind,
+                    received: byte_count(bytes.len()),
+                    sent: byte_count(answer.as_ref().map_or(0, Vec::len)),
+                });
+                respond(StatusCode::OK, answer)
+            }
+            Err(error) => {
+                log::debug!("event=peer_message_refused error=\"{error}\"");
+                refuse(codec, error.refusal())
+            }
         }
     }
 }
@@ -313,27 +345,34 @@
 /// Creates a refusal, in the first format version, which every host supports.
 fn refuse(codec: PeerCodec, reason: RefusalReason) -> Response<ServerBody> {
     let message = PeerMessage::Refused(reason);
-    let mut response = respond(codec, StatusCode::BAD_REQUEST, &message, FormatVersion::V1);
+    let answer = encode_answer(codec, &message, FormatVersion::V1);
+    let mut response = respond(StatusCode::BAD_REQUEST, answer);
     let value = HeaderValue::from_static("1");
     response.headers_mut().insert(REFUSED_HEADER, value);
     response
 }
 
-/// Creates a response with an encoded message.
-fn respond(
+/// Encodes an answer, and logs a failure.
+fn encode_answer(
     codec: PeerCodec,
-    status: StatusCode,
     message: &PeerMessage,
     version: FormatVersion,
-) -> Response<ServerBody> {
-    let (status, bytes) = match codec.encode(message, version) {
-        Ok(bytes) => (status, bytes),
-        Err(error) => {
-            log::warn!("event=peer_answer_not_encoded error=\"{error}\"");
-            (StatusCode::INTERNAL_SERVER_ERROR, Vec::new())
-        }
+) -> Option<Vec<u8>> {
+    let encoded = codec.encode(message, version);
+    if let Err(error) = &encoded {
+        log::warn!("event=peer_answer_not_encoded error=\"{error}\"");
+    }
+    encoded.ok()
+}
+
+/// Creates a response with an encoded message, or an error if there is none.
+fn respond(status: StatusCode, answer: Option<Vec<u8>>) -> Response<ServerBody> {
+    let status = match answer {
+        Some(_) => status,
+        None => StatusCode::INTERNAL_SERVER_ERROR,
     };
-    let body = Full::new(Bytes::from(bytes)).map_err(|never| match never {});
+    let bytes = Bytes::from(answer.unwrap_or_default());
+    let body = Full::new(bytes).map_err(|never| match never {});
     let mut response = Response::new(body.boxed_unsync());
     *response.status_mut() = status;
     response
