Reproduce large configurations that fill links

Cause: not fixed yet. Callers get 404 for routes that were added, and refusals while dispatchers count as lost. Measured: both fail on this code. In the first a follower knows no dispatcher, in the second version 2 is not in force within the bound of 2 s.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -9,12 +9,14 @@
 mod configuration;
 mod early_answers;
 mod fleet_start;
+mod large_configurations;
 mod metrics;
 mod peers;
 mod pipelining;
 mod rates;
 mod refused_reads;
 mod requests;
+mod slow_link;
 mod stops;
 mod store_eras;
 mod test_gateway;
