Send changes of the configuration, and large ones from host to host

Cause: a dispatcher sent the whole configuration to each follower after each version: with 3,100 routes 35 times some hundred kilobytes at once. Permits waited behind it for more than 0.15 s, hosts took their dispatchers for lost and turned to the next in rank, whose links are a twentieth; these read and sent the whole in turn. Change: a follower states its version and a digest, and gets the changes, compressed (ConfigDelta, ConfigImage). Changes above 4 KiB are not in the answer: the dispatcher names a host that has them (ConfigSpread), each host serves as many at a time as its link bears beside permits, and who has the version serves others. A copy without the configuration that the other host has does not count as recent. A host that awaits a later version, or whose dispatcher is reading one, reads the store later. Format version 5; hosts of version 4 get whole configurations. Whole directories still go to each host that starts.

--- a/crates/core/src/amounts.rs
+++ b/crates/core/src/amounts.rs
@@ -300,6 +300,11 @@
     ByteCount
 );
 
+define_counter!(
+    /// Rate of the link of a host, in kbit/s.
+    LinkRate
+);
+
 define_counter!(
     /// Memory that a process may use, in MiB.
     MemoryLimit
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
             BurstSize,
             ByteCount,
             CapacityRatio,
+            LinkRate,
             MemoryLimit,
             RequestRate,
             SlotCount,
--- a/crates/directory/src/change_budget.rs
+++ b/crates/directory/src/change_budget.rs
@@ -49,6 +49,10 @@
 /// Maximum number of [`READ_STEP_MILLE`]s that are added.
 const READ_STEPS_MAX: u32 = 4;
 
+/// Addition to the age from which a follower reads the store itself, while a later version is on its way to it, in
+/// thousandths.
+const AWAITED_MILLE: u32 = 300;
+
 /// Time limits that follow from the bound for changes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ChangeBudget {
@@ -128,6 +132,12 @@
         self.share(READ_MILLE + READ_STEP_MILLE * steps)
     }
 
+    /// Returns the age from which a follower reads the store itself although its dispatcher has or reads a later version: a
+    /// read would take the link from the transfer that brings it.
+    pub fn awaited_read_age(self, rank: usize) -> Duration {
+        self.read_age(rank) + self.share(AWAITED_MILLE)
+    }
+
     /// Returns the pause of a follower after a number of failed reads in a row. In an outage of the store every host reads,
     /// and each call is paid; the dispatchers notice its end.
     pub fn retry_pause(self, failures: u32) -> Duration {
--- a/crates/directory/src/config.rs
+++ b/crates/directory/src/config.rs
@@ -12,7 +12,7 @@
 use thiserror::Error;
 
 /// Whether a request without an answer may be sent again.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub enum RequestClass {
     /// Running the request more than once does no harm.
     Idempotent,
@@ -21,7 +21,7 @@
 }
 
 /// A service that a route sends requests to.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct RouteDestination {
     /// The service.
     pub service: ServiceId,
@@ -30,7 +30,7 @@
 }
 
 /// A route: the requests of a host name and path prefix, and how they are handled.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct GatewayRoute {
     /// Name of the route.
     pub id: RouteId,
@@ -55,7 +55,7 @@
 }
 
 /// Limits that apply to each target of a service.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct ServiceTerms {
     /// Largest number of connections that a target accepts from all its clients together.
     pub connections_max: u32,
@@ -64,7 +64,7 @@
 }
 
 /// Keys, priority and rate limit of a team.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct TeamTerms {
     /// Digests of the keys that authenticate the team.
     pub keys: Vec<KeyDigest>,
@@ -77,7 +77,7 @@
 }
 
 /// Limits on connections and requests of callers.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct CallerLimits {
     /// Largest request head, in bytes.
     pub head_bytes_max: usize,
@@ -164,6 +164,15 @@
         })
     }
 
+    /// Returns the configuration with its parts in the order of their names, so that equal ones have equal encodings.
+    pub(crate) fn sorted(&self) -> Self {
+        let mut sorted = self.clone();
+        sorted.routes.sort_by(|left, right| left.id.cmp(&right.id));
+        sorted.services.sort_unstable_keys();
+        sorted.teams.sort_unstable_keys();
+        sorted
+    }
+
     /// Returns the version of the configuration.
     pub fn version(&self) -> ConfigVersion {
         self.version
@@ -174,6 +183,11 @@
         &self.routes
     }
 
+    /// Returns all services.
+    pub fn services(&self) -> &IndexMap<ServiceId, ServiceTerms> {
+        &self.services
+    }
+
     /// Returns the limits of a service; `None` if it is not listed.
     pub fn service(&self, id: &ServiceId) -> Option<&ServiceTerms> {
         self.services.get(id)
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -1,6 +1,8 @@
 //! Data that the platform publishes in its store: the configuration of the gateway and the directory of targets.
 //!
 //! - [`config`]: routes, services, teams and limits of one version, validated together.
+//! - [`config_delta`]: the difference between two versions of the configuration.
+//! - [`config_spread`]: distribution of a large configuration among the hosts of a zone.
 //! - [`routing`]: lookup of the route, the team and the service of a request.
 //! - [`targets`]: the registered targets and the evacuated zones.
 //! - [`position`]: the era and revision up to which the store was read.
@@ -18,6 +20,8 @@
 
 pub mod change_budget;
 pub mod config;
+pub mod config_delta;
+pub mod config_spread;
 pub mod contact;
 pub mod delta;
 pub mod eras;
@@ -44,6 +48,20 @@
             ServiceTerms,
             TeamTerms, //
         },
+        config_delta::{
+            ConfigBase,
+            ConfigChange,
+            ConfigDelta,
+            ConfigDigest,
+            ConfigHistory,
+            config_base, //
+        },
+        config_spread::{
+            ConfigSource,
+            ConfigSpread,
+            HolderPoll,
+            transfers_max, //
+        },
         contact::{
             ConfigOutcome,
             ContactAge,
--- a/crates/directory/src/routing.rs
+++ b/crates/directory/src/routing.rs
@@ -28,7 +28,8 @@
 #[derive(Clone, Debug)]
 pub struct RouteIndex {
     config: Arc<GatewayConfig>,
-    /// Positions of the routes by host name in lower case, the longest prefix first.
+    /// Positions of the routes by host name in lower case, the longest prefix first, and equal ones in the order of their
+    /// names: hosts that received changes have the routes in another order.
     hosts: IndexMap<SmolStr, Vec<usize>>,
     keys: IndexMap<KeyDigest, TeamId>,
 }
@@ -43,7 +44,10 @@
             hosts.entry(host).or_default().push(position);
         }
         for positions in hosts.values_mut() {
-            positions.sort_by_key(|&position| std::cmp::Reverse(routes[position].prefix.len()));
+            positions.sort_by_key(|&position| {
+                let route = &routes[position];
+                (std::cmp::Reverse(route.prefix.len()), &route.id)
+            });
         }
         let keys = config
             .teams()
--- a/crates/gateway/src/follow_loop.rs
+++ b/crates/gateway/src/follow_loop.rs
@@ -19,6 +19,7 @@
 use tokio::task::JoinHandle;
 
 use crate::{
+    config_fetch,
     peer_calls::call_member,
     state::GatewayState, //
 };
@@ -136,14 +137,15 @@
         is_read_wanted,
     } = upstream;
     let mut is_standby = false;
+    let mut fetch_ends = state.config_fetch.subscribe();
     loop {
+        fetch_ends.mark_unchanged();
         let is_dispatcher = state.is_dispatcher();
         let wait = match (is_dispatcher || is_standby, is_read_wanted) {
             (_, true) => state.change_budget().ask_wait(),
             (true, false) => DISPATCHER_WAIT,
             (false, false) => state.change_budget().follow_wait(),
         };
-        let index = state.store_cache.index();
         let is_own_zone = member.zone == state.settings.zone;
         let is_lending = is_own_zone && !is_dispatcher && !is_read_wanted;
         let lease = (is_lending && state.rates.try_lend(&member, state.now()))
@@ -153,9 +155,10 @@
             false => Vec::new(),
         };
         let (directory, positions) = state.store_cache.shared_directory();
+        let transfer = state.transfer_state();
         let request = FollowRequest {
             member: state.gossip.own(),
-            config: index.map(|index| index.config().version()),
+            config: transfer.base.map(|base| base.version),
             content: directory.content,
             positions,
             wait_millis: whole_millis(wait),
@@ -165,14 +168,27 @@
             short_teams,
             served: state.store_cache.served_span(state.now()),
             era: state.store_cache.era_sighting(state.now()),
+            transfer: Some(transfer),
         };
         let sent_at = state.now();
         let message = GatewayMessage::Follow(request);
-        match call_member(&state, &member, message, wait + ANSWER_LIMIT).await {
+        let answer = call_member(&state, &member, message, wait + ANSWER_LIMIT);
+        let answer = tokio::select! {
+            answer = answer => answer,
+            // The next poll tells that this host can send the configuration to others. One of a dispatcher is not given up,
+            // as its answer may hold tokens.
+            _ = fetch_ends.changed(), if !is_dispatcher => continue,
+        };
+        match answer {
             Ok(GatewayMessage::FollowAnswer(answer)) => {
                 is_standby = answer.levels.is_some();
                 let is_leaving = answer.member.is_leaving;
-                if !apply_answer(&state, *answer, (directory.content, sent_at)) {
+                let stated = StatedCopy {
+                    base: transfer.base,
+                    content: directory.content,
+                    sent_at,
+                };
+                if !apply_answer(&state, *answer, stated) {
                     tokio::time::sleep(STALE_ANSWER_PAUSE).await;
                 }
                 // A host that leaves answers at once until this one follows another.
@@ -190,19 +206,58 @@
     }
 }
 
-/// Applies an answer from a followed host to a request that stated a content at a time. Returns `false` if its directory
-/// was rejected as older than the local one.
-fn apply_answer(
-    state: &GatewayState,
-    answer: FollowAnswer,
-    (content, sent_at): (ContentDigest, MonoTime),
+/// The copy that this host stated in a request.
+#[derive(Clone, Copy, Debug)]
+struct StatedCopy {
+    base: Option<ConfigBase>,
+    content: ContentDigest,
+    sent_at: MonoTime,
+}
+
+/// Adopts the configuration of an answer, or begins to fetch it. Returns `false` if it does not fit the one in force.
+fn apply_config(
+    state: &Arc<GatewayState>,
+    update: ConfigUpdate,
+    base: Option<ConfigBase>,
+    host: &HostId,
 ) -> bool {
+    match update {
+        ConfigUpdate::Same => true,
+        ConfigUpdate::Whole(config) => {
+            state.store_cache.adopt_config(*config, host.as_str());
+            true
+        }
+        ConfigUpdate::Image(bytes) => {
+            let image = ConfigImage::new(bytes);
+            let adopted = config_fetch::adopt_image(state, base, image, host);
+            if let Err(error) = &adopted {
+                log::warn!("event=config_image_refused from={host} error=\"{error}\"");
+            }
+            adopted.is_ok()
+        }
+        ConfigUpdate::Offered(offer) => {
+            config_fetch::start(state, base, offer);
+            true
+        }
+    }
+}
+
+/// Applies an answer from a followed host. Returns `false` if its configuration does not fit the local one, or its
+/// directory was rejected as older than the local one.
+fn apply_answer(state: &Arc<GatewayState>, answer: FollowAnswer, stated: StatedCopy) -> bool {
+    let StatedCopy {
+        base,
+        content,
+        sent_at,
+    } = stated;
     let now = state.now();
     let host = answer.member.host.clone();
     state.gossip.on_answer(&host, now);
     state.on_record(answer.member.clone(), now);
-    if let Some(config) = answer.config {
-        state.store_cache.adopt_config(config, host.as_str());
+    let fits = apply_config(state, answer.config, base, &host);
+    let has_config = state.store_cache.config_version() >= answer.config_version;
+    if !has_config || answer.is_reading {
+        state.store_cache.on_later_config(now);
     }
     // The answer was created after `held_millis` on the other host, so not earlier than this time here.
     let created_at = sent_at.after(Duration::from_millis(answer.held_millis.into()));
@@ -221,7 +276,7 @@
         DirectoryUpdate::Changed(delta) => match delta.apply(&cache.shared_directory().0) {
             Some(directory) => adopt(directory),
             // The directory of this host has changed since the request. The next request states the new content.
-            None => return true,
+            None => return fits,
         },
         DirectoryUpdate::Same => {
             cache.on_same_directory(content, answer.positions, now);
@@ -236,7 +291,9 @@
         (StorePart::Targets, answer.target_age_millis),
     ];
     for (part, age) in ages {
-        let is_as_recent = own_positions.part(part) >= answer.positions.part(part);
+        // A copy without the configuration that the other host has is older than that of the other host.
+        let is_as_recent = own_positions.part(part) >= answer.positions.part(part)
+            && (has_config || part != StorePart::Operator);
         if let Some(age) = age.filter(|_| is_as_recent) {
             let age = ContactAge::new(Duration::from_millis(age.into()));
             cache.confirm_aged(part, age, created_at);
@@ -258,5 +315,5 @@
         state.dispatcher.teams().copy_levels(&levels, now);
         state.rates.on_copy(&answer.member, levels.share, now);
     }
-    is_current
+    fits && is_current
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,8 @@
 //! - [`copy_use`]: records the age of that copy at each decision that uses it.
 //! - [`store_loop`]: reads the store directly when this host is responsible for it.
 //! - [`store_reader`]: reads and watches one part of the store.
+//! - [`config_images`]: encoded changes of the configuration, for other hosts.
+//! - [`config_fetch`]: fetches a large configuration from another host.
 //! - [`follow_loop`]: receives updates of the store's contents from other hosts.
 //! - [`gossip_loop`]: exchanges membership records with other hosts.
 //!
@@ -45,6 +47,8 @@
 pub mod body_blocks;
 pub mod body_buffer;
 pub mod clock;
+pub mod config_fetch;
+pub mod config_images;
 pub mod connection_pool;
 pub mod copy_use;
 pub mod event_log;
--- a/crates/gateway/src/peer_calls.rs
+++ b/crates/gateway/src/peer_calls.rs
@@ -18,11 +18,10 @@
 async fn call_with_retry(
     state: &GatewayState,
     address: SocketAddr,
-    message: GatewayMessage,
+    message: PeerMessage,
     limit: Duration,
 ) -> Result<PeerMessage, PeerError> {
     let deadline = Instant::now() + limit;
-    let message = PeerMessage::Gateway(message);
     let answer = match state.peers.call(address, message.clone(), deadline).await {
         Err(PeerError::Broken { .. }) => state.peers.call(address, message, deadline).await?,
         answer => answer?,
@@ -44,7 +43,7 @@
     message: GatewayMessage,
     limit: Duration,
 ) -> Result<GatewayMessage, PeerError> {
-    match call_with_retry(state, address, message, limit).await? {
+    match call_with_retry(state, address, PeerMessage::Gateway(message), limit).await? {
         PeerMessage::Gateway(answer) => Ok(answer),
         _ => Err(PeerError::Refused(RefusalReason::NotARequest)),
     }
@@ -61,12 +60,30 @@
     message: GatewayMessage,
     limit: Duration,
 ) -> Result<(), PeerError> {
-    match call_with_retry(state, address, message, limit).await? {
+    match call_with_retry(state, address, PeerMessage::Gateway(message), limit).await? {
         PeerMessage::Accepted => Ok(()),
         _ => Err(PeerError::Refused(RefusalReason::NotARequest)),
     }
 }
 
+/// Asks a host for parts of documents.
+///
+/// # Errors
+///
+/// Returns the same errors as [`call`].
+pub async fn call_parts(
+    state: &GatewayState,
+    address: SocketAddr,
+    request: PartsRequest,
+    limit: Duration,
+) -> Result<PartsAnswer, PeerError> {
+    let message = PeerMessage::PartsRequest(request);
+    match call_with_retry(state, address, message, limit).await? {
+        PeerMessage::PartsAnswer(answer) => Ok(answer),
+        _ => Err(PeerError::Refused(RefusalReason::NotARequest)),
+    }
+}
+
 /// Calls a known host and marks it as suspected if the call fails.
 ///
 /// # Errors
--- a/crates/gateway/src/peer_service.rs
+++ b/crates/gateway/src/peer_service.rs
@@ -6,11 +6,13 @@
     time::Duration, //
 };
 
+use chicorycroft_core::prelude::*;
 use chicorycroft_directory::prelude::*;
 use chicorycroft_dispatch::prelude::*;
 use chicorycroft_peer::prelude::*;
 
 use crate::{
+    config_fetch,
     gossip_loop,
     permit_relay,
     permit_service,
@@ -20,14 +22,25 @@
 /// Longest time for which the answer to a follower is delayed while nothing changes.
 const LONG_POLL_MAX: Duration = Duration::from_secs(1);
 
+/// Largest image of a change of the configuration that the dispatcher sends in its answers. The link of a small host carries
+/// forty of them in 0.13 s.
+const IMAGE_SENT_MAX: ByteCount = ByteCount::new(4 << 10);
+
 /// Number of hosts in a zone that have the bucket levels: the dispatcher and those next in rank, which would take over
 /// from it.
 const LEVEL_HOLDERS: usize = 3;
 
 /// Handles a message and returns the reply.
 pub async fn on_message(state: Arc<GatewayState>, message: PeerMessage) -> PeerMessage {
-    let PeerMessage::Gateway(message) = message else {
-        return PeerMessage::Refused(RefusalReason::NotARequest);
+    let message = match message {
+        PeerMessage::Gateway(message) => message,
+        PeerMessage::PartsRequest(request) => {
+            return match config_fetch::answer_parts(&state, &request) {
+                Some(answer) => PeerMessage::PartsAnswer(answer),
+                None => PeerMessage::Refused(RefusalReason::NotARequest),
+            };
+        }
+        _ => return PeerMessage::Refused(RefusalReason::NotARequest),
     };
     match message {
         GatewayMessage::Gossip(records) => {
@@ -83,20 +96,19 @@
     if !request.is_dispatcher {
         state.on_follower(&request.member.host);
     }
-    let mut changes = state.store_cache.subscribe();
-    let wait = Duration::from_millis(request.wait_millis.into()).min(LONG_POLL_MAX);
-    let has_changed = |_: &u64| {
-        let index = state.store_cache.index();
-        let version = index.map(|index| index.config().version());
-        let (directory, positions) = state.store_cache.shared_directory();
-        let is_later = is_directory_later(directory.content, positions, &request);
-        version > request.config || is_later || state.is_stopping()
-    };
-    // A timeout means that nothing has changed. The followers of a host that stops lend their units to another one at once.
-    tokio::select! {
-        _ = tokio::time::timeout(wait, changes.wait_for(has_changed)) => {}
-        () = state.until_stopping() => {}
+    if let Some(transfer) = request.transfer {
+        state.on_holder(HolderPoll {
+            source: ConfigSource {
+                host: request.member.host.clone(),
+                address: request.member.address,
+                transfers_max: transfer.transfers_max,
+            },
+            version: transfer.base.map(|base| base.version),
+            fetching: transfer.fetching,
+        });
     }
+    let wait = Duration::from_millis(request.wait_millis.into()).min(LONG_POLL_MAX);
+    let config_update = wait_for_change(state, &request, wait).await;
     let now = state.now();
     // The ages come first: a contact after the directory was read would make it look younger than it is.
     let [age_millis, target_age_millis] = StorePart::ALL.map(|part| {
@@ -122,7 +134,6 @@
         ),
         None => (Vec::new(), None),
     };
-    let config = config.filter(|config| Some(config.version()) > request.config);
     PeerMessage::Gateway(GatewayMessage::FollowAnswer(Box::new(FollowAnswer {
         member: state.gossip.own(),
         held_millis: whole_millis(now.since(arrival)),
@@ -133,7 +144,11 @@
         is_served: state
             .store_cache
             .is_served(state.change_budget().late_age(), now),
-        config: config.map(|config| (*config).clone()),
+        is_reading: state
+            .store_cache
+            .is_reading(state.change_budget().silence_limit()),
+        config_version: config.map(|config| config.version()),
+        config: config_update,
         directory: update,
         positions,
         usage: usage_for(state, &request),
@@ -144,6 +159,80 @@
     })))
 }
 
+/// Waits until a follower can take over a change or this host is stopping, for up to `wait`, and returns the change of the
+/// configuration.
+async fn wait_for_change(
+    state: &GatewayState,
+    request: &FollowRequest,
+    wait: Duration,
+) -> ConfigUpdate {
+    let mut changes = state.store_cache.subscribe();
+    let mut sources = state.subscribe_spread();
+    let wait_end = tokio::time::sleep(wait);
+    tokio::pin!(wait_end);
+    loop {
+        let update = config_update(state, request);
+        let (directory, positions) = state.store_cache.shared_directory();
+        let is_later = is_directory_later(directory.content, positions, request);
+        if !matches!(update, ConfigUpdate::Same) || is_later || state.is_stopping() {
+            return update;
+        }
+        tokio::select! {
+            // The senders live as long as the state.
+            _ = changes.changed() => {}
+            _ = sources.changed() => {}
+            () = &mut wait_end => return update,
+            // The followers of a host that stops lend their units to another one at once.
+            () = state.until_stopping() => return update,
+        }
+    }
+}
+
+/// Returns the change of the configuration for a follower: a short one itself, and for a long one the host from which to
+/// fetch it.
+fn config_update(state: &GatewayState, request: &FollowRequest) -> ConfigUpdate {
+    let Some(index) = state.store_cache.index() else {
+        return ConfigUpdate::Same;
+    };
+    if Some(index.config().version()) <= request.config {
+        return ConfigUpdate::Same;
+    }
+    let whole = || ConfigUpdate::Whole(Box::new((**index.config()).clone()));
+    let Some(transfer) = request.transfer else {
+        return whole();
+    };
+    if transfer.fetching.is_some() {
+        return ConfigUpdate::Same;
+    }
+    let (version, image) = match state.config_images.since(&state.store_cache, transfer.base) {
+        Ok(Some(latest)) => latest,
+        Ok(None) => return ConfigUpdate::Same,
+        Err(error) => {
+            log::warn!("event=config_not_encoded error=\"{error}\"");
+            return whole();
+        }
+    };
+    if image.size() <= IMAGE_SENT_MAX {
+        return ConfigUpdate::Image(image.bytes().clone());
+    }
+    let receiver = &request.member.host;
+    let source = state.spread().assign(receiver, version, state.now());
+    let Some(source) = source else {
+        return ConfigUpdate::Same;
+    };
+    log::info!(
+        "event=config_offered version={version} to={receiver} from={} bytes={}",
+        source.host,
+        image.size()
+    );
+    ConfigUpdate::Offered(ConfigOffer {
+        version,
+        image: image.digest(),
+        host: source.host,
+        address: source.address,
+    })
+}
+
 /// Returns `true` if a follower can take over a part of this host's directory. It takes over a different state of the same
 /// positions from the host that it follows; another dispatcher does not.
 fn is_directory_later(
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -32,6 +32,8 @@
 use crate::{
     body_buffer::BodyMemory,
     clock::GatewayClock,
+    config_fetch::ConfigFetch,
+    config_images::ConfigImages,
     connection_pool::ConnectionPool,
     metrics::GatewayMetrics,
     queue_report::QueueReport,
@@ -96,6 +98,10 @@
     pub gossip: HostGossip,
     /// Local copy of the store's contents.
     pub store_cache: StoreCache,
+    /// Configuration that this host fetches from another one.
+    pub config_fetch: ConfigFetch,
+    /// Encoded changes of the configuration, for other hosts.
+    pub config_images: ConfigImages,
     /// Dispatcher of this host, which grants permits.
     pub dispatcher: ZoneDispatcher,
     /// Permit requests queued at the dispatcher of this host.
@@ -120,6 +126,8 @@
     pub body_memory: BodyMemory,
     seeds: RwLock<Vec<SocketAddr>>,
     followers: ShardMap<HostId, MonoTime>,
+    spread: Mutex<ConfigSpread>,
+    spread_changes: watch::Sender<u64>,
     reader_search: Mutex<ReaderSearch>,
     /// Time until which another host wants this one to read the store.
     read_wanted_until: Mutex<MonoTime>,
@@ -145,12 +153,19 @@
             beat: 0,
             is_leaving: false,
         };
+        let own_source = ConfigSource {
+            host: settings.host.clone(),
+            address: settings.peer_address,
+            transfers_max: transfers_max(settings.link_rate),
+        };
         let rates = RateShares::new();
         rates.on_own_zone(&settings.zone);
         Self {
             clock,
             gossip: HostGossip::new(own),
             store_cache: StoreCache::new().with_heartbeat(settings.heartbeat),
+            config_fetch: ConfigFetch::new(),
+            config_images: ConfigImages::new(),
             // The incarnation is in milliseconds, so the permit numbers of an earlier process are lower as
             // long as it granted fewer than a million permits per second.
             dispatcher: ZoneDispatcher::new(incarnation.get().saturating_mul(1000))
@@ -167,6 +182,8 @@
             body_memory: BodyMemory::new(body_kib),
             seeds: RwLock::new(settings.seeds.clone()),
             followers: ShardMap::new(),
+            spread: Mutex::new(ConfigSpread::new(own_source)),
+            spread_changes: watch::Sender::new(0),
             reader_search: Mutex::new(ReaderSearch::new()),
             read_wanted_until: Mutex::new(MonoTime::START),
             read_wanted: Notify::new(),
@@ -199,6 +216,33 @@
         self.followers.insert(host.clone(), self.now());
     }
 
+    /// Returns the distribution of large configurations to the hosts that poll this one.
+    pub fn spread(&self) -> MutexGuard<'_, ConfigSpread> {
+        self.spread.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records what a host that polls this one says about its configuration.
+    pub fn on_holder(&self, poll: HolderPoll) {
+        let now = self.now();
+        if self.spread().on_poll(poll, now) {
+            self.spread_changes.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// Returns a receiver that is notified when hosts may be assigned a source that could not be before.
+    pub fn subscribe_spread(&self) -> watch::Receiver<u64> {
+        self.spread_changes.subscribe()
+    }
+
+    /// Returns what this host says about its configuration to the hosts that it polls.
+    pub fn transfer_state(&self) -> TransferState {
+        TransferState {
+            base: self.store_cache.config_base(),
+            fetching: self.config_fetch.version(),
+            transfers_max: transfers_max(self.settings.link_rate),
+        }
+    }
+
     /// Returns the search for hosts that read the store in place of this one.
     pub fn reader_search(&self) -> MutexGuard<'_, ReaderSearch> {
         let search = self.reader_search.lock();
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -29,6 +29,12 @@
 #[derive(Debug)]
 pub struct StoreCache {
     index: RwLock<Option<Arc<RouteIndex>>>,
+    /// Locked after `index` where both are.
+    config_history: Mutex<ConfigHistory>,
+    /// When another host last had or read a later configuration than this one.
+    later_config_seen: Mutex<Option<MonoTime>>,
+    /// Arrival of the latest answer of the store about the operators' records.
+    operator_answer: Mutex<AnswerProgress>,
     tracker: Mutex<DirectoryTracker>,
     history: Mutex<DirectoryHistory>,
     contacts: Mutex<CopyContacts>,
@@ -82,6 +88,9 @@
     pub fn new() -> Self {
         Self {
             index: RwLock::new(None),
+            config_history: Mutex::new(ConfigHistory::new()),
+            later_config_seen: Mutex::new(None),
+            operator_answer: Mutex::new(AnswerProgress::new()),
             tracker: Mutex::new(DirectoryTracker::new()),
             history: Mutex::new(DirectoryHistory::new()),
             contacts: Mutex::new(CopyContacts::new()),
@@ -105,6 +114,49 @@
             .clone()
     }
 
+    /// Returns the version of the configuration in force, or `None` before the first one.
+    pub fn config_version(&self) -> Option<ConfigVersion> {
+        self.index().map(|index| index.config().version())
+    }
+
+    /// Returns the version and digest of the configuration in force, or `None` before the first one.
+    pub fn config_base(&self) -> Option<ConfigBase> {
+        lock(&self.config_history).base()
+    }
+
+    /// Returns the version and digest of a configuration that was in force lately.
+    pub fn find_config(&self, version: ConfigVersion) -> Option<ConfigBase> {
+        lock(&self.config_history).find(version)
+    }
+
+    /// Returns the change since an earlier configuration to the one in force, or `None` before the first one.
+    pub fn config_change(&self, base: Option<ConfigBase>) -> Option<ConfigChange> {
+        let index = self.index()?;
+        let history = lock(&self.config_history);
+        Some(history.change_since(base, index.config()))
+    }
+
+    /// Records that another host has or reads a later configuration, which it will pass on.
+    pub fn on_later_config(&self, now: MonoTime) {
+        *lock(&self.later_config_seen) = Some(now);
+    }
+
+    /// Returns `true` if another host had or read a later configuration within `limit`.
+    pub fn is_config_awaited(&self, limit: Duration, now: MonoTime) -> bool {
+        let seen = *lock(&self.later_config_seen);
+        seen.is_some_and(|at| now.since(at) < limit)
+    }
+
+    /// Sets the progress of the latest call for the operators' records.
+    pub fn set_operator_answer(&self, progress: AnswerProgress) {
+        *lock(&self.operator_answer) = progress;
+    }
+
+    /// Returns `true` if bytes of the operators' records have arrived within `limit`.
+    pub fn is_reading(&self, limit: Duration) -> bool {
+        lock(&self.operator_answer).is_arriving(limit)
+    }
+
     /// Returns the documents of the store that this host refused.
     pub fn refused_documents(&self) -> &RefusedDocuments {
         &self.refused
@@ -212,6 +264,7 @@
         if previous >= Some(version) {
             return false;
         }
+        lock(&self.config_history).push(&config);
         *index = Some(Arc::new(RouteIndex::new(Arc::new(config))));
         drop(index);
         let previous = previous.map_or(0, ConfigVersion::get);
--- a/crates/gateway/src/store_loop.rs
+++ b/crates/gateway/src/store_loop.rs
@@ -63,13 +63,22 @@
 }
 
 /// Returns `true` if the cached data is old enough for this host to read the store itself. A host without data
-/// cannot serve callers and reads soon after its start.
+/// cannot serve callers and reads soon after its start, unless another host is sending it the configuration. One that awaits
+/// a later configuration from another host reads later.
 fn should_read(state: &GatewayState, started_at: MonoTime) -> bool {
     let now = state.now();
     let Some(age) = state.store_cache.copy_age(now) else {
-        return now.since(started_at) > FIRST_READ_DELAY;
+        return now.since(started_at) > FIRST_READ_DELAY && state.config_fetch.version().is_none();
     };
-    age.get() > state.change_budget().read_age(state.rank())
+    let budget = state.change_budget();
+    let is_awaited = state
+        .store_cache
+        .is_config_awaited(2 * budget.follow_wait(), now);
+    let read_age = match is_awaited {
+        true => budget.awaited_read_age(state.rank()),
+        false => budget.read_age(state.rank()),
+    };
+    age.get() > read_age
 }
 
 /// Reads or watches the store as needed for as long as the process runs.
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -118,6 +118,9 @@
         F: Future<Output = Result<StoreEvents, StoreError>>,
     {
         let progress = AnswerProgress::new();
+        if self.part == StorePart::Operator {
+            self.state.store_cache.set_operator_answer(progress.clone());
+        }
         let first = call(progress.clone());
         tokio::pin!(first);
         let silence_limit = self.budget().silence_limit();
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -197,6 +197,7 @@
         short_teams: Vec::new(),
         served: None,
         era: state.store_cache.era_sighting(state.now()),
+        transfer: Some(state.transfer_state()),
     };
     let message = PeerMessage::Gateway(GatewayMessage::Follow(request));
     let answer = peer_service::on_message(state.clone(), message).await;
--- a/crates/gateway/tests/gateway/test_gateway.rs
+++ b/crates/gateway/tests/gateway/test_gateway.rs
@@ -66,6 +66,7 @@
         retry_ratio: CapacityRatio::from_mille(200),
         retry_slack: 56,
         memory_limit: MemoryLimit::new(256),
+        link_rate: LinkRate::new(10_000),
     }
 }
 
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -2,7 +2,7 @@
 //!
 //! Version 2 added the suspect flag of a target's load, and version 3 the ages and revisions of both parts of the
 //! store, and what targets say about themselves. Version 4 added the positions in the store, the leases of team rates and
-//! the load of pools. A host decodes all versions and answers in the version of the request, so that hosts of two
+//! the load of pools, and version 5 the changes and transfers of configurations, and compresses long messages. A host decodes all versions and answers in the version of the request, so that hosts of two
 //! releases work together during a rolling upgrade.
 
 use std::{
@@ -27,6 +27,7 @@
     format_v1::HeartbeatV1,
     format_v2::GatewayMessageV2,
     format_v3::GatewayMessageV3,
+    format_v4::GatewayMessageV4,
     messages::{
         PeerMessage,
         RefusalReason, //
@@ -50,6 +51,8 @@
     pub const V3: Self = Self(3);
     /// Version that added the positions in the store, the leases of team rates and the load of pools.
     pub const V4: Self = Self(4);
+    /// Version that added the changes and transfers of configurations.
+    pub const V5: Self = Self(5);
 
     /// Creates a version from a number, which need not be a supported version.
     pub const fn new(number: u8) -> Self {
@@ -174,13 +177,13 @@
 impl PeerCodec {
     /// Creates a codec that supports all versions up to the current one.
     pub fn new() -> Self {
-        Self::with_highest(FormatVersion::V4)
+        Self::with_highest(FormatVersion::V5)
     }
 
     /// Creates a codec that supports no version above `highest`, as a host of an older release.
     pub fn with_highest(highest: FormatVersion) -> Self {
         Self {
-            highest: highest.min(FormatVersion::V4),
+            highest: highest.min(FormatVersion::V5),
         }
     }
 
@@ -234,6 +237,9 @@
             PeerMessage::Gateway(message) if version < FormatVersion::V4 => {
                 encode_into(&mut bytes, &GatewayMessageV3::from(message))?;
             }
+            PeerMessage::Gateway(message) if version < FormatVersion::V5 => {
+                encode_into(&mut bytes, &GatewayMessageV4::from(message))?;
+            }
             PeerMessage::Gateway(message) => encode_into(&mut bytes, message)?,
         }
         Ok(bytes)
@@ -277,6 +283,9 @@
             16 if version < FormatVersion::V4 => {
                 PeerMessage::Gateway(decode_exact::<GatewayMessageV3>(body)?.into())
             }
+            16 if version < FormatVersion::V5 => {
+                PeerMessage::Gateway(decode_exact::<GatewayMessageV4>(body)?.into())
+            }
             16 => PeerMessage::Gateway(decode_exact(body)?),
             found => return Err(CodecError::UnknownKind { found }),
         };
--- a/crates/peer/src/format_v2.rs
+++ b/crates/peer/src/format_v2.rs
@@ -61,6 +61,7 @@
             short_teams: Vec::new(),
             served: None,
             era: NO_ERA,
+            transfer: None,
         }
     }
 }
@@ -84,7 +85,7 @@
             member: answer.member.clone(),
             held_millis: answer.held_millis,
             age_millis: answer.age_millis,
-            config: answer.config.clone(),
+            config: answer.config.whole().cloned(),
             directory: match &answer.directory {
                 DirectoryUpdate::Replaced(directory) => Some(directory.into()),
                 // Changes are returned only for revisions that a request of this version does not state.
@@ -109,7 +110,9 @@
             served: None,
             era: NO_ERA,
             is_served: false,
-            config: answer.config,
+            is_reading: false,
+            config_version: None,
+            config: answer.config.into(),
             directory: answer.directory.map_or(DirectoryUpdate::Same, |directory| {
                 DirectoryUpdate::Replaced(directory.into())
             }),
--- a/crates/peer/src/format_v3.rs
+++ b/crates/peer/src/format_v3.rs
@@ -156,6 +156,7 @@
             short_teams: Vec::new(),
             served: None,
             era: NO_ERA,
+            transfer: None,
         }
     }
 }
@@ -183,7 +184,7 @@
             age_millis: answer.age_millis,
             target_age_millis: answer.target_age_millis,
             is_served: answer.is_served,
-            config: answer.config.clone(),
+            config: answer.config.whole().cloned(),
             directory: (&answer.directory).into(),
             revisions: answer.positions.into(),
             usage: answer.usage.clone(),
@@ -202,7 +203,9 @@
             served: None,
             era: NO_ERA,
             is_served: answer.is_served,
-            config: answer.config,
+            is_reading: false,
+            config_version: None,
+            config: answer.config.into(),
             directory: answer.directory.into(),
             positions: answer.revisions.into(),
             usage: answer.usage,
--- a/crates/peer/src/gateway.rs
+++ b/crates/peer/src/gateway.rs
@@ -1,5 +1,8 @@
 //! The messages between gateway hosts: gossip, long polling for changes, and permits.
 
+use std::net::SocketAddr;
+
+use bytes::Bytes;
 use chicorycroft_core::prelude::*;
 use chicorycroft_directory::prelude::*;
 use chicorycroft_dispatch::prelude::*;
@@ -34,6 +37,55 @@
     pub served: Option<ServedSpan>,
     /// The latest era of the store that the host knows of.
     pub era: EraSighting,
+    /// Transfers of configurations; `None` from a host that takes whole configurations only.
+    pub transfer: Option<TransferState>,
+}
+
+/// What a host says about its configuration, and about transfers of it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TransferState {
+    /// The configuration in force.
+    pub base: Option<ConfigBase>,
+    /// The version that the host is fetching.
+    pub fetching: Option<ConfigVersion>,
+    /// Largest number of hosts to which it sends configurations at a time.
+    pub transfers_max: u32,
+}
+
+/// The configuration of a host, compared with that of the host that follows it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum ConfigUpdate {
+    /// Nothing to send: the versions are equal, the requesting host fetches the later one, or has to wait for it.
+    Same,
+    /// The whole configuration.
+    Whole(Box<GatewayConfig>),
+    /// The bytes of a short image of the change.
+    Image(Bytes),
+    /// The change is to be fetched from a host.
+    Offered(ConfigOffer),
+}
+
+impl ConfigUpdate {
+    /// Returns the configuration if it is sent as a whole.
+    pub fn whole(&self) -> Option<&GatewayConfig> {
+        match self {
+            Self::Whole(config) => Some(config),
+            _ => None,
+        }
+    }
+}
+
+/// Where to fetch a version of the configuration.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ConfigOffer {
+    /// The version.
+    pub version: ConfigVersion,
+    /// Digest of the image of the change since the version that the requesting host has.
+    pub image: DocumentDigest,
+    /// Name of the host that has it.
+    pub host: HostId,
+    /// Address of that host for other hosts.
+    pub address: SocketAddr,
 }
 
 /// The directory of a host, compared with that of the host that follows it.
@@ -66,8 +118,12 @@
     pub era: EraSighting,
     /// Whether the store itself, and not another host, confirmed the copy of this host a short time ago.
     pub is_served: bool,
-    /// The configuration, if the requesting host has a lower version.
-    pub config: Option<GatewayConfig>,
+    /// Whether the operators' records are arriving from the store at this moment.
+    pub is_reading: bool,
+    /// Version of the configuration that the host has; `None` from one that sends each later version in its answer.
+    pub config_version: Option<ConfigVersion>,
+    /// The configuration, compared with that of the requesting host.
+    pub config: ConfigUpdate,
     /// The directory, compared with that of the requesting host.
     pub directory: DirectoryUpdate,
     /// Positions up to which the parts of the directory were read.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`heartbeat`]: the heartbeat message and the reports that it contains.
 //! - [`parts`]: transfer of configuration documents in chunks.
 //! - [`codec`]: encoding and decoding of control messages; no other module depends on the format.
+//! - [`config_image`]: the encoded form of a change of the configuration.
 //! - [`gateway`]: the messages between gateway hosts.
 //! - [`forward`]: the header of a forwarded request.
 //! - [`client`]: one persistent connection per peer.
@@ -16,10 +17,12 @@
 
 pub mod client;
 pub mod codec;
+pub mod config_image;
 pub mod failure;
 mod format_v1;
 mod format_v2;
 mod format_v3;
+mod format_v4;
 pub mod forward;
 pub mod gateway;
 pub mod heartbeat;
@@ -37,6 +40,7 @@
             FormatVersion,
             PeerCodec, //
         },
+        config_image::ConfigImage,
         failure::{
             ForwardError,
             PeerError, //
@@ -46,12 +50,15 @@
             RequestId, //
         },
         gateway::{
+            ConfigOffer,
+            ConfigUpdate,
             DirectoryUpdate,
             FollowAnswer,
             FollowRequest,
             GatewayMessage,
             GossipBeats,
-            RelayedCall, //
+            RelayedCall,
+            TransferState, //
         },
         heartbeat::{
             BucketCount,
--- a/crates/peer/src/parts.rs
+++ b/crates/peer/src/parts.rs
@@ -82,7 +82,18 @@
         request: &PartsRequest,
         find: impl Fn(&PartKey) -> Option<Bytes>,
     ) -> Self {
-        let mut remaining = CHUNK_BYTES_MAX;
+        Self::with_limit(CHUNK_BYTES_MAX, version, index, request, find)
+    }
+
+    /// Creates the answer to a request, with up to `limit` bytes of the documents that `find` returns.
+    pub fn with_limit(
+        limit: usize,
+        version: ConfigVersion,
+        index: DocumentDigest,
+        request: &PartsRequest,
+        find: impl Fn(&PartKey) -> Option<Bytes>,
+    ) -> Self {
+        let mut remaining = limit;
         let mut chunks = Vec::new();
         for want in request.wants.iter().take(WANTS_MAX) {
             let Some(document) = find(&want.key) else {
--- a/crates/peer/src/traffic.rs
+++ b/crates/peer/src/traffic.rs
@@ -31,6 +31,8 @@
     Permit,
     /// Return of a permit.
     Release,
+    /// Part of a configuration, and the request for it.
+    Config,
     /// Any other message.
     Other,
 }
@@ -38,8 +40,10 @@
 impl MessageKind {
     /// Returns the kind of a message.
     pub fn of(message: &PeerMessage) -> Self {
-        let PeerMessage::Gateway(message) = message else {
-            return Self::Other;
+        let message = match message {
+            PeerMessage::Gateway(message) => message,
+            PeerMessage::PartsRequest(_) | PeerMessage::PartsAnswer(_) => return Self::Config,
+            _ => return Self::Other,
         };
         match message {
             GatewayMessage::Gossip(_) | GatewayMessage::GossipBeats(_) => Self::Gossip,
@@ -61,6 +65,7 @@
             Self::Follow => "follow",
             Self::Permit => "permit",
             Self::Release => "release",
+            Self::Config => "config",
             Self::Other => "other",
         })
     }
--- a/crates/peer/tests/admit_formats.rs
+++ b/crates/peer/tests/admit_formats.rs
@@ -48,7 +48,8 @@
     for (objective, return_time) in [(Some(400), Some(300)), (None, None)] {
         for message in [admit(objective), busy(return_time)] {
             let same = PeerMessage::Gateway(message.clone());
-            assert_eq!(cross(message, FormatVersion::V4), same);
+            assert_eq!(cross(message.clone(), FormatVersion::V4), same);
+            assert_eq!(cross(message, FormatVersion::V5), same);
         }
         for version in [FormatVersion::V2, FormatVersion::V3] {
             let expected = PeerMessage::Gateway(admit(None));
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -110,7 +110,9 @@
             age_millis: None,
         },
         is_served: false,
-        config: None,
+        is_reading: false,
+        config_version: None,
+        config: ConfigUpdate::Same,
         directory: DirectoryUpdate::Replaced(TargetDirectory::new()),
         positions: PartPositions::new(StorePosition::without_era(StoreRevision::new(9))),
         usage: Vec::new(),
@@ -238,7 +240,7 @@
 }
 
 fn encode(message: &PeerMessage) -> Vec<u8> {
-    PeerCodec::new().encode(message, FormatVersion::V4).unwrap()
+    PeerCodec::new().encode(message, FormatVersion::V5).unwrap()
 }
 
 /// Guards against a kind of message that is decoded as another one or fails to decode.
@@ -249,8 +251,9 @@
         let bytes = encode(&message);
         println!("message={name} bytes={}", bytes.len());
         let decoded = codec.decode(&bytes).unwrap();
-        assert_eq!(decoded, (FormatVersion::V4, message.clone()), "{name}");
-        for earlier in [FormatVersion::V1, FormatVersion::V2, FormatVersion::V3] {
+        assert_eq!(decoded, (FormatVersion::V5, message.clone()), "{name}");
+        for earlier in 1..FormatVersion::V5.get() {
+            let earlier = FormatVersion::new(earlier);
             let bytes = codec.encode(&message, earlier).unwrap();
             let (version, decoded) = codec.decode(&bytes).unwrap();
             assert_eq!(version, earlier);
@@ -291,7 +294,7 @@
     assert_eq!(
         old.decode(&encode(&message)),
         Err(CodecError::UnknownVersion {
-            found: FormatVersion::V4,
+            found: FormatVersion::V5,
             highest: FormatVersion::V1,
         })
     );
@@ -332,6 +335,7 @@
         short_teams: Vec::new(),
         served: None,
         era: follow_answer().era,
+        transfer: None,
     };
     let codec = PeerCodec::new();
     for version in [FormatVersion::V2, FormatVersion::V3] {
@@ -390,10 +394,10 @@
     let codec = PeerCodec::new();
     let bytes = encode(&PeerMessage::Heartbeat(heartbeat(2, 2)));
     let refusal_of = |bytes: &[u8]| codec.decode(bytes).unwrap_err().refusal();
-    for version in [0, 5, 255] {
+    for version in [0, 6, 255] {
         let mut other = bytes.clone();
         other[0] = version;
-        assert_eq!(refusal_of(&other), RefusalReason::UnknownVersion(4));
+        assert_eq!(refusal_of(&other), RefusalReason::UnknownVersion(5));
     }
     let mut other = bytes.clone();
     other[1] = 15;
@@ -553,7 +557,7 @@
     let new = PeerCodec::new();
     assert_eq!(
         new.decode(&encode(&loaded)).unwrap(),
-        (FormatVersion::V4, loaded.clone())
+        (FormatVersion::V5, loaded.clone())
     );
     for earlier in [FormatVersion::V2, FormatVersion::V3] {
         let old = PeerCodec::with_highest(earlier);
--- a/crates/peer/tests/earlier_formats.rs
+++ b/crates/peer/tests/earlier_formats.rs
@@ -12,6 +12,7 @@
 use chicorycroft_directory::prelude::*;
 use chicorycroft_membership::prelude::*;
 use chicorycroft_peer::prelude::*;
+use indexmap::IndexMap;
 
 fn member() -> MemberRecord {
     MemberRecord {
@@ -75,6 +76,7 @@
         short_teams: Vec::new(),
         served,
         era: sighting(era),
+        transfer: None,
     }))
 }
 
@@ -85,7 +87,9 @@
         age_millis: Some(120),
         target_age_millis: None,
         is_served: true,
-        config: None,
+        is_reading: false,
+        config_version: None,
+        config: ConfigUpdate::Same,
         directory: DirectoryUpdate::Replaced(directory(era)),
         positions: positions(era),
         usage: Vec::new(),
@@ -109,6 +113,12 @@
 const ANSWER_V3: &str = "03100206656467652d31016100c0000201fb131dfd8003b640a20100000700fa017800010002fb2c01fdd21a3bb5f0\
 454fdb0103742d3103742d310472617465000a000001500161020000000105010162fb2c01fb2d010003";
 
+/// Messages of era 2 as the release with format version 4 encoded them.
+const REQUEST_V4: &str = "04100106656467652d31016100c0000201fb131dfd8003b640a201000007000104fdd21a3bb5f0454fdb02fb2c01\
+02fb2d01fa0001000001fb28230a0201fbbc02";
+const ANSWER_V4: &str = "04100206656467652d31016100c0000201fb131dfd8003b640a20100000700fa01780001fb28230a0201fbbc0201\
+000202fb2c01fdd21a3bb5f0454fdb0103742d3103742d310472617465000a00000150016102000000010501016202fb2c0102fb2d010003000000";
+
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
@@ -133,6 +143,54 @@
             assert_eq!(hex(&codec.encode(&message, version).unwrap()), bytes);
         }
     }
+    let cases = [
+        (request(2, served), REQUEST_V4),
+        (answer(2, served), ANSWER_V4),
+    ];
+    for (message, bytes) in cases {
+        let encoded = codec.encode(&message, FormatVersion::V4).unwrap();
+        assert_eq!(hex(&encoded), bytes);
+        assert_eq!(codec.decode(&encoded).unwrap().1, message);
+    }
+}
+
+/// Guards against a host of version 4 that gets no configuration, or is offered a transfer that it does not know.
+#[test]
+fn host_of_version_4_gets_whole_configurations() {
+    let codec = PeerCodec::new();
+    let limits = CallerLimits {
+        head_bytes_max: 1,
+        body_bytes_max: 1,
+        head_timeout: Duration::ZERO,
+        idle_timeout: Duration::ZERO,
+    };
+    let version = ConfigVersion::new(9);
+    let services = IndexMap::new();
+    let config = GatewayConfig::new(version, Vec::new(), services, IndexMap::new(), limits);
+    let config = Box::new(config.unwrap());
+    let PeerMessage::Gateway(GatewayMessage::FollowAnswer(plain)) = answer(2, None) else {
+        panic!("expected an answer");
+    };
+    let cases = [
+        (
+            ConfigUpdate::Whole(config.clone()),
+            ConfigUpdate::Whole(config),
+        ),
+        (ConfigUpdate::Same, ConfigUpdate::Same),
+    ];
+    for (sent, expected) in cases {
+        let message = |config, config_version| {
+            let answer = FollowAnswer {
+                config,
+                config_version,
+                ..(*plain).clone()
+            };
+            PeerMessage::Gateway(GatewayMessage::FollowAnswer(Box::new(answer)))
+        };
+        let sent = message(sent, Some(version));
+        let bytes = codec.encode(&sent, FormatVersion::V4).unwrap();
+        assert_eq!(codec.decode(&bytes).unwrap().1, message(expected, None));
+    }
 }
 
 /// Guards against a host of version 3 that counts as one of the latest era, and against an era that is lost between hosts of
@@ -149,7 +207,9 @@
         let bytes = codec.encode(&sent, FormatVersion::V3).unwrap();
         let (_, decoded) = codec.decode(&bytes).unwrap();
         assert_eq!(decoded, message(0, None));
-        let bytes = codec.encode(&sent, FormatVersion::V4).unwrap();
-        assert_eq!(codec.decode(&bytes).unwrap().1, sent);
+        for version in [FormatVersion::V4, FormatVersion::V5] {
+            let bytes = codec.encode(&sent, version).unwrap();
+            assert_eq!(codec.decode(&bytes).unwrap().1, sent);
+        }
     }
 }
--- a/crates/peer/tests/transport.rs
+++ b/crates/peer/tests/transport.rs
@@ -157,7 +157,7 @@
             "/peer/message",
             "",
             &[9, 1, 1],
-            RefusalReason::UnknownVersion(4),
+            RefusalReason::UnknownVersion(5),
         ),
         (
             "POST",
