Compress long messages between gateway hosts

Change: bodies from 4 KiB on are compressed in format version 5, marked by a bit of the kind byte, and decompressed to at most the size of a message.

--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -1,4 +1,5 @@
-//! The encoding of messages: one byte for the format version, one for the kind, then the fields in bincode.
+//! The encoding of messages: one byte for the format version, one for the kind, then the fields in bincode, which may be
+//! compressed.
 //!
 //! Version 2 added the suspect flag of a target's load, and version 3 the ages and revisions of both parts of the
 //! store, and what targets say about themselves. Version 4 added the positions in the store, the leases of team rates and
@@ -24,6 +25,10 @@
 use thiserror::Error;
 
 use crate::{
+    config_image::{
+        deflate,
+        inflate, //
+    },
     format_v1::HeartbeatV1,
     format_v2::GatewayMessageV2,
     format_v3::GatewayMessageV3,
@@ -38,6 +43,13 @@
 /// and a directory of 17,000 targets.
 pub const MESSAGE_BYTES_MAX: usize = 2 << 20;
 
+/// Length from which messages between gateway hosts are compressed, in bytes. Most messages are shorter, and whole
+/// directories and bucket levels longer.
+const COMPRESSED_MIN: usize = 4 << 10;
+
+/// Bit of the kind byte that marks a compressed message, from format version 5 on.
+const COMPRESSED_BIT: u8 = 0x80;
+
 /// Version of the message encoding.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct FormatVersion(u8);
@@ -162,6 +174,21 @@
     Ok(())
 }
 
+/// Compresses the body of a long message, if that makes it shorter.
+fn compress(bytes: &mut Vec<u8>) -> Result<(), CodecError> {
+    let &[version, kind, ref body @ ..] = &bytes[..] else {
+        return Ok(());
+    };
+    if body.len() < COMPRESSED_MIN {
+        return Ok(());
+    }
+    let compressed = deflate(body)?;
+    if compressed.len() < body.len() {
+        *bytes = [&[version, kind | COMPRESSED_BIT], &compressed[..]].concat();
+    }
+    Ok(())
+}
+
 /// A codec that supports all format versions up to a highest one.
 #[derive(Clone, Copy, Debug)]
 pub struct PeerCodec {
@@ -240,7 +267,10 @@
             PeerMessage::Gateway(message) if version < FormatVersion::V5 => {
                 encode_into(&mut bytes, &GatewayMessageV4::from(message))?;
             }
-            PeerMessage::Gateway(message) => encode_into(&mut bytes, message)?,
+            PeerMessage::Gateway(message) => {
+                encode_into(&mut bytes, message)?;
+                compress(&mut bytes)?;
+            }
         }
         Ok(bytes)
     }
@@ -260,6 +290,12 @@
         };
         let version = FormatVersion::new(version);
         self.check_version(version)?;
+        let is_compressed = version >= FormatVersion::V5 && kind & COMPRESSED_BIT != 0;
+        let (kind, plain) = match is_compressed {
+            true => (kind & !COMPRESSED_BIT, Some(inflate(body)?)),
+            false => (kind, None),
+        };
+        let body = plain.as_deref().unwrap_or(body);
         let message = match kind {
             1 if version == FormatVersion::V1 => {
                 PeerMessage::Heartbeat(decode_exact::<HeartbeatV1>(body)?.into())
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -279,6 +279,57 @@
     }
 }
 
+/// Returns the answer to a follower that has just started, with a directory of many targets.
+fn answer_with_directory(target_count: usize) -> PeerMessage {
+    let mut directory = TargetDirectory::new();
+    for number in 0..target_count {
+        let mixed = (number as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let id = TargetId::new(&format!("i-{:010x}", mixed >> 24)).unwrap();
+        let entry = TargetEntry {
+            id: id.clone(),
+            service: service(),
+            address: format!("10.1.64.{}:8648", number % 250).parse().unwrap(),
+            zone: ZoneId::new("muscat-a").unwrap(),
+            slots: SlotCount::new(2),
+            phase: TargetPhase::Ready,
+            cold_left: std::time::Duration::ZERO,
+            born: 1_770_000_000_000 + (mixed >> 50),
+            sequence: 0,
+        };
+        directory.targets.insert(id, entry);
+    }
+    directory.update_digest();
+    let answer = FollowAnswer {
+        directory: DirectoryUpdate::Replaced(directory),
+        ..follow_answer()
+    };
+    PeerMessage::Gateway(GatewayMessage::FollowAnswer(Box::new(answer)))
+}
+
+/// Guards against the link of a dispatcher that is full for seconds when most hosts of its zone start again at once, as each
+/// gets the whole directory.
+#[test]
+fn long_answers_are_compressed() {
+    let codec = PeerCodec::new();
+    let message = answer_with_directory(400);
+    let plain = codec.encode(&message, FormatVersion::V4).unwrap();
+    let compressed = encode(&message);
+    println!("plain={} compressed={}", plain.len(), compressed.len());
+    assert!(2 * compressed.len() < plain.len());
+    let decoded = codec.decode(&compressed).unwrap();
+    assert_eq!(decoded, (FormatVersion::V5, message));
+    // Short messages are not worth the time.
+    let short = answer_with_directory(3);
+    let length = codec.encode(&short, FormatVersion::V4).unwrap().len();
+    assert!(encode(&short).len() >= length);
+    // Neither a truncated message nor one of an earlier version is decompressed.
+    assert!(codec.decode(&compressed[..compressed.len() / 2]).is_err());
+    let mut earlier = compressed.clone();
+    earlier[0] = FormatVersion::V4.get();
+    let refusal = codec.decode(&earlier).unwrap_err();
+    assert_eq!(refusal.refusal(), RefusalReason::UnknownKind);
+}
+
 /// Guards against a rolling upgrade during which one release decodes the other's heartbeat incorrectly.
 #[test]
 fn heartbeat_of_version_1_has_no_suspect_flag_in_both_directions() {
