Add routes to the configuration in the fault soak

Callers use the route that was added last once it must be in force; a 404 then breaks the existing check of what is denied. The documents with added routes are shared with the tests of the gateway.

--- a/crates/gateway/tests/gateway/large_configurations.rs
+++ b/crates/gateway/tests/gateway/large_configurations.rs
@@ -37,29 +37,6 @@
 /// Bound for changes in a deployment with hosts of that size.
 const LARGE_CHANGE_BOUND: Duration = Duration::from_millis(2500);
 
-/// Returns 64 bits that look random, as generated names do.
-fn scrambled(number: u64) -> u64 {
-    let mixed = (number + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    (mixed ^ (mixed >> 31)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
-}
-
-/// Returns the prefix of an added route.
-fn prefix(number: u64) -> String {
-    format!("/{:x}/", scrambled(number))
-}
-
-/// Returns a configuration with added public routes.
-fn large_config(version: u64, route_count: u64) -> serde_json::Value {
-    let mut document = config(version, &["key-1"]);
-    let route = document["routes"]["open"].clone();
-    for number in 0..route_count {
-        let mut added = route.clone();
-        added["prefix"] = prefix(number).into();
-        document["routes"][format!("r-{:x}", scrambled(number + 100_000))] = added;
-    }
-    document
-}
-
 /// Returns a free port of this machine.
 async fn free_address() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -107,9 +84,12 @@
     let store = StoreStandIn::start().await.unwrap();
     store.put_config(&config(1, &["key-1"]));
     let hosts = start_fleet(&store).await;
-    let mut changed = large_config(3, 1400);
+    let mut changed = config_with_added_routes(3, &["key-1"], 1400);
     changed["routes"]["look"]["timeoutS"] = 2.into();
-    for (number, document) in [(2, large_config(2, 1400)), (3, changed)] {
+    for (number, document) in [
+        (2, config_with_added_routes(2, &["key-1"], 1400)),
+        (3, changed),
+    ] {
         store.put_config(&document);
         let bound = hosts[0].state().settings.change_bound;
         wait_until(bound, || hosts.iter().all(|host| version(host) == number)).await;
@@ -120,7 +100,7 @@
             assert_eq!(dispatcher.as_ref(), Some(expected), "version {number}");
         }
     }
-    let line = format!("GET {}x", prefix(1399));
+    let line = format!("GET {}x", added_prefix(1399));
     for host in &hosts {
         // No target is registered; a route that is not known would be answered with 404.
         let answer = call(host.caller_address(), &line, "", "").await;
@@ -141,7 +121,7 @@
     let host = GatewayHost::start(settings, GatewayClock::new());
     let host = host.await.unwrap();
     wait_until(WAIT_TIMEOUT, || version(&host) == 1).await;
-    let document = large_config(2, 5500);
+    let document = config_with_added_routes(2, &["key-1"], 5500);
     // The platform's store holds values of up to 1 MiB.
     let length = document.to_string().len();
     assert!((1_000_000..1 << 20).contains(&length), "{length} bytes");
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -58,6 +58,8 @@
     pub in_rotation: Vec<HostIndex>,
     /// Number of the newest key.
     pub key: usize,
+    /// Number of routes that were added to the configuration.
+    pub added_routes: u64,
     /// Whether the run is over.
     pub is_over: bool,
 }
@@ -132,16 +134,18 @@
     }
 
     /// Draws a request and returns whether it is idempotent, and its key. Half of the requests are idempotent, and a
-    /// tenth need no key.
+    /// tenth need no key; these use the route that was added last.
     fn draw_request(&mut self) -> (CallerRequest, bool, Option<usize>) {
         let id: SmolStr = format_smolstr!("c{}-{}", self.number, self.sent);
         self.sent += 1;
         let newest = self.state.borrow().key;
         let key = newest.saturating_sub(usize::from(self.uses_withdrawn_key));
+        let added = self.state.borrow().added_routes.checked_sub(1);
+        let open_prefix = added.map_or_else(|| "/open/".to_owned(), added_prefix);
         let (line, is_idempotent, key) = match self.random.random_range(0..10) {
-            0 => ("GET /open/x", true, None),
-            1..5 => ("GET /look/x", true, Some(key)),
-            _ => ("POST /buy/x", false, Some(key)),
+            0 => (format!("GET {open_prefix}x"), true, None),
+            1..5 => ("GET /look/x".to_owned(), true, Some(key)),
+            _ => ("POST /buy/x".to_owned(), false, Some(key)),
         };
         let request = CallerRequest {
             line,
--- a/crates/soak/src/injector.rs
+++ b/crates/soak/src/injector.rs
@@ -43,7 +43,7 @@
 /// Time from the end of a process to its restart.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 
-/// Time from the publication of a configuration until callers use its keys: the platform's `configS` and one second.
+/// Time from the publication of a configuration until callers use its keys and routes: the platform's `configS` and one second.
 const KEY_PROPAGATION_TIME: Duration = Duration::from_secs(3);
 
 /// Time after the grace time in which an exit is not yet late, for scheduling delays on a busy machine.
@@ -66,6 +66,8 @@
     EndFault(PlannedFault, usize),
     RestoreEntry(TargetIndex),
     PublishKey(usize),
+    /// Callers use the latest one of a number of added routes.
+    PublishRoutes(u64),
     /// Operators and targets write again what the store has lost.
     Rewrite,
 }
@@ -80,6 +82,9 @@
     scheduled: BTreeMap<(Duration, usize), ScheduledAction>,
     scheduled_count: usize,
     key: usize,
+    /// Number of routes that were added, and of the versions that added some.
+    added_routes: u64,
+    growths: u64,
     /// Number of store outages in progress.
     store_outages: usize,
     pub(crate) start: Instant,
@@ -121,6 +126,8 @@
             scheduled: BTreeMap::new(),
             scheduled_count: 0,
             key: 0,
+            added_routes: 0,
+            growths: 0,
             store_outages: 0,
             start,
         };
@@ -151,6 +158,9 @@
                 ScheduledAction::PublishKey(key) => {
                     self.caller_state.send_modify(|state| state.key = key)
                 }
+                ScheduledAction::PublishRoutes(count) => self
+                    .caller_state
+                    .send_modify(|state| state.added_routes = count),
                 ScheduledAction::Rewrite => self.rewrite_store(now),
             }
         }
@@ -188,6 +198,10 @@
                 self.rotate_key(now);
                 return Ok(());
             }
+            FaultKind::RoutesAdded(count) => {
+                self.add_routes(count, now);
+                return Ok(());
+            }
             FaultKind::EntryGone(target) => {
                 self.remove_entry(target, now, fault.duration);
                 return Ok(());
@@ -284,6 +298,16 @@
         );
     }
 
+    fn add_routes(&mut self, count: u64, now: Duration) {
+        self.growths += 1;
+        self.added_routes += count;
+        self.put_config();
+        self.schedule(
+            now + KEY_PROPAGATION_TIME,
+            ScheduledAction::PublishRoutes(self.added_routes),
+        );
+    }
+
     /// Writes the configuration and the entries again, and removes those again that a copy has back.
     fn rewrite_store(&mut self, now: Duration) {
         self.put_config();
@@ -298,8 +322,9 @@
     }
 
     fn put_config(&self) {
-        let version = 1 + self.key as u64;
-        let config = config(version, &[&key_text(self.key)]);
+        let version = 1 + self.key as u64 + self.growths;
+        let keys = [&*key_text(self.key)];
+        let config = config_with_added_routes(version, &keys, self.added_routes);
         self.fleet.store.put_config(&config);
     }
 
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -52,6 +52,15 @@
 /// Changes the seed for the returns of the store, which are drawn apart so that the other faults of a seed stay the same.
 const RESTORE_SEED: u64 = 0x5e_ed0f_e2a5;
 
+/// Shortest and longest time between two growths of the configuration, in seconds.
+const GROWTH_INTERVAL_SECONDS: (f64, f64) = (2.0, 9.0);
+
+/// Lowest and highest number of routes that are added at once.
+const ADDED_ROUTES: (u64, u64) = (1, 600);
+
+/// Changes the seed for the growths of the configuration, which are drawn apart, too.
+const GROWTH_SEED: u64 = 0x6_7077_ed55;
+
 /// Index of a host, displayed as its name.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct HostIndex(pub usize);
@@ -122,6 +131,8 @@
     StoreRestored(Duration),
     /// A key is withdrawn and replaced by a new one.
     KeyChange,
+    /// Operators add a number of routes.
+    RoutesAdded(u64),
 }
 
 /// A fault with its start and duration.
@@ -129,7 +140,7 @@
 pub struct PlannedFault {
     /// Start, counted from the start of the load.
     pub at: Duration,
-    /// Duration; ignored for stops, reloads and key changes.
+    /// Duration; ignored for stops, reloads and changes of the configuration.
     pub duration: Duration,
     /// Kind of the fault.
     pub kind: FaultKind,
@@ -204,6 +215,26 @@
     }
 }
 
+/// Draws the growths of the configuration before a time.
+fn draw_growths(seed: u64, end: Duration) -> Vec<PlannedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ GROWTH_SEED);
+    let mut at = FAULT_FREE_START;
+    let mut growths = Vec::new();
+    loop {
+        let (low, high) = GROWTH_INTERVAL_SECONDS;
+        at += Duration::from_secs_f64(random.random_range(low..high));
+        let count = random.random_range(ADDED_ROUTES.0..ADDED_ROUTES.1);
+        if at >= end {
+            return growths;
+        }
+        growths.push(PlannedFault {
+            at,
+            duration: Duration::ZERO,
+            kind: FaultKind::RoutesAdded(count),
+        });
+    }
+}
+
 impl SoakPlan {
     /// Draws the faults of a run of `length` for the given numbers of hosts and targets.
     pub fn new(seed: u64, length: Duration, hosts: usize, targets: usize) -> Self {
@@ -239,6 +270,7 @@
             }
         }
         faults.extend(draw_restorations(seed, end));
+        faults.extend(draw_growths(seed, end));
         faults.sort_by_key(|fault| fault.at);
         Self {
             seed,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -100,6 +100,7 @@
     let caller_state = watch::Sender::new(CallerState {
         in_rotation: (0..settings.hosts).map(HostIndex).collect(),
         key: 0,
+        added_routes: 0,
         is_over: false,
     });
     let addresses: Vec<_> = fleet
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -32,5 +32,5 @@
             kinds.insert(name.split('(').next().unwrap_or_default().to_owned());
         }
     }
-    assert_eq!(kinds.len(), 17, "{kinds:?}");
+    assert_eq!(kinds.len(), 18, "{kinds:?}");
 }
