Wait for an entry at the place of a removal that another host told

What callers saw: a live target got no work for good after its entry had lapsed and come back, and the reader of the store changed three times within 2 s. Cause: its entry was in use on one host and pending on the next reader. The former host took its absence in the other's directory for a removal, and later refused the same entry of the store as one from before the removal. Renewals are not delivered, so that nothing corrected it. Change: an entry at the place of a removal is pending, as one above it is. It counts once it has stayed for longer than an entry that nobody renews; what a late write has left lapses before.

--- a/crates/directory/src/removals.rs
+++ b/crates/directory/src/removals.rs
@@ -130,11 +130,12 @@
         if self.place.born != entry.born || entry.born == 0 {
             return true;
         }
-        if entry.place() <= self.place {
+        if entry.place() < self.place {
             return false;
         }
         match self.cause {
-            RemovalCause::Lapsed => true,
+            RemovalCause::Lapsed => entry.place() > self.place,
+            // The removal may have been learned from a host on which the entry is pending, so that the store has it still.
             RemovalCause::Removed => self.on_later(entry, source, now),
         }
     }
