Skip changes of the configuration that another host has sent meanwhile

Cause: a dispatcher polls several hosts and reads the store, so that two of them send it the same change. Change: a change or an offer for another version than the one in force is skipped. Conclusion: a refused change is a fault again.

--- a/crates/gateway/src/follow_loop.rs
+++ b/crates/gateway/src/follow_loop.rs
@@ -221,7 +221,10 @@
     base: Option<ConfigBase>,
     host: &HostId,
 ) -> bool {
+    // Another host may have sent the same change meanwhile.
+    let is_base = state.store_cache.config_base() == base;
     match update {
+        ConfigUpdate::Image(_) | ConfigUpdate::Offered(_) if !is_base => true,
         ConfigUpdate::Same => true,
         ConfigUpdate::Whole(config) => {
             state.store_cache.adopt_config(*config, host.as_str());
