Delay reads of followers only while a long answer is arriving

Cause: found while reading. A dispatcher said that it was reading the operators' records whenever bytes of them had arrived within 0.3 s, which is so half of the time, and also when the store refuses it. Its followers then read the store themselves at 1.0 to 1.1 of the bound in place of 0.7 to 0.8. Conclusion: a refused dispatcher delays nobody.

--- a/crates/gateway/src/peer_service.rs
+++ b/crates/gateway/src/peer_service.rs
@@ -144,9 +144,7 @@
         is_served: state
             .store_cache
             .is_served(state.change_budget().late_age(), now),
-        is_reading: state
-            .store_cache
-            .is_reading(state.change_budget().silence_limit()),
+        is_reading: state.store_cache.is_reading(state.change_budget()),
         config_version: config.map(|config| config.version()),
         config: config_update,
         directory: update,
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -147,14 +147,15 @@
         seen.is_some_and(|at| now.since(at) < limit)
     }
 
-    /// Sets the progress of the latest call for the operators' records.
+    /// Sets the progress of the call for the operators' records; an empty one when it ends.
     pub fn set_operator_answer(&self, progress: AnswerProgress) {
         *lock(&self.operator_answer) = progress;
     }
 
-    /// Returns `true` if bytes of the operators' records have arrived within `limit`.
-    pub fn is_reading(&self, limit: Duration) -> bool {
-        lock(&self.operator_answer).is_arriving(limit)
+    /// Returns `true` if a long answer with the operators' records is arriving.
+    pub fn is_reading(&self, budget: ChangeBudget) -> bool {
+        let progress = lock(&self.operator_answer);
+        progress.is_arriving(budget.check_period(), budget.silence_limit())
     }
 
     /// Returns the documents of the store that this host refused.
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -80,6 +80,7 @@
     {
         let sent_at = self.state.now();
         let result = self.first_answer(wait, call).await;
+        self.set_progress(AnswerProgress::new());
         if let Ok(events) = &result {
             self.record_answer(events, self.state.now().since(sent_at), wait);
         }
@@ -95,6 +96,13 @@
         }
     }
 
+    /// Publishes the progress of the call for the operators' records, which other hosts wait for.
+    fn set_progress(&self, progress: AnswerProgress) {
+        if self.part == StorePart::Operator {
+            self.state.store_cache.set_operator_answer(progress);
+        }
+    }
+
     /// Records the size and time of an answer, and logs one that was overdue before it was complete.
     fn record_answer(&self, events: &StoreEvents, elapsed: Duration, wait: Duration) {
         let traffic = self.state.metrics.traffic();
@@ -118,9 +126,7 @@
         F: Future<Output = Result<StoreEvents, StoreError>>,
     {
         let progress = AnswerProgress::new();
-        if self.part == StorePart::Operator {
-            self.state.store_cache.set_operator_answer(progress.clone());
-        }
+        self.set_progress(progress.clone());
         let first = call(progress.clone());
         tokio::pin!(first);
         let silence_limit = self.budget().silence_limit();
