Take the limits of transfers from the budget for changes

Cause: the time for a chunk and the pause after a failed fetch were constants of their module; steps between a change and its use get their share of the bound in ChangeBudget. A source without the image encoded a change for each chunk that it was asked for. Change: chunk_limit and fetch_pause, and the sum of a growth that meets one failed source. A source looks for the image first. Measured: failed_transfer_keeps_a_large_configuration_within_the_bound: 0.75 of the bound at most.

--- a/crates/directory/src/change_budget.rs
+++ b/crates/directory/src/change_budget.rs
@@ -10,6 +10,7 @@
 //! | a call without an answer counts as silent, and a second source is asked | 0.125 |
 //! | the check that notices it, or the wait of the targets' watch | 0.05 |
 //! | the second source answers and the change is applied | 0.1 |
+//! | a host sends a chunk of a large configuration | 0.2 |
 
 use std::time::Duration;
 
@@ -36,6 +37,9 @@
 /// Share for the period of checks, in thousandths.
 const CHECK_MILLE: u32 = 50;
 
+/// Share for the answer of a source of a configuration, in thousandths.
+const CHUNK_MILLE: u32 = 200;
+
 /// Share for the answer of a second source, in thousandths.
 const ANSWER_MILLE: u32 = 100;
 
@@ -138,6 +142,17 @@
         self.read_age(rank) + self.share(AWAITED_MILLE)
     }
 
+    /// Returns the time in which a host answers with a chunk of a configuration. The chunks of other transfers take its link,
+    /// too.
+    pub fn chunk_limit(self) -> Duration {
+        self.share(CHUNK_MILLE)
+    }
+
+    /// Returns the pause after a failed fetch, before the dispatcher is asked for another source.
+    pub fn fetch_pause(self) -> Duration {
+        self.share(CHECK_MILLE)
+    }
+
     /// Returns the pause of a follower after a number of failed reads in a row. In an outage of the store every host reads,
     /// and each call is paid; the dispatchers notice its end.
     pub fn retry_pause(self, failures: u32) -> Duration {
--- a/crates/directory/tests/change_budget.rs
+++ b/crates/directory/tests/change_budget.rs
@@ -53,6 +53,21 @@
     }
 }
 
+/// Guards against a large configuration that is in force late because one of its sources fails: it passes from host to host in
+/// four rounds, and the failed transfer is one more.
+#[test]
+fn failed_transfer_keeps_a_large_configuration_within_the_bound() {
+    const ROUNDS: u32 = 4;
+    for budget in BOUNDS.map(ChangeBudget::new) {
+        let read = budget.answer_time();
+        let failed = budget.chunk_limit() + budget.fetch_pause();
+        let in_force = read + ROUNDS * budget.answer_time() + failed;
+        assert!(in_force <= budget.bound() * 3 / 4, "{in_force:?}");
+        // A host that awaits the configuration does not take the link with a read of its own meanwhile.
+        assert!(in_force < budget.awaited_read_age(0));
+    }
+}
+
 /// Guards against settings with a bound of zero, which would let a host call the store without a pause.
 #[test]
 fn bound_of_zero_leaves_pauses_between_calls() {
--- a/crates/gateway/src/config_fetch.rs
+++ b/crates/gateway/src/config_fetch.rs
@@ -3,14 +3,11 @@
 //! The long poll of the dispatcher goes on meanwhile, so that changes of targets arrive as usual. A fetch that fails ends;
 //! the dispatcher then names another host, and the fetch continues with the chunks that it has.
 
-use std::{
-    sync::{
-        Arc,
-        Mutex,
-        MutexGuard,
-        PoisonError, //
-    },
-    time::Duration,
+use std::sync::{
+    Arc,
+    Mutex,
+    MutexGuard,
+    PoisonError, //
 };
 
 use chicorycroft_core::prelude::*;
@@ -30,12 +27,6 @@
     state::GatewayState, //
 };
 
-/// Time in which a host answers with a chunk. The chunks of other transfers take its link, too.
-const CHUNK_LIMIT: Duration = Duration::from_millis(500);
-
-/// Pause after a failed fetch, before the dispatcher is asked for another source.
-const FAILURE_PAUSE: Duration = Duration::from_millis(100);
-
 /// Reason for the end of a fetch without a configuration.
 #[derive(Debug, Error)]
 pub enum FetchError {
@@ -168,7 +159,7 @@
             ),
         }
         if is_failed {
-            tokio::time::sleep(FAILURE_PAUSE).await;
+            tokio::time::sleep(state.change_budget().fetch_pause()).await;
         }
     });
 }
@@ -204,7 +195,8 @@
             have: base.map(|base| base.version),
             wants: assembly.wants(),
         };
-        let answer = call_parts(state, offer.address, request, CHUNK_LIMIT).await?;
+        let limit = state.change_budget().chunk_limit();
+        let answer = call_parts(state, offer.address, request, limit).await?;
         let Some(chunk) = answer.chunks.first() else {
             return Err(FetchError::NotHeld(answer.version));
         };
@@ -236,24 +228,19 @@
     Ok(())
 }
 
-/// Answers a request for a chunk of an image, or of none before the first configuration.
+/// Answers a request for a chunk of an image; `None` if this host has no image of a change since the stated version.
 pub fn answer_parts(state: &GatewayState, request: &PartsRequest) -> Option<PartsAnswer> {
-    let base = request
-        .have
-        .and_then(|version| state.store_cache.find_config(version));
-    let latest = state.config_images.since(&state.store_cache, base);
-    let (version, image) = match latest {
-        Ok(latest) => latest?,
-        Err(error) => {
-            log::warn!("event=config_not_encoded error=\"{error}\"");
-            return None;
-        }
+    let want = request.wants.first()?;
+    let PartKey::Part(digest) = want.key else {
+        return None;
     };
-    let find = |key: &PartKey| match key {
-        PartKey::Part(digest) => state.config_images.find(*digest),
-        PartKey::Index => None,
+    let version = state.store_cache.config_version()?;
+    let image = match state.config_images.find(digest) {
+        Some(image) => image,
+        None => encode_since(state, request.have)?,
     };
-    let find = |key: &PartKey| find(key).map(|image| image.bytes().clone());
+    let find =
+        |key: &PartKey| (*key == PartKey::Part(image.digest())).then(|| image.bytes().clone());
     let digest = image.digest();
     Some(PartsAnswer::with_limit(
         CHUNK_BYTES_MAX,
@@ -263,3 +250,16 @@
         find,
     ))
 }
+
+/// Returns the image of the change since a version, which this host has not sent or received yet. The change since one that
+/// it never had is the whole configuration.
+fn encode_since(state: &GatewayState, have: Option<ConfigVersion>) -> Option<ConfigImage> {
+    let base = have.and_then(|version| state.store_cache.find_config(version));
+    match state.config_images.since(&state.store_cache, base) {
+        Ok(latest) => latest.map(|(_, image)| image),
+        Err(error) => {
+            log::warn!("event=config_not_encoded error=\"{error}\"");
+            None
+        }
+    }
+}
