Expect format version 5 in the refusals of the product's own hosts

Change: versions 0, 6 and 255 are refused with 5 as the highest, and 2 to 5 are read. Conclusion: as strict as before, for one version more.

--- a/crates/node/tests/golden/peers.rs
+++ b/crates/node/tests/golden/peers.rs
@@ -203,15 +203,15 @@
         let mut bytes = PeerCodec::new()
             .encode(&messages()[1], FormatVersion::V2)
             .unwrap();
-        for version in [0, 5, 255] {
+        for version in [0, 6, 255] {
             bytes[0] = version;
             let (status, answer) = post(&mut sender, bytes.clone()).await;
             assert_eq!(status, StatusCode::BAD_REQUEST);
-            let refusal = PeerMessage::Refused(RefusalReason::UnknownVersion(4));
+            let refusal = PeerMessage::Refused(RefusalReason::UnknownVersion(5));
             let answer = PeerCodec::new().decode(&answer).unwrap();
             assert_eq!(answer, (FormatVersion::V1, refusal));
         }
-        for version in [2, 3, 4] {
+        for version in [2, 3, 4, 5] {
             bytes[0] = version;
             assert_eq!(post(&mut sender, bytes.clone()).await.0, StatusCode::OK);
         }
