Share one observer type and one conversion of lengths

Reports of calls and of answers had two observer types that were the same but for the report; the conversion of a length to a ByteCount stood in three places; a line at the head of the codec was not wrapped. Change: TrafficObserver<T> with two aliases, ByteCount::of_length.

--- a/crates/core/src/amounts.rs
+++ b/crates/core/src/amounts.rs
@@ -300,6 +300,13 @@
     ByteCount
 );
 
+impl ByteCount {
+    /// Returns the size of a buffer with a length.
+    pub fn of_length(length: usize) -> Self {
+        Self::new(u64::try_from(length).unwrap_or(u64::MAX))
+    }
+}
+
 define_counter!(
     /// Rate of the link of a host, in kbit/s.
     LinkRate
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -3,8 +3,9 @@
 //!
 //! Version 2 added the suspect flag of a target's load, and version 3 the ages and revisions of both parts of the
 //! store, and what targets say about themselves. Version 4 added the positions in the store, the leases of team rates and
-//! the load of pools, and version 5 the changes and transfers of configurations, and compresses long messages. A host decodes all versions and answers in the version of the request, so that hosts of two
-//! releases work together during a rolling upgrade.
+//! the load of pools. Version 5 added the changes and transfers of configurations, and compresses long messages. A host
+//! decodes all versions and answers in the version of the request, so that hosts of two releases work together during a
+//! rolling upgrade.
 
 use std::{
     fmt,
--- a/crates/peer/src/config_image.rs
+++ b/crates/peer/src/config_image.rs
@@ -72,7 +72,7 @@
 
     /// Returns the size.
     pub fn size(&self) -> ByteCount {
-        ByteCount::new(u64::try_from(self.bytes.len()).unwrap_or(u64::MAX))
+        ByteCount::of_length(self.bytes.len())
     }
 }
 
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -103,7 +103,8 @@
             CallObserver,
             CallOutcome,
             CallReport,
-            MessageKind, //
+            MessageKind,
+            TrafficObserver, //
         },
     };
 }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -10,6 +10,7 @@
 };
 
 use bytes::Bytes;
+use chicorycroft_core::prelude::*;
 use http::{
     HeaderValue,
     Method,
@@ -69,8 +70,7 @@
     traffic::{
         AnswerObserver,
         AnswerReport,
-        MessageKind,
-        byte_count, //
+        MessageKind, //
     },
 };
 
@@ -319,8 +319,8 @@
                 let answer = encode_answer(codec, &message, version);
                 self.observer.observe(&AnswerReport {
                     kind,
-                    received: byte_count(bytes.len()),
-                    sent: byte_count(answer.as_ref().map_or(0, Vec::len)),
+                    received: ByteCount::of_length(bytes.len()),
+                    sent: ByteCount::of_length(answer.as_ref().map_or(0, Vec::len)),
                 });
                 respond(StatusCode::OK, answer)
             }
--- a/crates/peer/src/traffic.rs
+++ b/crates/peer/src/traffic.rs
@@ -118,62 +118,45 @@
     pub sent: ByteCount,
 }
 
-/// Receives the reports of calls.
-#[derive(Clone)]
-pub struct CallObserver(Arc<dyn Fn(&CallReport) + Send + Sync>);
-
-impl CallObserver {
-    /// Creates an observer that calls a function with each report.
-    pub fn new(observe: impl Fn(&CallReport) + Send + Sync + 'static) -> Self {
-        Self(Arc::new(observe))
-    }
-}
-
-impl Default for CallObserver {
-    fn default() -> Self {
-        Self::new(|_| {})
-    }
-}
+/// Receives reports of one type.
+pub struct TrafficObserver<T>(Arc<dyn Fn(&T) + Send + Sync>);
 
-impl fmt::Debug for CallObserver {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("CallObserver")
-    }
-}
+/// Receives the reports of calls.
+pub type CallObserver = TrafficObserver<CallReport>;
 
 /// Receives the reports of answers.
-#[derive(Clone)]
-pub struct AnswerObserver(Arc<dyn Fn(&AnswerReport) + Send + Sync>);
+pub type AnswerObserver = TrafficObserver<AnswerReport>;
 
-impl AnswerObserver {
+impl<T> TrafficObserver<T> {
     /// Creates an observer that calls a function with each report.
-    pub fn new(observe: impl Fn(&AnswerReport) + Send + Sync + 'static) -> Self {
+    pub fn new(observe: impl Fn(&T) + Send + Sync + 'static) -> Self {
         Self(Arc::new(observe))
     }
 
     /// Passes a report on.
-    pub(crate) fn observe(&self, report: &AnswerReport) {
+    pub(crate) fn observe(&self, report: &T) {
         (self.0)(report);
     }
 }
 
-impl Default for AnswerObserver {
+impl<T> Clone for TrafficObserver<T> {
+    fn clone(&self) -> Self {
+        Self(self.0.clone())
+    }
+}
+
+impl<T> Default for TrafficObserver<T> {
     fn default() -> Self {
         Self::new(|_| {})
     }
 }
 
-impl fmt::Debug for AnswerObserver {
+impl<T> fmt::Debug for TrafficObserver<T> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("AnswerObserver")
+        f.write_str("TrafficObserver")
     }
 }
 
-/// Returns the length of a message or answer.
-pub(crate) fn byte_count(length: usize) -> ByteCount {
-    ByteCount::new(u64::try_from(length).unwrap_or(u64::MAX))
-}
-
 /// Measures a call and reports it when it ends. A call that is dropped counts as given up.
 #[derive(Debug)]
 pub(crate) struct CallMeter<'a> {
@@ -214,10 +197,10 @@
 
 impl Drop for CallMeter<'_> {
     fn drop(&mut self) {
-        (self.observer.0)(&CallReport {
+        self.observer.observe(&CallReport {
             kind: self.kind,
-            sent: byte_count(self.sent),
-            received: byte_count(self.received),
+            sent: ByteCount::of_length(self.sent),
+            received: ByteCount::of_length(self.received),
             elapsed: self.started_at.elapsed(),
             outcome: self.outcome,
         });
